--- /dev/null
+++ b/src/base/base.h
@@ -0,0 +1,16 @@
+#ifndef CLEMENTINERILL_BASE_BASE_H_
+#define CLEMENTINERILL_BASE_BASE_H_
+
+// Includes the whole base library.
+
+#include "base/error.h"
+#include "base/forward_declarations.h"
+#include "base/hash.h"
+#include "base/invariant.h"
+#include "base/name_table.h"
+#include "base/rendezvous.h"
+#include "base/result.h"
+#include "base/source_position.h"
+#include "base/time.h"
+
+#endif  // CLEMENTINERILL_BASE_BASE_H_
--- /dev/null
+++ b/src/base/forward_declarations.h
@@ -0,0 +1,11 @@
+#ifndef CLEMENTINERILL_BASE_FORWARD_DECLARATIONS_H_
+#define CLEMENTINERILL_BASE_FORWARD_DECLARATIONS_H_
+
+namespace clementinerill {
+
+struct Error;
+struct SourcePosition;
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_BASE_FORWARD_DECLARATIONS_H_
--- /dev/null
+++ b/tests/base/error_test.cc
@@ -0,0 +1,19 @@
+#include "base/error.h"
+
+#include <catch2/catch.hpp>
+
+namespace clementinerill {
+namespace {
+
+// Guards against error texts that lose the place an operator must look at.
+TEST_CASE("an error names file, line and column", "[error]") {
+  const Error error{"port is missing", {"a.yaml", 3, 7}};
+  CHECK(Format(error) == "a.yaml:3:7: port is missing");
+}
+
+TEST_CASE("an error without a position is its description", "[error]") {
+  CHECK(Format(MakeError("port is missing")) == "port is missing");
+}
+
+}  // namespace
+}  // namespace clementinerill
--- /dev/null
+++ b/tests/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
