Add the config library: document model, JSON reader and reference checks

Cause: every other library needs the declared pools, services, routes and failure domains.

Ruled out: throwing accessors of the JSON library, because they stop at the first error and lose its position.

--- /dev/null
+++ b/src/config/failure_domain.h
@@ -0,0 +1,18 @@
+#ifndef CLEMENTINERILL_CONFIG_FAILURE_DOMAIN_H_
+#define CLEMENTINERILL_CONFIG_FAILURE_DOMAIN_H_
+
+#include <cstdint>
+#include <string>
+
+namespace clementinerill {
+
+/// @brief A set of upstreams that operators take out and return as a whole.
+struct FailureDomain {
+  std::string name_;
+  bool in_service_ = true;
+  uint64_t generation_ = 0;  ///< Rises with each change of `in_service_`.
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CONFIG_FAILURE_DOMAIN_H_
--- /dev/null
+++ b/src/config/json_reader.h
@@ -0,0 +1,102 @@
+#ifndef CLEMENTINERILL_CONFIG_JSON_READER_H_
+#define CLEMENTINERILL_CONFIG_JSON_READER_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "base/error.h"
+#include "base/name_table.h"
+#include "config/labels.h"
+
+namespace clementinerill {
+
+/// @brief Reads typed members of one JSON object and collects all errors.
+///
+/// A member that is missing or of the wrong type is reported under its JSON
+/// pointer and read as its default, so that one pass finds every error.
+class JsonReader {
+ public:
+  JsonReader(const nlohmann::json& object,
+             std::string pointer,
+             std::vector<Error>& errors);
+
+  /// @brief A required, non-empty string.
+  [[nodiscard]] std::string Text(const std::string& key);
+
+  /// @brief A string, empty when missing.
+  [[nodiscard]] std::string OptionalText(const std::string& key);
+
+  /// @brief A whole number from `least` to `most`. A missing member is read as
+  /// `fallback`, which must be in range or else the member is required.
+  [[nodiscard]] int Integer(const std::string& key,
+                            int fallback,
+                            int least,
+                            int most);
+
+  /// @brief A whole number that is not negative.
+  [[nodiscard]] uint64_t Unsigned(const std::string& key, uint64_t fallback);
+
+  [[nodiscard]] bool Boolean(const std::string& key, bool fallback);
+
+  /// @brief An object of strings, empty when missing.
+  [[nodiscard]] Labels TextMap(const std::string& key);
+
+  /// @brief One of the names in `table`; required.
+  template <typename Enum, size_t N>
+  [[nodiscard]] Enum Name(const std::string& key,
+                          const std::array<NameEntry<Enum>, N>& table,
+                          Enum fallback) {
+    const std::string name = Text(key);
+    const auto value = ValueOf(table, name);
+    if (!value && !name.empty()) {
+      std::string known;
+      for (const auto& entry : table) {
+        known += (known.empty() ? "" : ", ") + std::string(entry.name_);
+      }
+      Report(key, "'" + name + "' is not one of: " + known);
+    }
+    return value.value_or(fallback);
+  }
+
+  /// @brief An array of objects, empty when missing.
+  template <typename T>
+  [[nodiscard]] std::vector<T> List(const std::string& key,
+                                    const std::function<T(JsonReader&)>& read) {
+    std::vector<T> items;
+    const nlohmann::json* array = Array(key);
+    if (array == nullptr) {
+      return items;
+    }
+    for (size_t i = 0; i < array->size(); ++i) {
+      const std::string pointer =
+          pointer_ + "/" + key + "/" + std::to_string(i);
+      JsonReader reader((*array)[i], pointer, errors_);
+      items.push_back(read(reader));
+      reader.RejectUnknownKeys();
+    }
+    return items;
+  }
+
+  /// @brief Reports each member that no call has asked for.
+  void RejectUnknownKeys();
+
+ private:
+  [[nodiscard]] const nlohmann::json* Find(const std::string& key);
+  [[nodiscard]] const nlohmann::json* Array(const std::string& key);
+  void Report(const std::string& key, std::string description);
+
+  const nlohmann::json& object_;
+  std::string pointer_;
+  std::vector<Error>& errors_;
+  std::set<std::string> known_keys_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CONFIG_JSON_READER_H_
--- /dev/null
+++ b/src/config/selector.cc
@@ -0,0 +1,16 @@
+#include "config/selector.h"
+
+#include <algorithm>
+
+namespace clementinerill {
+
+bool Matches(const Selector& selector, const Labels& labels) noexcept {
+  return std::all_of(selector.required_.begin(), selector.required_.end(),
+                     [&labels](const auto& required) {
+                       const auto found = labels.find(required.first);
+                       return found != labels.end() &&
+                              found->second == required.second;
+                     });
+}
+
+}  // namespace clementinerill
