--- a/src/base/base.h
+++ b/src/base/base.h
@@ -8,6 +8,7 @@
 #include "base/hash.h"
 #include "base/invariant.h"
 #include "base/name_table.h"
+#include "base/parse_number.h"
 #include "base/rendezvous.h"
 #include "base/result.h"
 #include "base/source_position.h"
--- /dev/null
+++ b/src/base/parse_number.h
@@ -0,0 +1,25 @@
+#ifndef CLEMENTINERILL_BASE_PARSE_NUMBER_H_
+#define CLEMENTINERILL_BASE_PARSE_NUMBER_H_
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace clementinerill {
+
+/// @brief Parses a whole decimal number; nothing on any other character.
+[[nodiscard]] inline std::optional<uint64_t> ParseNumber(
+    std::string_view text) noexcept {
+  uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value);
+  if (text.empty() || error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_BASE_PARSE_NUMBER_H_
--- /dev/null
+++ b/src/daemon/attempt_runner.cc
@@ -0,0 +1,110 @@
+#include "daemon/attempt_runner.h"
+
+#include <utility>
+
+#include "upstream/http_exchange.h"
+
+namespace clementinerill {
+namespace {
+
+constexpr auto kCancelTimeout = std::chrono::milliseconds(300);
+
+Instant Now() noexcept {
+  return std::chrono::steady_clock::now();
+}
+
+// Whether the upstream may still be running the request.
+bool MayStillRun(const ExchangeResult& result) noexcept {
+  return !IsWholeAnswer(result) && !IsNotRun(result.result_);
+}
+
+}  // namespace
+
+AttemptRunner::AttemptRunner(Dispatcher& dispatcher,
+                             TaskPool& exchange_pool,
+                             TaskPool& control_pool)
+    : dispatcher_(dispatcher),
+      exchange_pool_(exchange_pool),
+      control_pool_(control_pool) {}
+
+void AttemptRunner::Start(std::shared_ptr<RunningAttempt> attempt) {
+  exchange_pool_.Post([this, attempt = std::move(attempt)] { Run(attempt); });
+}
+
+void AttemptRunner::Run(const std::shared_ptr<RunningAttempt>& attempt) {
+  const Instant started = Now();
+  ExchangeResult result = Exchange(*attempt);
+  const Instant ended = Now();
+  const DispatchGrant& grant = attempt->grant_;
+  if (result.signals_) {
+    dispatcher_.ObserveSignals(*grant.upstream_, *result.signals_);
+  }
+  dispatcher_.Observe(grant, result, ended - started, ended);
+  if (MayStillRun(result)) {
+    control_pool_.Post([this, attempt] { SendCancel(*attempt); });
+  } else {
+    dispatcher_.Release(grant);
+  }
+  attempt->mailbox_->Post(AttemptEvent{attempt->generation_, attempt->part_,
+                                       attempt->attempt_, std::move(result)});
+}
+
+ExchangeResult AttemptRunner::Exchange(RunningAttempt& attempt) {
+  ConnectionPool& pool = attempt.grant_.upstream_->pool_;
+  const ExchangeRequest& request = attempt.request_;
+  ExchangeResult result;
+  const auto connection =
+      pool.Acquire(/*is_protected=*/!request.idempotent_, request.deadline_);
+  if (!connection) {
+    return result;
+  }
+  {
+    const std::lock_guard lock(attempt.mutex_);
+    if (attempt.cancelled_) {
+      pool.Release(*connection);
+      return result;
+    }
+    attempt.connection_id_ = connection->id_;
+  }
+  result = RunExchange(*connection->session_, request, Now());
+  if (IsWholeAnswer(result)) {
+    pool.Release(*connection);
+  } else {
+    result.connection_silent_ = pool.Discard(*connection);
+  }
+  return result;
+}
+
+void AttemptRunner::Cancel(std::shared_ptr<RunningAttempt> attempt) {
+  {
+    const std::lock_guard lock(attempt->mutex_);
+    attempt->cancelled_ = true;
+    if (attempt->connection_id_ == 0) {
+      return;
+    }
+  }
+  control_pool_.Post(
+      [this, attempt = std::move(attempt)] { SendCancel(*attempt); });
+}
+
+void AttemptRunner::SendCancel(RunningAttempt& attempt) {
+  ConnectionPool& pool = attempt.grant_.upstream_->pool_;
+  const auto connection =
+      pool.Acquire(/*is_protected=*/false, Now() + kCancelTimeout);
+  if (!connection) {
+    return;
+  }
+  const auto confirmed = RunControlExchange(
+      *connection->session_, "POST",
+      "/cancel?id=" + attempt.request_.attempt_id_, kCancelTimeout);
+  if (!confirmed) {
+    pool.Discard(*connection);
+    return;
+  }
+  pool.Release(*connection);
+  const std::lock_guard lock(attempt.mutex_);
+  pool.NoteCancelConfirmed(attempt.connection_id_);
+  dispatcher_.Release(attempt.grant_);
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/daemon/attempt_runner.h
@@ -0,0 +1,59 @@
+#ifndef CLEMENTINERILL_DAEMON_ATTEMPT_RUNNER_H_
+#define CLEMENTINERILL_DAEMON_ATTEMPT_RUNNER_H_
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "daemon/dispatch_grant.h"
+#include "daemon/dispatcher.h"
+#include "daemon/mailbox.h"
+#include "upstream/exchange_request.h"
+#include "upstream/task_pool.h"
+
+namespace clementinerill {
+
+/// @brief One attempt on its way through the exchange threads.
+struct RunningAttempt {
+  DispatchGrant grant_;
+  ExchangeRequest request_;
+  std::shared_ptr<Mailbox> mailbox_;
+  int generation_ = 0;
+  size_t part_ = 0;
+  size_t attempt_ = 0;
+
+  std::mutex mutex_;            ///< Guards the members below.
+  bool cancelled_ = false;      ///< Cancelled before it was sent.
+  uint64_t connection_id_ = 0;  ///< Zero until it is being sent.
+};
+
+/// @brief Runs attempts on exchange threads and cancels them upstream.
+class AttemptRunner {
+ public:
+  AttemptRunner(Dispatcher& dispatcher,
+                TaskPool& exchange_pool,
+                TaskPool& control_pool);
+
+  /// @brief Starts an attempt; its end reaches the mailbox exactly once.
+  void Start(std::shared_ptr<RunningAttempt> attempt);
+
+  /// @brief Asks the upstream to stop an attempt.
+  ///
+  /// The slot is free once the upstream has confirmed it or answered, at the
+  /// latest when the grant expires.
+  void Cancel(std::shared_ptr<RunningAttempt> attempt);
+
+ private:
+  void Run(const std::shared_ptr<RunningAttempt>& attempt);
+  [[nodiscard]] ExchangeResult Exchange(RunningAttempt& attempt);
+  void SendCancel(RunningAttempt& attempt);
+
+  Dispatcher& dispatcher_;
+  TaskPool& exchange_pool_;
+  TaskPool& control_pool_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_DAEMON_ATTEMPT_RUNNER_H_
--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,122 @@
+#include "daemon/daemon.h"
+
+#include <chrono>
+#include <utility>
+
+#include "config/configuration_json.h"
+#include "daemon/fetch_configuration.h"
+#include "daemon/static_seats.h"
+#include "routing/build_routing_table.h"
+
+namespace clementinerill {
+namespace {
+
+constexpr auto kControlInterval = std::chrono::milliseconds(20);
+constexpr int kTicksPerConfigurationPoll = 25;
+
+Instant Now() noexcept {
+  return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+Daemon::Daemon(DaemonOptions options)
+    : options_(std::move(options)),
+      exchange_pool_(options_.exchange_threads_),
+      control_pool_(options_.control_threads_),
+      runner_(dispatcher_, exchange_pool_, control_pool_),
+      engine_(dispatcher_, runner_),
+      caller_server_(
+          options_.caller_,
+          {[this](const QueryInput& input, const std::function<bool()>& gone) {
+             return Serve(input, gone);
+           },
+           [this] { return dispatcher_.Table() != nullptr && !draining_; }}) {}
+
+Daemon::~Daemon() {
+  Stop();
+}
+
+Result<uint16_t> Daemon::Start() {
+  control_thread_ = std::thread([this] { RunControl(); });
+  return caller_server_.Start();
+}
+
+void Daemon::Stop() {
+  if (stopping_) {
+    return;
+  }
+  draining_ = true;
+  std::this_thread::sleep_for(options_.balancer_delay_);
+  caller_server_.Stop();
+  stopping_ = true;
+  if (control_thread_.joinable()) {
+    control_thread_.join();
+  }
+  exchange_pool_.Stop();
+  control_pool_.Stop();
+}
+
+QueryAnswer Daemon::Serve(const QueryInput& input,
+                          const std::function<bool()>& caller_gone) {
+  const std::string generated_id = NextRequestId();
+  const auto table = dispatcher_.Table();
+  if (!table) {
+    return RefusedAnswer(generated_id, Reason::kNoConfiguration);
+  }
+  const auto request = ParseQuery(input, *table, generated_id, Now());
+  if (!request) {
+    return request.error();
+  }
+  return engine_.Run(*request, caller_gone);
+}
+
+std::string Daemon::NextRequestId() {
+  return options_.name_ + "-" + std::to_string(++last_request_);
+}
+
+void Daemon::RunControl() {
+  for (int tick = 0; !stopping_; ++tick) {
+    if (tick % kTicksPerConfigurationPoll == 0) {
+      PollConfiguration();
+    }
+    dispatcher_.Maintain(Now());
+    MaintainConnections();
+    std::this_thread::sleep_for(kControlInterval);
+  }
+}
+
+void Daemon::MaintainConnections() {
+  for (const auto& state : dispatcher_.Upstreams()) {
+    state->pool_.CondemnSilent(Now());
+    const int missing = state->pool_.CountToOpen();
+    for (int i = 0; i < missing; ++i) {
+      control_pool_.Post([this, state] {
+        const auto signals = state->pool_.OpenAhead();
+        if (signals) {
+          dispatcher_.ObserveSignals(*state, *signals);
+        }
+      });
+    }
+  }
+}
+
+void Daemon::PollConfiguration() {
+  const auto text =
+      FetchConfiguration(options_.platform_address_, options_.platform_port_);
+  if (!text) {
+    return;
+  }
+  const auto configuration = ParseConfiguration(*text);
+  if (!configuration || configuration->version_ <= configuration_version_) {
+    return;
+  }
+  configuration_version_ = configuration->version_;
+  RoutingRestrictions restrictions;
+  restrictions.seats_ =
+      StaticSeats(*configuration, options_.members_, options_.name_);
+  dispatcher_.Apply(std::make_shared<const RoutingTable>(
+      BuildRoutingTable(*configuration, restrictions)));
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,59 @@
+#ifndef CLEMENTINERILL_DAEMON_DAEMON_H_
+#define CLEMENTINERILL_DAEMON_DAEMON_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <thread>
+
+#include "base/result.h"
+#include "daemon/attempt_runner.h"
+#include "daemon/caller_server.h"
+#include "daemon/daemon_options.h"
+#include "daemon/dispatcher.h"
+#include "daemon/query_engine.h"
+#include "upstream/task_pool.h"
+
+namespace clementinerill {
+
+/// @brief One daemon: callers on one side, upstreams on the other.
+class Daemon {
+ public:
+  explicit Daemon(DaemonOptions options);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// @brief Starts serving. Returns the port for callers.
+  [[nodiscard]] Result<uint16_t> Start();
+
+  /// @brief Graceful shutdown: not ready, the delay of the balancer, the end
+  /// of all requests in progress.
+  void Stop();
+
+ private:
+  [[nodiscard]] QueryAnswer Serve(const QueryInput& input,
+                                  const std::function<bool()>& caller_gone);
+  [[nodiscard]] std::string NextRequestId();
+  void RunControl();
+  void MaintainConnections();
+  void PollConfiguration();
+
+  const DaemonOptions options_;
+  Dispatcher dispatcher_;
+  TaskPool exchange_pool_;
+  TaskPool control_pool_;
+  AttemptRunner runner_;
+  QueryEngine engine_;
+  CallerServer caller_server_;
+  std::thread control_thread_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<bool> draining_{false};
+  std::atomic<uint64_t> last_request_{0};
+  uint64_t configuration_version_ = 0;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_DAEMON_DAEMON_H_
--- /dev/null
+++ b/src/daemon/daemon_options.h
@@ -0,0 +1,26 @@
+#ifndef CLEMENTINERILL_DAEMON_DAEMON_OPTIONS_H_
+#define CLEMENTINERILL_DAEMON_DAEMON_OPTIONS_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "daemon/caller_server.h"
+
+namespace clementinerill {
+
+/// @brief What one daemon is started with.
+struct DaemonOptions {
+  std::string name_;
+  CallerServerOptions caller_;
+  std::string platform_address_ = "127.0.0.1";
+  uint16_t platform_port_ = 0;
+  std::vector<std::string> members_;  ///< Names of all daemons.
+  int exchange_threads_ = 128;
+  int control_threads_ = 16;
+  std::chrono::milliseconds balancer_delay_{3000};
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_DAEMON_DAEMON_OPTIONS_H_
--- /dev/null
+++ b/src/daemon/forward_declarations.h
@@ -0,0 +1,20 @@
+#ifndef CLEMENTINERILL_DAEMON_FORWARD_DECLARATIONS_H_
+#define CLEMENTINERILL_DAEMON_FORWARD_DECLARATIONS_H_
+
+namespace clementinerill {
+
+class AttemptRunner;
+class CallerServer;
+class Daemon;
+class Dispatcher;
+class Mailbox;
+class QueryEngine;
+struct DaemonOptions;
+struct DispatchGrant;
+struct QueryInput;
+struct QueryRequest;
+struct UpstreamState;
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_DAEMON_FORWARD_DECLARATIONS_H_
--- /dev/null
+++ b/src/daemon/query_answer_json.h
@@ -0,0 +1,18 @@
+#ifndef CLEMENTINERILL_DAEMON_QUERY_ANSWER_JSON_H_
+#define CLEMENTINERILL_DAEMON_QUERY_ANSWER_JSON_H_
+
+#include <string>
+
+#include "sweep/query_answer.h"
+
+namespace clementinerill {
+
+/// @brief The answer as the JSON text that callers receive.
+[[nodiscard]] std::string ToJsonText(const QueryAnswer& answer);
+
+/// @brief The HTTP status that goes with the answer.
+[[nodiscard]] int HttpStatusOf(const QueryAnswer& answer) noexcept;
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_DAEMON_QUERY_ANSWER_JSON_H_
--- /dev/null
+++ b/src/daemon/query_request.h
@@ -0,0 +1,23 @@
+#ifndef CLEMENTINERILL_DAEMON_QUERY_REQUEST_H_
+#define CLEMENTINERILL_DAEMON_QUERY_REQUEST_H_
+
+#include <string>
+
+#include "base/time.h"
+#include "config/route.h"
+
+namespace clementinerill {
+
+/// @brief One checked request of a caller.
+struct QueryRequest {
+  std::string request_id_;
+  Route route_;
+  std::string query_;  ///< The caller's query, passed on as it is.
+  std::string idempotency_key_;
+  size_t top_ = 10;
+  Instant deadline_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_DAEMON_QUERY_REQUEST_H_
--- /dev/null
+++ b/src/daemon/query_run.cc
@@ -0,0 +1,199 @@
+#include "daemon/query_run.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "base/hash.h"
+
+namespace clementinerill {
+namespace {
+
+constexpr auto kCallerCheckInterval = std::chrono::milliseconds(20);
+constexpr auto kSlotRetryInterval = std::chrono::milliseconds(5);
+// The upstream may answer this much after the deadline it was given.
+constexpr auto kSlotGrace = std::chrono::milliseconds(100);
+
+Instant Now() noexcept {
+  return std::chrono::steady_clock::now();
+}
+
+std::string MakeBody(const QueryRequest& request) {
+  const nlohmann::json body = {{"route", request.route_.name_},
+                               {"query", request.query_},
+                               {"top", request.top_}};
+  return body.dump();
+}
+
+// All services of the pool, or the one that the query hashes to.
+std::vector<std::string> ServicesFor(const QueryRequest& request,
+                                     const RoutingPool& pool) {
+  std::vector<std::string> names;
+  for (const RoutingService& service : pool.services_) {
+    names.push_back(service.name_);
+  }
+  if (FansOut(request.route_.kind_) || names.empty()) {
+    return names;
+  }
+  return {names[Hash64(request.query_) % names.size()]};
+}
+
+}  // namespace
+
+QueryRun::QueryRun(const QueryRequest& request,
+                   Dispatcher& dispatcher,
+                   AttemptRunner& runner)
+    : request_(request),
+      dispatcher_(dispatcher),
+      runner_(runner),
+      body_(MakeBody(request)),
+      mailbox_(std::make_shared<Mailbox>()) {}
+
+bool QueryRun::Prepare() {
+  const auto table = dispatcher_.Table();
+  const auto pool = table->pools_.find(request_.route_.pool_);
+  if (pool == table->pools_.end()) {
+    return false;
+  }
+  state_.request_id_ = request_.request_id_;
+  state_.kind_ = request_.route_.kind_;
+  state_.started_ = Now();
+  state_.deadline_ = request_.deadline_;
+  state_.top_ = request_.top_;
+  for (std::string& name : ServicesFor(request_, pool->second)) {
+    Part part;
+    part.service_ = std::move(name);
+    state_.parts_.push_back(std::move(part));
+  }
+  if (FansOut(state_.kind_)) {
+    state_.snapshot_ = dispatcher_.NewestSnapshot(request_.route_);
+  }
+  policy_ = dispatcher_.PolicyFor(request_.route_.pool_);
+  return !state_.parts_.empty();
+}
+
+QueryAnswer QueryRun::Run(const std::function<bool()>& caller_gone) {
+  if (!Prepare()) {
+    return RefusedAnswer(request_.request_id_, Reason::kNoUpstream);
+  }
+  if (FansOut(state_.kind_) && !state_.snapshot_) {
+    return RefusedAnswer(request_.request_id_, Reason::kNoSnapshot);
+  }
+  Instant next_check = Now() + kCallerCheckInterval;
+  while (true) {
+    const Instant now = Now();
+    if (now >= next_check) {
+      state_.cancelled_ = caller_gone();
+      next_check = now + kCallerCheckInterval;
+    }
+    for (const QueryAction& action : NextActions(state_, policy_, now)) {
+      if (CarryOut(action, now)) {
+        return BuildAnswer(state_);
+      }
+    }
+    const Instant wake = std::min(next_check, NextWake(state_, policy_, Now()));
+    for (AttemptEvent& event : mailbox_->Wait(wake)) {
+      Take(std::move(event), Now());
+    }
+  }
+}
+
+bool QueryRun::CarryOut(const QueryAction& action, Instant now) {
+  switch (action.kind_) {
+    case QueryActionKind::kStartAttempt:
+      StartAttempt(action, now);
+      return false;
+    case QueryActionKind::kCancelAttempt:
+      CancelAttempt(action);
+      return false;
+    case QueryActionKind::kRestart:
+      RestartQuery();
+      return false;
+    case QueryActionKind::kFinish:
+      return true;
+  }
+  return false;
+}
+
+void QueryRun::StartAttempt(const QueryAction& action, Instant now) {
+  const Part& part = state_.parts_[action.part_];
+  std::vector<std::string> tried;
+  for (const Attempt& attempt : part.attempts_) {
+    tried.push_back(attempt.upstream_);
+  }
+  auto grant = dispatcher_.Grant(
+      DispatchRequest{request_.route_, part.service_, tried, state_.snapshot_,
+                      state_.deadline_ + kSlotGrace},
+      now);
+  if (!grant) {
+    Decline(action, grant.error(), now);
+    return;
+  }
+  const size_t index = RecordStart(state_, action.part_, action.attempt_kind_,
+                                   grant->upstream_->upstream_.name_, now);
+  auto running = std::make_shared<RunningAttempt>();
+  running->grant_ = std::move(*grant);
+  running->request_ = MakeExchange(action.part_, index);
+  running->mailbox_ = mailbox_;
+  running->generation_ = state_.restarts_;
+  running->part_ = action.part_;
+  running->attempt_ = index;
+  running_[{action.part_, index}] = running;
+  runner_.Start(std::move(running));
+}
+
+void QueryRun::Decline(const QueryAction& action, Reason reason, Instant now) {
+  const bool may_change =
+      reason == Reason::kNoSlot || action.attempt_kind_ == AttemptKind::kHedge;
+  if (!may_change) {
+    RecordNoCandidate(state_, action.part_, reason);
+    return;
+  }
+  RecordDecline(state_, action.part_, reason, now + kSlotRetryInterval);
+  dispatcher_.AddWaiter(state_.parts_[action.part_].service_, mailbox_);
+}
+
+ExchangeRequest QueryRun::MakeExchange(size_t part, size_t attempt) const {
+  ExchangeRequest exchange;
+  exchange.request_id_ = state_.request_id_;
+  exchange.attempt_id_ = state_.request_id_ + "." +
+                         std::to_string(state_.restarts_) + "." +
+                         std::to_string(part) + "." + std::to_string(attempt);
+  exchange.idempotency_key_ = request_.idempotency_key_;
+  exchange.snapshot_ = state_.snapshot_;
+  exchange.body_ = body_;
+  exchange.deadline_ = state_.deadline_;
+  exchange.fans_out_ = FansOut(state_.kind_);
+  exchange.idempotent_ = IsIdempotent(state_.kind_);
+  return exchange;
+}
+
+void QueryRun::CancelAttempt(const QueryAction& action) {
+  RecordCancel(state_, action.part_, action.attempt_);
+  const auto found = running_.find({action.part_, action.attempt_});
+  if (found != running_.end()) {
+    runner_.Cancel(found->second);
+    running_.erase(found);
+  }
+}
+
+void QueryRun::RestartQuery() {
+  const auto snapshot = dispatcher_.NewestSnapshot(request_.route_);
+  if (!snapshot || *snapshot == *state_.snapshot_) {
+    state_.restart_refused_ = true;
+    return;
+  }
+  running_.clear();
+  Restart(state_, *snapshot);
+}
+
+void QueryRun::Take(AttemptEvent event, Instant now) {
+  if (event.generation_ != state_.restarts_) {
+    return;
+  }
+  running_.erase({event.part_, event.attempt_});
+  RecordResult(state_, event.part_, event.attempt_, event.result_.result_,
+               std::move(event.result_.answer_), now);
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/daemon/query_run.h
@@ -0,0 +1,51 @@
+#ifndef CLEMENTINERILL_DAEMON_QUERY_RUN_H_
+#define CLEMENTINERILL_DAEMON_QUERY_RUN_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "daemon/attempt_runner.h"
+#include "daemon/dispatcher.h"
+#include "daemon/query_request.h"
+#include "sweep/query_answer.h"
+#include "sweep/query_state.h"
+#include "sweep/query_step.h"
+
+namespace clementinerill {
+
+/// @brief Carries out the actions of one query until it is finished.
+class QueryRun {
+ public:
+  QueryRun(const QueryRequest& request,
+           Dispatcher& dispatcher,
+           AttemptRunner& runner);
+
+  /// @brief Runs to the answer. Call once.
+  [[nodiscard]] QueryAnswer Run(const std::function<bool()>& caller_gone);
+
+ private:
+  [[nodiscard]] bool Prepare();
+  [[nodiscard]] bool CarryOut(const QueryAction& action, Instant now);
+  void StartAttempt(const QueryAction& action, Instant now);
+  void Decline(const QueryAction& action, Reason reason, Instant now);
+  void CancelAttempt(const QueryAction& action);
+  void RestartQuery();
+  void Take(AttemptEvent event, Instant now);
+  [[nodiscard]] ExchangeRequest MakeExchange(size_t part, size_t attempt) const;
+
+  const QueryRequest& request_;
+  Dispatcher& dispatcher_;
+  AttemptRunner& runner_;
+  QueryState state_;
+  QueryPolicy policy_;
+  std::string body_;
+  std::shared_ptr<Mailbox> mailbox_;
+  std::map<std::pair<size_t, size_t>, std::shared_ptr<RunningAttempt>> running_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_DAEMON_QUERY_RUN_H_
--- /dev/null
+++ b/src/routing/choose_candidate.cc
@@ -0,0 +1,59 @@
+#include "routing/choose_candidate.h"
+
+#include <algorithm>
+
+namespace clementinerill {
+namespace {
+
+bool Offers(const Candidate& candidate,
+            const std::optional<Snapshot>& snapshot) noexcept {
+  if (!snapshot) {
+    return true;
+  }
+  return candidate.offers_ &&
+         std::find(candidate.offers_->begin(), candidate.offers_->end(),
+                   *snapshot) != candidate.offers_->end();
+}
+
+bool IsUsable(const Candidate& candidate, Instant now) noexcept {
+  return candidate.in_use_ < candidate.limit_ && now >= candidate.skip_until_;
+}
+
+bool IsBetter(const Candidate& a, const Candidate& b) noexcept {
+  if (a.tried_ != b.tried_) {
+    return !a.tried_;
+  }
+  return a.expected_latency_ * (a.in_use_ + 1) * b.limit_ <
+         b.expected_latency_ * (b.in_use_ + 1) * a.limit_;
+}
+
+}  // namespace
+
+tl::expected<size_t, Reason> ChooseCandidate(
+    const std::vector<Candidate>& candidates,
+    const std::optional<Snapshot>& snapshot,
+    Instant now) noexcept {
+  Reason reason = Reason::kNoUpstream;
+  std::optional<size_t> best;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const Candidate& candidate = candidates[i];
+    if (!candidate.open_) {
+      continue;
+    }
+    if (!Offers(candidate, snapshot)) {
+      reason = reason == Reason::kNoSlot ? reason : Reason::kNoSnapshot;
+      continue;
+    }
+    reason = Reason::kNoSlot;
+    if (IsUsable(candidate, now) &&
+        (!best || IsBetter(candidate, candidates[*best]))) {
+      best = i;
+    }
+  }
+  if (!best) {
+    return tl::make_unexpected(reason);
+  }
+  return *best;
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/routing/latency_window.cc
@@ -0,0 +1,47 @@
+#include "routing/latency_window.h"
+
+#include <algorithm>
+
+namespace clementinerill {
+namespace {
+
+constexpr size_t kLeastSamples = 16;
+
+Duration QuantileOfSamples(std::vector<Duration> samples, double q) {
+  if (samples.empty()) {
+    return Duration(0);
+  }
+  const auto last = static_cast<double>(samples.size() - 1);
+  const auto index = static_cast<size_t>(last * q + 0.5);
+  const auto position = samples.begin() + static_cast<std::ptrdiff_t>(index);
+  std::nth_element(samples.begin(), position, samples.end());
+  return *position;
+}
+
+}  // namespace
+
+void AddSample(LatencyWindow& window, Duration latency) noexcept {
+  window.samples_[window.next_] = latency;
+  window.next_ = (window.next_ + 1) % LatencyWindow::kCapacity;
+  window.count_ = std::min(window.count_ + 1, LatencyWindow::kCapacity);
+}
+
+Duration QuantileOf(const LatencyWindow& window, double q) {
+  const auto count = static_cast<std::ptrdiff_t>(window.count_);
+  return QuantileOfSamples(
+      {window.samples_.begin(), window.samples_.begin() + count}, q);
+}
+
+Duration TypicalQuantile(const std::vector<const LatencyWindow*>& windows,
+                         double q) {
+  std::vector<Duration> quantiles;
+  for (const LatencyWindow* window : windows) {
+    if (window->count_ >= kLeastSamples) {
+      quantiles.push_back(QuantileOf(*window, q));
+    }
+  }
+  constexpr double kMedian = 0.5;
+  return QuantileOfSamples(std::move(quantiles), kMedian);
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/routing/routing_service.h
@@ -0,0 +1,19 @@
+#ifndef CLEMENTINERILL_ROUTING_ROUTING_SERVICE_H_
+#define CLEMENTINERILL_ROUTING_ROUTING_SERVICE_H_
+
+#include <string>
+#include <vector>
+
+#include "routing/routing_target.h"
+
+namespace clementinerill {
+
+/// @brief One service of a pool with its upstreams.
+struct RoutingService {
+  std::string name_;
+  std::vector<RoutingTarget> targets_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_ROUTING_ROUTING_SERVICE_H_
--- /dev/null
+++ b/src/sweep/coverage.h
@@ -0,0 +1,40 @@
+#ifndef CLEMENTINERILL_SWEEP_COVERAGE_H_
+#define CLEMENTINERILL_SWEEP_COVERAGE_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "sweep/key_range.h"
+
+namespace clementinerill {
+
+/// @brief The union of key ranges that an answer stands for.
+///
+/// Overlapping ranges count once, so the fraction is true after a
+/// repartitioning too.
+class Coverage {
+ public:
+  /// @brief Adds a valid range; an invalid one changes nothing.
+  void Add(const KeyRange& range);
+
+  /// @brief Covered keys, from 0 to `kKeySpaceEnd`.
+  [[nodiscard]] uint64_t CoveredKeys() const noexcept;
+
+  /// @brief Whether every key is covered.
+  [[nodiscard]] bool IsFull() const noexcept;
+
+  /// @brief Covered share of the key space, rounded down so that only full
+  /// coverage is reported as 1.
+  [[nodiscard]] double Fraction() const noexcept;
+
+  /// @brief The ranges that are not covered, in rising order.
+  [[nodiscard]] std::vector<KeyRange> Missing() const;
+
+ private:
+  std::map<uint64_t, uint64_t> end_by_begin_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_SWEEP_COVERAGE_H_
--- /dev/null
+++ b/src/upstream/connection_pool.cc
@@ -0,0 +1,222 @@
+#include "upstream/connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "upstream/http_exchange.h"
+
+namespace clementinerill {
+namespace {
+
+constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
+constexpr auto kProbeTimeout = std::chrono::milliseconds(200);
+
+Instant Now() noexcept {
+  return std::chrono::steady_clock::now();
+}
+
+Poco::Net::StreamSocket ConnectSocket(const std::string& address,
+                                      uint16_t port,
+                                      Duration timeout) {
+  const auto microseconds =
+      std::chrono::duration_cast<std::chrono::microseconds>(timeout).count();
+  Poco::Net::StreamSocket socket;
+  socket.connect(Poco::Net::SocketAddress(address, port),
+                 Poco::Timespan(microseconds));
+  socket.setNoDelay(true);
+  return socket;
+}
+
+// Bytes or an end of stream on an idle connection: the upstream closed it.
+bool IsReadable(UpstreamSession& session) {
+  try {
+    return session.socket().poll(Poco::Timespan(0),
+                                 Poco::Net::Socket::SELECT_READ);
+  } catch (const std::exception&) {
+    return true;
+  }
+}
+
+}  // namespace
+
+ConnectionPool::ConnectionPool(std::string address, uint16_t port)
+    : address_(std::move(address)), port_(port) {}
+
+void ConnectionPool::SetPolicy(const ConnectionPolicy& policy) {
+  const std::lock_guard lock(mutex_);
+  policy_ = policy;
+  changed_.notify_all();
+}
+
+Result<LeasedConnection> ConnectionPool::Acquire(bool is_protected,
+                                                 Instant deadline) {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    LeasedConnection lent;
+    if (LendIdle(is_protected, lent)) {
+      return lent;
+    }
+    if (MayOpen(connections_, policy_)) {
+      return Open(lock, /*busy=*/true, is_protected, deadline);
+    }
+    const auto unproven =
+        ChooseIdle(connections_, policy_, /*needs_proof=*/false, Now());
+    if (unproven) {
+      RecordExchangeStart(connections_, *unproven, is_protected, Now());
+      lent = {*unproven, entries_.at(*unproven).session_};
+      lock.unlock();
+      if (ProveOrDiscard(lent)) {
+        return lent;
+      }
+      lock.lock();
+      continue;
+    }
+    if (changed_.wait_until(lock, deadline) == std::cv_status::timeout) {
+      return Fail("no connection became free before the deadline");
+    }
+  }
+}
+
+bool ConnectionPool::LendIdle(bool is_protected, LeasedConnection& lent) {
+  while (const auto id =
+             ChooseIdle(connections_, policy_, is_protected, Now())) {
+    const auto session = entries_.at(*id).session_;
+    if (IsReadable(*session)) {
+      Erase(*id);
+      continue;
+    }
+    RecordExchangeStart(connections_, *id, is_protected, Now());
+    lent = {*id, session};
+    return true;
+  }
+  return false;
+}
+
+Result<LeasedConnection> ConnectionPool::Open(
+    std::unique_lock<std::mutex>& lock,
+    bool busy,
+    bool is_protected,
+    Instant deadline) {
+  ++connections_.opening_;
+  lock.unlock();
+  std::shared_ptr<UpstreamSession> session;
+  std::string error;
+  try {
+    const Duration timeout =
+        std::min<Duration>(kConnectTimeout, deadline - Now());
+    session = std::make_shared<UpstreamSession>(
+        ConnectSocket(address_, port_, timeout));
+  } catch (const Poco::Exception& exception) {
+    error = exception.displayText();
+  }
+  lock.lock();
+  --connections_.opening_;
+  changed_.notify_all();
+  if (!session) {
+    return Fail("connecting failed: " + error);
+  }
+  ConnectionRecord record;
+  record.id_ = ++last_id_;
+  record.last_answered_ = Now();
+  connections_.records_.push_back(record);
+  entries_[record.id_] = Entry{session};
+  if (busy) {
+    RecordExchangeStart(connections_, record.id_, is_protected, Now());
+  }
+  return LeasedConnection{record.id_, session};
+}
+
+Result<UpstreamSignals> ConnectionPool::ProveOrDiscard(
+    const LeasedConnection& connection) {
+  auto signals =
+      RunControlExchange(*connection.session_, "GET", "/ping", kProbeTimeout);
+  if (!signals) {
+    Discard(connection);
+  }
+  return signals;
+}
+
+void ConnectionPool::Release(const LeasedConnection& connection) {
+  const std::lock_guard lock(mutex_);
+  const ConnectionRecord* record = FindRecord(connections_, connection.id_);
+  if (record == nullptr) {
+    return;
+  }
+  RecordExchangeAnswered(connections_, connection.id_, Now());
+  const auto open = static_cast<int>(connections_.records_.size());
+  if (record->condemned_ || open > policy_.share_) {
+    Erase(connection.id_);
+  }
+  changed_.notify_one();
+}
+
+bool ConnectionPool::Discard(const LeasedConnection& connection) {
+  const std::lock_guard lock(mutex_);
+  const ConnectionRecord* record = FindRecord(connections_, connection.id_);
+  const bool silent = record != nullptr && record->condemned_;
+  Erase(connection.id_);
+  changed_.notify_one();
+  return silent;
+}
+
+void ConnectionPool::NoteCancelConfirmed(uint64_t id) {
+  const std::lock_guard lock(mutex_);
+  ConnectionRecord* record = FindRecord(connections_, id);
+  if (record != nullptr && record->exchange_started_) {
+    record->cancel_confirmed_ = Now();
+  }
+}
+
+int ConnectionPool::CondemnSilent(Instant now) {
+  const std::lock_guard lock(mutex_);
+  const std::vector<uint64_t> silent = FindSilent(connections_, policy_, now);
+  for (const uint64_t id : silent) {
+    FindRecord(connections_, id)->condemned_ = true;
+    try {
+      entries_.at(id).session_->socket().shutdown();
+    } catch (const std::exception&) {
+      // The connection has failed already; its exchange ends by itself.
+      continue;
+    }
+  }
+  return static_cast<int>(silent.size());
+}
+
+int ConnectionPool::CountToOpen() const {
+  const std::lock_guard lock(mutex_);
+  return clementinerill::CountToOpen(connections_, policy_);
+}
+
+Result<UpstreamSignals> ConnectionPool::OpenAhead() {
+  std::unique_lock lock(mutex_);
+  if (!MayOpen(connections_, policy_)) {
+    return Fail("the share of connections is used up");
+  }
+  const auto opened = Open(lock, /*busy=*/true, /*is_protected=*/false,
+                           Now() + kConnectTimeout);
+  lock.unlock();
+  if (!opened) {
+    return tl::make_unexpected(opened.error());
+  }
+  auto signals = ProveOrDiscard(*opened);
+  if (signals) {
+    Release(*opened);
+  }
+  return signals;
+}
+
+int ConnectionPool::CountOpen() const {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(connections_.records_.size()) + connections_.opening_;
+}
+
+void ConnectionPool::Erase(uint64_t id) {
+  RemoveRecord(connections_, id);
+  entries_.erase(id);
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/upstream/task_pool.cc
@@ -0,0 +1,56 @@
+#include "upstream/task_pool.h"
+
+#include <utility>
+
+namespace clementinerill {
+
+TaskPool::TaskPool(int threads) {
+  threads_.reserve(static_cast<size_t>(threads));
+  for (int i = 0; i < threads; ++i) {
+    threads_.emplace_back([this] { Work(); });
+  }
+}
+
+TaskPool::~TaskPool() {
+  Stop();
+}
+
+void TaskPool::Post(std::function<void()> task) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (stopping_) {
+      return;
+    }
+    tasks_.push_back(std::move(task));
+  }
+  ready_.notify_one();
+}
+
+void TaskPool::Stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  ready_.notify_all();
+  for (std::thread& thread : threads_) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+void TaskPool::Work() {
+  while (true) {
+    std::unique_lock lock(mutex_);
+    ready_.wait(lock, [this] { return stopping_ || !tasks_.empty(); });
+    if (tasks_.empty()) {
+      return;
+    }
+    const std::function<void()> task = std::move(tasks_.front());
+    tasks_.pop_front();
+    lock.unlock();
+    task();
+  }
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/upstream/task_pool.h
@@ -0,0 +1,39 @@
+#ifndef CLEMENTINERILL_UPSTREAM_TASK_POOL_H_
+#define CLEMENTINERILL_UPSTREAM_TASK_POOL_H_
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace clementinerill {
+
+/// @brief A fixed number of threads that run blocking tasks in order.
+class TaskPool {
+ public:
+  explicit TaskPool(int threads);
+  ~TaskPool();
+  TaskPool(const TaskPool&) = delete;
+  TaskPool& operator=(const TaskPool&) = delete;
+
+  /// @brief Queues a task. Tasks queued after `Stop` are dropped.
+  void Post(std::function<void()> task);
+
+  /// @brief Finishes the queued tasks and joins the threads.
+  void Stop();
+
+ private:
+  void Work();
+
+  std::mutex mutex_;
+  std::condition_variable ready_;
+  std::deque<std::function<void()>> tasks_;
+  bool stopping_ = false;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_UPSTREAM_TASK_POOL_H_
--- /dev/null
+++ b/src/upstream/upstream_session.cc
@@ -0,0 +1,30 @@
+#include "upstream/upstream_session.h"
+
+#include <Poco/Net/NetException.h>
+
+namespace clementinerill {
+namespace {
+
+// Far beyond any idle time, so that the base class never replaces the
+// connection between two exchanges.
+constexpr int kKeepAliveSeconds = 24 * 3600;
+
+}  // namespace
+
+UpstreamSession::UpstreamSession(const Poco::Net::StreamSocket& socket)
+    : HTTPClientSession(socket) {
+  setKeepAlive(true);
+  setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
+}
+
+int UpstreamSession::write(const char* buffer, std::streamsize length) {
+  const int sent = HTTPSession::write(buffer, length);
+  wrote_ = wrote_ || sent > 0;
+  return sent;
+}
+
+void UpstreamSession::reconnect() {
+  throw Poco::Net::ConnectionResetException("the connection was closed");
+}
+
+}  // namespace clementinerill
