Add the thin query path: daemon, upstream exchanges, stand-in and load tool

Cause: nothing served a request from end to end.

The query state machine, the choice of upstreams and the connection records are decision libraries; the daemon carries out their actions with a thread for each query and each exchange. A cancelled exchange keeps its slot until the upstream confirms.

Ruled out: the automatic re-connection of the HTTP client session, because it hides whether a byte of a request has left.

--- /dev/null
+++ b/fakes/load/caller.h
@@ -0,0 +1,48 @@
+#ifndef CLEMENTINERILL_FAKES_LOAD_CALLER_H_
+#define CLEMENTINERILL_FAKES_LOAD_CALLER_H_
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include <Poco/Net/HTTPClientSession.h>
+
+#include "load/load_options.h"
+#include "load/load_result.h"
+
+namespace clementinerill {
+
+/// @brief Shared by the callers of one run.
+struct LoadSchedule {
+  std::chrono::steady_clock::time_point begin_;
+  std::chrono::steady_clock::time_point end_;
+  std::atomic<uint64_t> next_{0};  ///< Number of the next request.
+};
+
+/// @brief Sends requests one after the other until the schedule ends.
+class Caller {
+ public:
+  Caller(const LoadOptions& options, LoadSchedule& schedule, size_t number);
+
+  [[nodiscard]] LoadResult Run();
+
+ private:
+  void SendOne(uint64_t number);
+  [[nodiscard]] std::string Exchange(const std::string& query,
+                                     const std::string& request_id);
+  void Judge(const std::string& text,
+             const std::string& query,
+             const std::string& request_id,
+             double latency_ms);
+
+  const LoadOptions& options_;
+  LoadSchedule& schedule_;
+  const size_t number_;
+  std::unique_ptr<Poco::Net::HTTPClientSession> session_;
+  LoadResult result_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_FAKES_LOAD_CALLER_H_
--- /dev/null
+++ b/fakes/load/load_result.h
@@ -0,0 +1,32 @@
+#ifndef CLEMENTINERILL_FAKES_LOAD_LOAD_RESULT_H_
+#define CLEMENTINERILL_FAKES_LOAD_LOAD_RESULT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace clementinerill {
+
+/// @brief What one run of the load tool observed.
+struct LoadResult {
+  std::map<std::string, uint64_t> outcomes_;
+  std::map<std::string, uint64_t> reasons_;
+  uint64_t sent_ = 0;
+  uint64_t unanswered_ = 0;  ///< Connection failed or answer cut short.
+  uint64_t wrong_ = 0;       ///< Hits or coverage differ from the data.
+  uint64_t misrouted_ = 0;   ///< Answer carries another request id.
+  uint64_t in_time_ = 0;     ///< Complete within the deadline.
+  std::vector<double> latencies_ms_;  ///< Complete answers.
+  std::vector<std::string> records_;  ///< `<query> <outcome>` lines.
+};
+
+/// @brief Adds the figures of `other` to `total`.
+void Merge(LoadResult& total, LoadResult other);
+
+/// @brief The result as one line of JSON.
+[[nodiscard]] std::string ToJsonText(LoadResult& result, double seconds);
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_FAKES_LOAD_LOAD_RESULT_H_
--- a/src/upstream/upstream_session.cc
+++ b/src/upstream/upstream_session.cc
@@ -23,7 +23,8 @@
   return sent;
 }
 
-void UpstreamSession::reconnect() {
+void UpstreamSession::connect(const Poco::Net::SocketAddress& address) {
+  static_cast<void>(address);
   throw Poco::Net::ConnectionResetException("the connection was closed");
 }
 
--- a/src/upstream/upstream_session.h
+++ b/src/upstream/upstream_session.h
@@ -22,7 +22,7 @@
 
  protected:
   int write(const char* buffer, std::streamsize length) override;
-  void reconnect() override;
+  void connect(const Poco::Net::SocketAddress& address) override;
 
  private:
   bool wrote_ = false;
