Add the stand-in of the platform

Cause: the platform client, the daemon and the load tests need an object store with versions, conditional updates, watches and outages.

Ruled out: a second program for tests. Headers are included as "fakes/platform/...", since src/platform has the same last folder.

Before: no counterpart of the store existed. A fault may be limited to the next `count` calls, which makes single lost answers reproducible.

--- /dev/null
+++ b/fakes/platform/fault.h
@@ -0,0 +1,20 @@
+#ifndef CLEMENTINERILL_FAKES_PLATFORM_FAULT_H_
+#define CLEMENTINERILL_FAKES_PLATFORM_FAULT_H_
+
+#include <chrono>
+
+#include "fakes/platform/fault_mode.h"
+
+namespace clementinerill {
+
+/// @brief The current fault of the fake platform, as set by `POST /fault`.
+struct Fault {
+  FaultMode mode_ = FaultMode::kNone;
+  std::chrono::milliseconds delay_{0};  ///< Used by `kSlow`.
+  bool close_ = false;  ///< `kDown` closes connections instead of sending 503.
+  int count_ = 0;       ///< Calls affected before `kNone`; 0 is no limit.
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_FAKES_PLATFORM_FAULT_H_
