--- a/fakes/fake_upstream/main.cc
+++ b/fakes/fake_upstream/main.cc
@@ -4,7 +4,7 @@
 
 #include <CLI/CLI.hpp>
 
-#include "fake_upstream/upstream_server.h"
+#include "fakes/fake_upstream/upstream_server.h"
 
 namespace {
 
--- a/fakes/fake_upstream/upstream_model.cc
+++ b/fakes/fake_upstream/upstream_model.cc
@@ -1,4 +1,4 @@
-#include "fake_upstream/upstream_model.h"
+#include "fakes/fake_upstream/upstream_model.h"
 
 #include <unistd.h>
 
--- a/fakes/fake_upstream/upstream_model.h
+++ b/fakes/fake_upstream/upstream_model.h
@@ -11,10 +11,10 @@
 #include <string>
 #include <vector>
 
-#include "fake_upstream/upstream_faults.h"
-#include "fake_upstream/upstream_options.h"
-#include "fake_upstream/upstream_stats.h"
-#include "index/generated_index.h"
+#include "fakes/fake_upstream/upstream_faults.h"
+#include "fakes/fake_upstream/upstream_options.h"
+#include "fakes/fake_upstream/upstream_stats.h"
+#include "fakes/index/generated_index.h"
 #include "sweep/snapshot.h"
 
 namespace clementinerill {
--- a/fakes/fake_upstream/upstream_server.cc
+++ b/fakes/fake_upstream/upstream_server.cc
@@ -1,4 +1,4 @@
-#include "fake_upstream/upstream_server.h"
+#include "fakes/fake_upstream/upstream_server.h"
 
 #include <iterator>
 #include <thread>
--- a/fakes/fake_upstream/upstream_server.h
+++ b/fakes/fake_upstream/upstream_server.h
@@ -6,8 +6,8 @@
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
-#include "fake_upstream/upstream_model.h"
-#include "fake_upstream/upstream_options.h"
+#include "fakes/fake_upstream/upstream_model.h"
+#include "fakes/fake_upstream/upstream_options.h"
 
 namespace clementinerill {
 
--- a/fakes/index/generated_index.cc
+++ b/fakes/index/generated_index.cc
@@ -1,4 +1,4 @@
-#include "index/generated_index.h"
+#include "fakes/index/generated_index.h"
 
 #include <algorithm>
 
--- a/fakes/load/answer_check.cc
+++ b/fakes/load/answer_check.cc
@@ -1,11 +1,11 @@
-#include "load/answer_check.h"
+#include "fakes/load/answer_check.h"
 
 #include <algorithm>
 #include <cmath>
 
 #include <nlohmann/json.hpp>
 
-#include "index/generated_index.h"
+#include "fakes/index/generated_index.h"
 
 namespace clementinerill {
 namespace {
--- a/fakes/load/caller.cc
+++ b/fakes/load/caller.cc
@@ -1,4 +1,4 @@
-#include "load/caller.h"
+#include "fakes/load/caller.h"
 
 #include <iterator>
 #include <thread>
@@ -8,7 +8,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <nlohmann/json.hpp>
 
-#include "load/answer_check.h"
+#include "fakes/load/answer_check.h"
 
 namespace clementinerill {
 namespace {
--- a/fakes/load/caller.h
+++ b/fakes/load/caller.h
@@ -8,8 +8,8 @@
 
 #include <Poco/Net/HTTPClientSession.h>
 
-#include "load/load_options.h"
-#include "load/load_result.h"
+#include "fakes/load/load_options.h"
+#include "fakes/load/load_result.h"
 
 namespace clementinerill {
 
--- a/fakes/load/load_result.cc
+++ b/fakes/load/load_result.cc
@@ -1,4 +1,4 @@
-#include "load/load_result.h"
+#include "fakes/load/load_result.h"
 
 #include <algorithm>
 #include <iterator>
--- a/fakes/load/main.cc
+++ b/fakes/load/main.cc
@@ -8,7 +8,7 @@
 
 #include <CLI/CLI.hpp>
 
-#include "load/caller.h"
+#include "fakes/load/caller.h"
 
 namespace {
 
--- /dev/null
+++ b/scripts/lib/fleet.py
@@ -0,0 +1,230 @@
+"""Starts daemons and stand-ins as processes on loopback and talks to them."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+BUILD = os.environ.get("CLEMENTINERILL_BUILD", os.path.join(ROOT, "build"))
+START_TIMEOUT_S = 20
+
+
+class Process:
+    """One started process that prints `listening <port>` once it serves."""
+
+    def __init__(self, name, command, log=subprocess.DEVNULL):
+        self.name = name
+        self.command = command
+        self.child = subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=log, text=True)
+        line = self.child.stdout.readline().split()
+        if len(line) != 2 or line[0] != "listening":
+            raise RuntimeError(f"{name} did not start")
+        self.port = int(line[1])
+
+    def signal(self, number):
+        self.child.send_signal(number)
+
+    def stop(self, timeout_s=30):
+        """Graceful shutdown; returns the exit code."""
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.terminate()
+        return self.child.wait(timeout_s)
+
+    def kill(self):
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait()
+
+
+def exchange(port, method, path, body=None, headers=None, timeout_s=10):
+    """Returns (status, headers, text) of one HTTP exchange."""
+    connection = http_client(port, timeout_s)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read().decode()
+    finally:
+        connection.close()
+
+
+def http_client(port, timeout_s):
+    return http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
+
+
+def wait_until(condition, timeout_s, what):
+    """Polls until the condition holds; raises when it does not in time."""
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise RuntimeError(f"not reached within {timeout_s} s: {what}")
+
+
+class Fleet:
+    """A platform, upstreams of one pool and daemons."""
+
+    def __init__(self, services=10, replicas=3, daemons=3, slots=3, seats=3,
+                 service_ms=4, connect_ms=6, connections=30, domains=3,
+                 top=10, balancer_delay_ms=300):
+        self.services = services
+        self.replicas = replicas
+        self.slots = slots
+        self.seats = seats
+        self.service_ms = service_ms
+        self.connect_ms = connect_ms
+        self.connections = connections
+        self.domains = domains
+        self.top = top
+        self.balancer_delay_ms = balancer_delay_ms
+        self.daemon_names = [f"daemon-{i}" for i in range(daemons)]
+        self.platform = None
+        self.upstreams = {}
+        self.daemons = {}
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        processes = list(self.daemons.values()) + list(self.upstreams.values())
+        if self.platform:
+            processes.append(self.platform)
+        for process in processes:
+            process.kill()
+
+    def start(self):
+        self.platform = Process(
+            "platform", [f"{BUILD}/fakes/fake_platform", "--port", "0"])
+        for service in range(self.services):
+            for replica in range(self.replicas):
+                self.start_upstream(service, replica)
+        self.put_configuration(self.configuration())
+        for name in self.daemon_names:
+            self.start_daemon(name)
+        for name in self.daemon_names:
+            self.wait_ready(name)
+
+    def start_upstream(self, service, replica, port=0, offers="1@1"):
+        name = f"claims-{service}-{replica}"
+        self.upstreams[name] = Process(name, [
+            f"{BUILD}/fakes/fake_upstream",
+            "--port", str(port), "--slots", str(self.slots),
+            "--connections", str(self.connections),
+            "--connect-ms", str(self.connect_ms),
+            "--service-ms", str(self.service_ms),
+            "--partition", str(service), "--partitions", str(self.services),
+            "--offers", offers])
+        return self.upstreams[name]
+
+    def start_daemon(self, name):
+        command = [f"{BUILD}/src/clementinerill", "serve", "--name", name,
+                   "--platform-port", str(self.platform.port),
+                   "--balancer-delay-ms", str(self.balancer_delay_ms)]
+        for member in self.daemon_names:
+            command += ["--member", member]
+        self.daemons[name] = Process(name, command)
+
+    def wait_ready(self, name):
+        port = self.daemons[name].port
+        wait_until(lambda: exchange(port, "GET", "/readyz")[0] == 200,
+                   START_TIMEOUT_S, f"{name} is ready")
+        # Ready connections carry the offers of the upstreams.
+        wait_until(lambda: self.query(name, "claims-search", "warm-up")
+                   .get("outcome") == "complete",
+                   START_TIMEOUT_S, f"{name} answers completely")
+
+    def configuration(self):
+        services = []
+        for service in range(self.services):
+            upstreams = []
+            for replica in range(self.replicas):
+                name = f"claims-{service}-{replica}"
+                upstreams.append({
+                    "name": name, "address": "127.0.0.1",
+                    "port": self.upstreams[name].port,
+                    "failure_domain": f"fd-{replica % self.domains}",
+                    "version": "v1",
+                    "labels": {"app": "claims", "version": "v1"}})
+            services.append({"name": f"claims-{service}", "pool": "claims",
+                             "upstreams": upstreams})
+        def route(name, kind, default_ms):
+            return {"name": name, "kind": kind, "pool": "claims",
+                    "selector": {"app": "claims"}, "top": self.top,
+                    "default_deadline_ms": default_ms,
+                    "longest_deadline_ms": 5000}
+        return {
+            "change_id": f"fleet-{time.monotonic_ns()}",
+            "pools": [{"name": "claims", "slots": self.slots,
+                       "connections": self.connections, "seats": self.seats}],
+            "services": services,
+            "routes": [route("claims-search", "sweep", 1000),
+                       route("notice-lookup", "lookup", 500),
+                       route("case-fetch", "fetch", 500),
+                       route("face-hold", "hold", 2000)],
+            "failure_domains": [{"name": f"fd-{d}"} for d in range(self.domains)]}
+
+    def put_configuration(self, document):
+        status, headers, _ = exchange(
+            self.platform.port, "GET", "/objects/config/main")
+        condition = ({"If-None-Match": "*"} if status == 404
+                     else {"If-Match": headers["ETag"]})
+        status, _, text = exchange(
+            self.platform.port, "PUT", "/objects/config/main",
+            json.dumps(document), condition)
+        if status not in (200, 201):
+            raise RuntimeError(f"writing the configuration failed: {status} {text}")
+
+    def ports(self):
+        return [d.port for d in self.daemons.values()]
+
+    def query(self, daemon, route, text, headers=None):
+        _, _, body = exchange(
+            self.daemons[daemon].port, "POST", f"/v1/{route}",
+            json.dumps({"query": text}), headers)
+        return json.loads(body)
+
+    def fault(self, upstream, **faults):
+        exchange(self.upstreams[upstream].port, "POST", "/fault",
+                 json.dumps(faults))
+
+    def stats(self):
+        """Statistics of all upstreams that answer, by name."""
+        result = {}
+        for name, process in self.upstreams.items():
+            try:
+                result[name] = json.loads(
+                    exchange(process.port, "GET", "/stats", timeout_s=2)[2])
+            except OSError:
+                continue
+        return result
+
+    def load_command(self, ports=None, **options):
+        command = [f"{BUILD}/fakes/load_tool"]
+        for port in ports or self.ports():
+            command += ["--port", str(port)]
+        for name, value in options.items():
+            command += [f"--{name.replace('_', '-')}", str(value)]
+        return command
+
+    def start_load(self, ports=None, **options):
+        return subprocess.Popen(self.load_command(ports, **options),
+                                stdout=subprocess.PIPE, text=True)
+
+    def load(self, ports=None, **options):
+        """Runs the load tool to its end and returns its result."""
+        return finish_load(self.start_load(ports, **options))
+
+
+def finish_load(child):
+    output, _ = child.communicate()
+    return json.loads(output)
