--- a/fakes/load/caller.cc
+++ b/fakes/load/caller.cc
@@ -51,12 +51,11 @@
 
 void Caller::SendOne(uint64_t number) {
   const std::string query = options_.prefix_ + "-" + std::to_string(number);
-  const std::string request_id = query;
   const auto started = steady_clock::now();
   ++result_.sent_;
   std::string text;
   try {
-    text = Exchange(query, request_id);
+    text = Exchange(query);
   } catch (const std::exception&) {
     session_.reset();
     ++result_.unanswered_;
@@ -66,11 +65,10 @@
   const double latency_ms =
       std::chrono::duration<double, std::milli>(steady_clock::now() - started)
           .count();
-  Judge(text, query, request_id, latency_ms);
+  Judge(text, query, latency_ms);
 }
 
-std::string Caller::Exchange(const std::string& query,
-                             const std::string& request_id) {
+std::string Caller::Exchange(const std::string& query) {
   if (!session_) {
     const size_t target =
         (number_ + result_.unanswered_) % options_.ports_.size();
@@ -84,7 +82,7 @@
   const std::string body = json({{"query", query}}).dump();
   request.setContentLength(static_cast<int>(body.size()));
   request.setKeepAlive(true);
-  request.set("X-Request-Id", request_id);
+  request.set("X-Request-Id", query);
   request.set("X-Deadline-Ms", std::to_string(options_.deadline_ms_));
   session_->sendRequest(request) << body << std::flush;
   Poco::Net::HTTPResponse response;
@@ -98,7 +96,6 @@
 
 void Caller::Judge(const std::string& text,
                    const std::string& query,
-                   const std::string& request_id,
                    double latency_ms) {
   const json answer = json::parse(text, nullptr, false);
   if (!answer.is_object()) {
@@ -111,7 +108,7 @@
   if (!options_.record_.empty()) {
     result_.records_.push_back(query + " " + outcome);
   }
-  if (answer.value("request_id", "") != request_id) {
+  if (answer.value("request_id", "") != query) {
     ++result_.misrouted_;
   }
   if (outcome == "complete") {
--- a/fakes/load/caller.h
+++ b/fakes/load/caller.h
@@ -29,11 +29,9 @@
 
  private:
   void SendOne(uint64_t number);
-  [[nodiscard]] std::string Exchange(const std::string& query,
-                                     const std::string& request_id);
+  [[nodiscard]] std::string Exchange(const std::string& query);
   void Judge(const std::string& text,
              const std::string& query,
-             const std::string& request_id,
              double latency_ms);
 
   const LoadOptions& options_;
--- a/fakes/load/load_result.cc
+++ b/fakes/load/load_result.cc
@@ -1,6 +1,7 @@
 #include "fakes/load/load_result.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -14,7 +15,7 @@
     return 0;
   }
   const auto last = static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<size_t>(last * q + 0.5)];
+  return sorted[static_cast<size_t>(std::lround(last * q))];
 }
 
 template <typename T>
--- a/src/routing/latency_window.cc
+++ b/src/routing/latency_window.cc
@@ -1,6 +1,7 @@
 #include "routing/latency_window.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace clementinerill {
 namespace {
@@ -12,7 +13,7 @@
     return Duration(0);
   }
   const auto last = static_cast<double>(samples.size() - 1);
-  const auto index = static_cast<size_t>(last * q + 0.5);
+  const auto index = static_cast<size_t>(std::lround(last * q));
   const auto position = samples.begin() + static_cast<std::ptrdiff_t>(index);
   std::nth_element(samples.begin(), position, samples.end());
   return *position;
--- a/src/upstream/upstream_session.cc
+++ b/src/upstream/upstream_session.cc
@@ -18,7 +18,7 @@
 }
 
 int UpstreamSession::write(const char* buffer, std::streamsize length) {
-  const int sent = HTTPSession::write(buffer, length);
+  const int sent = HTTPClientSession::write(buffer, length);
   wrote_ = wrote_ || sent > 0;
   return sent;
 }
