--- /dev/null
+++ b/tests/routing/choose_candidate_test.cc
@@ -0,0 +1,69 @@
+#include "routing/choose_candidate.h"
+
+#include <catch2/catch.hpp>
+
+#include "routing/upstream_health.h"
+
+namespace clementinerill {
+namespace {
+
+using std::chrono::milliseconds;
+
+const Instant kNow = Instant(std::chrono::hours(1));
+
+Candidate MakeCandidate(int latency_ms) {
+  Candidate candidate;
+  candidate.limit_ = 1;
+  candidate.expected_latency_ = milliseconds(latency_ms);
+  candidate.offers_ = {{1, 1}};
+  return candidate;
+}
+
+// Guards against work sent to a slow replica while fast ones are free.
+TEST_CASE("the fastest free upstream is chosen", "[choose]") {
+  std::vector<Candidate> candidates = {MakeCandidate(100), MakeCandidate(5),
+                                       MakeCandidate(6)};
+  CHECK(ChooseCandidate(candidates, Snapshot{1, 1}, kNow) == size_t{1});
+  candidates[1].in_use_ = 1;
+  CHECK(ChooseCandidate(candidates, Snapshot{1, 1}, kNow) == size_t{2});
+  candidates[2].tried_ = true;
+  CHECK(ChooseCandidate(candidates, Snapshot{1, 1}, kNow) == size_t{0});
+}
+
+// Guards against reasons that hide why no upstream was found.
+TEST_CASE("the reason tells whether waiting helps", "[choose]") {
+  std::vector<Candidate> candidates = {MakeCandidate(5)};
+  CHECK(ChooseCandidate(candidates, Snapshot{2, 1}, kNow).error() ==
+        Reason::kNoSnapshot);
+  candidates[0].in_use_ = 1;
+  CHECK(ChooseCandidate(candidates, Snapshot{1, 1}, kNow).error() ==
+        Reason::kNoSlot);
+  candidates[0].open_ = false;
+  CHECK(ChooseCandidate(candidates, Snapshot{1, 1}, kNow).error() ==
+        Reason::kNoUpstream);
+}
+
+// Guards against new work for an upstream that has just failed.
+TEST_CASE("a failing upstream is skipped for a growing time", "[choose]") {
+  UpstreamHealth health;
+  RecordFailure(health, kNow);
+  const Duration first = health.skip_until_ - kNow;
+  RecordFailure(health, kNow);
+  CHECK(health.skip_until_ - kNow == 2 * first);
+  RecordSuccess(health);
+  CHECK(health.skip_until_ <= kNow);
+}
+
+// Guards against an upstream that was slow once and is never tried again.
+TEST_CASE("an old latency fades towards the typical one", "[choose]") {
+  UpstreamHealth health;
+  RecordLatency(health, milliseconds(100), kNow);
+  const Duration typical = milliseconds(5);
+  CHECK(ExpectedLatency(health, typical, kNow) == milliseconds(100));
+  const Duration later =
+      ExpectedLatency(health, typical, kNow + std::chrono::seconds(20));
+  CHECK(later < milliseconds(6));
+}
+
+}  // namespace
+}  // namespace clementinerill
