Hold a slot until the upstream is known to have stopped

Slots were released at the deadline plus 100 ms and at the confirmation of a cancellation, while the exchange could still be queued in this process or in the receive buffer of a stalled upstream.

Ruled out: shares that add up to more than the slots (seat_share_test), and requests counted by the stand-in although it had refused them as cancelled (corrected in the stand-in as well).

Conclusion: a slot is free once the upstream answers, confirms the cancellation after the exchange has ended, or refuses connections.

--- a/fakes/fake_upstream/upstream_model.cc
+++ b/fakes/fake_upstream/upstream_model.cc
@@ -19,6 +19,7 @@
 constexpr int kUnavailable = 503;
 constexpr int kTimeout = 504;
 constexpr auto kPoll = std::chrono::milliseconds(5);
+constexpr auto kLongestCancel = std::chrono::milliseconds(100);
 constexpr size_t kMostCancelled = 100'000;
 
 UpstreamReply Refusal(int status, bool not_run) {
@@ -64,18 +65,15 @@
   UpstreamReply reply = RunAdmitted(query, caller_gone);
   const Lock lock(mutex_);
   --running_;
+  running_ids_.erase(query.attempt_id_);
+  changed_.notify_all();
   return reply;
 }
 
 std::optional<UpstreamReply> UpstreamModel::Admit(const UpstreamQuery& query) {
   ++stats_.received_;
-  stats_.most_running_ = std::max(stats_.most_running_, running_ + 1);
-  if (faults_.cold_limit_ > 0 && running_ >= faults_.cold_limit_) {
-    ++stats_.cold_over_;
-  }
-  if (faults_.shed_all_ || running_ >= options_.slots_) {
-    ++stats_.shed_;
-    return Refusal(kUnavailable, true);
+  if (cancelled_.count(query.attempt_id_) > 0) {
+    return Refusal(kCancelled, true);
   }
   const bool offered =
       !query.snapshot_ || std::find(offers_.begin(), offers_.end(),
@@ -83,11 +81,17 @@
   if (!offered || offers_.empty()) {
     return Refusal(kConflict, true);
   }
-  if (cancelled_.count(query.attempt_id_) > 0) {
-    return Refusal(kCancelled, true);
+  stats_.most_running_ = std::max(stats_.most_running_, running_ + 1);
+  if (faults_.cold_limit_ > 0 && running_ >= faults_.cold_limit_) {
+    ++stats_.cold_over_;
+  }
+  if (faults_.shed_all_ || running_ >= options_.slots_) {
+    ++stats_.shed_;
+    return Refusal(kUnavailable, true);
   }
   ++stats_.started_;
   ++running_;
+  running_ids_.insert(query.attempt_id_);
   if (query.route_.find("hold") != std::string::npos) {
     ++stats_.runs_by_query_[query.query_];
   }
@@ -156,12 +160,15 @@
 }
 
 void UpstreamModel::Cancel(const std::string& attempt_id) {
-  const Lock lock(mutex_);
+  Lock lock(mutex_);
   if (cancelled_.size() >= kMostCancelled) {
     cancelled_.clear();
   }
   cancelled_.insert(attempt_id);
   changed_.notify_all();
+  changed_.wait_for(lock, kLongestCancel, [this, &attempt_id] {
+    return running_ids_.count(attempt_id) == 0;
+  });
 }
 
 bool UpstreamModel::SetFaults(const std::string& text) {
--- a/fakes/fake_upstream/upstream_model.h
+++ b/fakes/fake_upstream/upstream_model.h
@@ -50,7 +50,9 @@
   [[nodiscard]] UpstreamReply Serve(const UpstreamQuery& query,
                                     const std::function<bool()>& caller_gone);
 
-  /// @brief Stops an attempt; one that arrives later isn't run either.
+  /// @brief Stops an attempt and waits until it has stopped.
+  ///
+  /// An attempt that arrives later isn't run either.
   void Cancel(const std::string& attempt_id);
 
   /// @brief Applies a JSON document of faults. False when malformed.
@@ -89,6 +91,7 @@
   UpstreamFaults faults_;
   UpstreamStats stats_;
   std::set<std::string> cancelled_;
+  std::set<std::string> running_ids_;
   std::set<std::string> peers_;
   int running_ = 0;
   std::mt19937_64 random_;
--- a/fakes/load/caller.cc
+++ b/fakes/load/caller.cc
@@ -59,7 +59,7 @@
   } catch (const std::exception&) {
     session_.reset();
     ++result_.unanswered_;
-    result_.records_.push_back(query + " unanswered");
+    Record(query, "unanswered", 0);
     return;
   }
   const double latency_ms =
@@ -78,11 +78,14 @@
     session_->setTimeout(
         Poco::Timespan((options_.deadline_ms_ + kGraceMs) * 1000LL));
   }
-  Poco::Net::HTTPRequest request("POST", "/v1/" + options_.route_, "HTTP/1.1");
+  const std::string path =
+      options_.direct_ ? "/query" : "/v1/" + options_.route_;
+  Poco::Net::HTTPRequest request("POST", path, "HTTP/1.1");
   const std::string body = json({{"query", query}}).dump();
   request.setContentLength(static_cast<int>(body.size()));
   request.setKeepAlive(true);
   request.set("X-Request-Id", query);
+  request.set("X-Attempt", query);
   request.set("X-Deadline-Ms", std::to_string(options_.deadline_ms_));
   session_->sendRequest(request) << body << std::flush;
   Poco::Net::HTTPResponse response;
@@ -102,12 +105,15 @@
     ++result_.unanswered_;
     return;
   }
+  if (options_.direct_) {
+    const bool answered = answer.contains("hits");
+    Record(query, answered ? "answered" : "refused", latency_ms);
+    return;
+  }
   const std::string outcome = answer.value("outcome", "none");
   ++result_.outcomes_[outcome];
   ++result_.reasons_[answer.value("reason", "none")];
-  if (!options_.record_.empty()) {
-    result_.records_.push_back(query + " " + outcome);
-  }
+  Record(query, outcome, latency_ms);
   if (answer.value("request_id", "") != query) {
     ++result_.misrouted_;
   }
@@ -122,4 +128,13 @@
   }
 }
 
+void Caller::Record(const std::string& query,
+                    const std::string& outcome,
+                    double latency_ms) {
+  if (!options_.record_.empty()) {
+    result_.records_.push_back(query + " " + outcome + " " +
+                               std::to_string(latency_ms));
+  }
+}
+
 }  // namespace clementinerill
--- a/fakes/load/caller.h
+++ b/fakes/load/caller.h
@@ -33,6 +33,9 @@
   void Judge(const std::string& text,
              const std::string& query,
              double latency_ms);
+  void Record(const std::string& query,
+              const std::string& outcome,
+              double latency_ms);
 
   const LoadOptions& options_;
   LoadSchedule& schedule_;
--- a/fakes/load/load_options.h
+++ b/fakes/load/load_options.h
@@ -16,6 +16,7 @@
   double rate_ = 0;     ///< Requests a second in total; zero for no limit.
   uint64_t count_ = 0;  ///< Requests in total; zero for no limit.
   int deadline_ms_ = 1000;
+  bool direct_ = false;       ///< The ports are upstreams and not daemons.
   bool verify_ = true;        ///< Compare hits with those computed directly.
   std::string prefix_ = "q";  ///< Start of each query; makes them unique.
   std::string record_;  ///< File for one line per request; empty for none.
--- a/fakes/load/load_result.h
+++ b/fakes/load/load_result.h
@@ -18,7 +18,7 @@
   uint64_t misrouted_ = 0;   ///< Answer carries another request id.
   uint64_t in_time_ = 0;     ///< Complete within the deadline.
   std::vector<double> latencies_ms_;  ///< Complete answers.
-  std::vector<std::string> records_;  ///< `<query> <outcome>` lines.
+  std::vector<std::string> records_;  ///< `<query> <outcome> <milliseconds>`.
 };
 
 /// @brief Adds the figures of `other` to `total`.
--- a/fakes/load/main.cc
+++ b/fakes/load/main.cc
@@ -63,6 +63,7 @@
   app.add_option("--deadline-ms", options.deadline_ms_, "Deadline");
   app.add_option("--prefix", options.prefix_, "Start of each query");
   app.add_option("--record", options.record_, "File of queries and outcomes");
+  app.add_flag("--direct", options.direct_, "Ask upstreams, not daemons");
   app.add_flag("!--no-verify", options.verify_, "Do not check the hits");
   CLI11_PARSE(app, argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
--- /dev/null
+++ b/scripts/lib/bench.py
@@ -0,0 +1,51 @@
+"""Runs the benchmarks; exits non-zero when a bound is broken."""
+
+import argparse
+import subprocess
+import sys
+
+import bench_query
+import fleet
+import report
+
+PROGRAMS = ["limits_bench", "membership_bench", "metrics_bench"]
+
+
+def run_program(name, target):
+    """Passes on the JSON lines of a benchmark program."""
+    import json
+    output = subprocess.run([f"{fleet.BUILD}/bench/{name}"], check=True,
+                            capture_output=True, text=True).stdout
+    for line in output.splitlines():
+        figure = json.loads(line)
+        target.figure(figure["name"], figure["value"], figure["bound"],
+                      figure["unit"], figure["ok"])
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", help="name of one benchmark")
+    parser.add_argument("--seconds", type=float, default=6,
+                        help="duration of each load phase")
+    parser.add_argument("--holds", type=int, default=10000)
+    arguments = parser.parse_args()
+    result = report.Report()
+    seconds = arguments.seconds
+    benchmarks = {
+        "calm": lambda: bench_query.calm_and_slow(result, seconds),
+        "killed": lambda: bench_query.killed_and_frozen(result, seconds),
+        "failing": lambda: bench_query.failing_service(result, seconds),
+        "overload": lambda: bench_query.overload(result, seconds),
+        "holds": lambda: bench_query.holds(result, arguments.holds),
+        "cost": lambda: bench_query.cost_by_fan_out(result, seconds / 2),
+    }
+    for name, run in benchmarks.items():
+        if arguments.only in (None, name):
+            run()
+    if result.broken:
+        print("bench: broken bounds: " + ", ".join(result.broken), file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -213,7 +213,8 @@
         for port in ports or self.ports():
             command += ["--port", str(port)]
         for name, value in options.items():
-            command += [f"--{name.replace('_', '-')}", str(value)]
+            flag = f"--{name.replace('_', '-')}"
+            command += [flag] if value is True else [flag, str(value)]
         return command
 
     def start_load(self, ports=None, **options):
--- a/src/daemon/attempt_runner.cc
+++ b/src/daemon/attempt_runner.cc
@@ -41,7 +41,7 @@
   }
   dispatcher_.Observe(grant, result, ended - started, ended);
   if (MayStillRun(result)) {
-    control_pool_.Post([this, attempt] { SendCancel(*attempt); });
+    EndUnanswered(attempt);
   } else {
     dispatcher_.Release(grant);
   }
@@ -66,6 +66,11 @@
     }
     attempt.connection_id_ = connection->id_;
   }
+  if (Now() >= request.deadline_) {
+    // An upstream counts the deadline from the arrival of the request.
+    pool.Release(*connection);
+    return result;
+  }
   result = RunExchange(*connection->session_, request, Now());
   if (IsWholeAnswer(result)) {
     pool.Release(*connection);
@@ -75,6 +80,19 @@
   return result;
 }
 
+void AttemptRunner::EndUnanswered(
+    const std::shared_ptr<RunningAttempt>& attempt) {
+  {
+    const std::lock_guard lock(attempt->mutex_);
+    attempt->ended_ = true;
+    if (attempt->cancel_confirmed_) {
+      dispatcher_.Release(attempt->grant_);
+      return;
+    }
+  }
+  PostCancel(attempt);
+}
+
 void AttemptRunner::Cancel(std::shared_ptr<RunningAttempt> attempt) {
   {
     const std::lock_guard lock(attempt->mutex_);
@@ -83,28 +101,69 @@
       return;
     }
   }
-  control_pool_.Post(
-      [this, attempt = std::move(attempt)] { SendCancel(*attempt); });
+  PostCancel(std::move(attempt));
+}
+
+void AttemptRunner::RetryCancellations() {
+  std::vector<std::shared_ptr<RunningAttempt>> attempts;
+  {
+    const std::lock_guard lock(mutex_);
+    attempts.swap(unconfirmed_);
+  }
+  for (auto& attempt : attempts) {
+    PostCancel(std::move(attempt));
+  }
 }
 
-void AttemptRunner::SendCancel(RunningAttempt& attempt) {
+void AttemptRunner::PostCancel(std::shared_ptr<RunningAttempt> attempt) {
+  control_pool_.Post([this, attempt = std::move(attempt)] {
+    if (SendCancel(*attempt)) {
+      return;
+    }
+    const std::lock_guard lock(mutex_);
+    unconfirmed_.push_back(attempt);
+  });
+}
+
+bool AttemptRunner::SendCancel(RunningAttempt& attempt) {
   ConnectionPool& pool = attempt.grant_.upstream_->pool_;
+  {
+    const std::lock_guard lock(attempt.mutex_);
+    if (attempt.cancel_confirmed_) {
+      return true;
+    }
+  }
   const auto connection =
       pool.Acquire(/*is_protected=*/false, Now() + kCancelTimeout);
   if (!connection) {
-    return;
+    // A refused connection means that the process is gone, and with it every
+    // request that it ran.
+    if (connection.error() == AcquireError::kRefused) {
+      Confirm(attempt);
+      return true;
+    }
+    return false;
   }
   const auto confirmed = RunControlExchange(
       *connection->session_, "POST",
       "/cancel?id=" + attempt.request_.attempt_id_, kCancelTimeout);
   if (!confirmed) {
     pool.Discard(*connection);
-    return;
+    return false;
   }
   pool.Release(*connection);
+  Confirm(attempt);
+  return true;
+}
+
+void AttemptRunner::Confirm(RunningAttempt& attempt) {
   const std::lock_guard lock(attempt.mutex_);
-  pool.NoteCancelConfirmed(attempt.connection_id_);
-  dispatcher_.Release(attempt.grant_);
+  attempt.cancel_confirmed_ = true;
+  if (attempt.ended_) {
+    dispatcher_.Release(attempt.grant_);
+  } else {
+    attempt.grant_.upstream_->pool_.NoteCancelConfirmed(attempt.connection_id_);
+  }
 }
 
 }  // namespace clementinerill
--- a/src/daemon/attempt_runner.h
+++ b/src/daemon/attempt_runner.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "daemon/dispatch_grant.h"
 #include "daemon/dispatcher.h"
@@ -23,8 +24,10 @@
   size_t part_ = 0;
   size_t attempt_ = 0;
 
-  std::mutex mutex_;            ///< Guards the members below.
-  bool cancelled_ = false;      ///< Cancelled before it was sent.
+  std::mutex mutex_;        ///< Guards the members below.
+  bool cancelled_ = false;  ///< Cancelled before it was sent.
+  bool cancel_confirmed_ = false;
+  bool ended_ = false;          ///< The exchange is over.
   uint64_t connection_id_ = 0;  ///< Zero until it is being sent.
 };
 
@@ -40,18 +43,26 @@
 
   /// @brief Asks the upstream to stop an attempt.
   ///
-  /// The slot is free once the upstream has confirmed it or answered, at the
-  /// latest when the grant expires.
+  /// The slot is free once the exchange has ended and the upstream has answered
+  /// or confirmed the cancellation.
   void Cancel(std::shared_ptr<RunningAttempt> attempt);
 
+  /// @brief Repeats cancellations that an upstream has not confirmed yet.
+  void RetryCancellations();
+
  private:
   void Run(const std::shared_ptr<RunningAttempt>& attempt);
   [[nodiscard]] ExchangeResult Exchange(RunningAttempt& attempt);
-  void SendCancel(RunningAttempt& attempt);
+  void EndUnanswered(const std::shared_ptr<RunningAttempt>& attempt);
+  void PostCancel(std::shared_ptr<RunningAttempt> attempt);
+  [[nodiscard]] bool SendCancel(RunningAttempt& attempt);
+  void Confirm(RunningAttempt& attempt);
 
   Dispatcher& dispatcher_;
   TaskPool& exchange_pool_;
   TaskPool& control_pool_;
+  std::mutex mutex_;  ///< Guards `unconfirmed_`.
+  std::vector<std::shared_ptr<RunningAttempt>> unconfirmed_;
 };
 
 }  // namespace clementinerill
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -13,6 +13,7 @@
 
 constexpr auto kControlInterval = std::chrono::milliseconds(20);
 constexpr int kTicksPerConfigurationPoll = 25;
+constexpr int kTicksPerCancelRetry = 10;
 
 Instant Now() noexcept {
   return std::chrono::steady_clock::now();
@@ -80,8 +81,11 @@
     if (tick % kTicksPerConfigurationPoll == 0) {
       PollConfiguration();
     }
-    dispatcher_.Maintain(Now());
+    dispatcher_.Maintain();
     MaintainConnections();
+    if (tick % kTicksPerCancelRetry == 0) {
+      runner_.RetryCancellations();
+    }
     std::this_thread::sleep_for(kControlInterval);
   }
 }
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -138,7 +138,7 @@
   }
   UpstreamState& state = *states[*chosen];
   const uint64_t token = ++last_token_;
-  state.tokens_[token] = request.expires_;
+  state.tokens_.insert(token);
   CR_INVARIANT(static_cast<int>(state.tokens_.size()) <= state.slots_);
   return DispatchGrant{states[*chosen], token};
 }
@@ -243,19 +243,8 @@
   return policies_[pool];
 }
 
-void Dispatcher::Maintain(Instant now) {
+void Dispatcher::Maintain() {
   const std::lock_guard lock(mutex_);
-  for (const auto& [name, state] : upstreams_) {
-    std::vector<uint64_t> expired;
-    for (const auto& [token, expires] : state->tokens_) {
-      if (expires <= now) {
-        expired.push_back(token);
-      }
-    }
-    for (const uint64_t token : expired) {
-      ReleaseLocked(*state, token);
-    }
-  }
   UpdatePolicies();
 }
 
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -28,7 +28,6 @@
   const std::string& service_;
   const std::vector<std::string>& tried_;  ///< Upstreams used by the part.
   const std::optional<Snapshot>& snapshot_;
-  Instant expires_;  ///< When the slot is free at the latest.
 };
 
 /// @brief Shares out the slots of this daemon among its queries. Thread-safe.
@@ -68,8 +67,8 @@
   /// @brief Limits for a query of the pool, from recent latencies.
   [[nodiscard]] QueryPolicy PolicyFor(const std::string& pool);
 
-  /// @brief Recomputes policies and frees slots whose requests have expired.
-  void Maintain(Instant now);
+  /// @brief Recomputes policies from the latencies.
+  void Maintain();
 
   /// @brief All upstreams of the table.
   [[nodiscard]] std::vector<std::shared_ptr<UpstreamState>> Upstreams() const;
--- a/src/daemon/query_run.cc
+++ b/src/daemon/query_run.cc
@@ -11,8 +11,6 @@
 
 constexpr auto kCallerCheckInterval = std::chrono::milliseconds(20);
 constexpr auto kSlotRetryInterval = std::chrono::milliseconds(5);
-// The upstream may answer this much after the deadline it was given.
-constexpr auto kSlotGrace = std::chrono::milliseconds(100);
 
 Instant Now() noexcept {
   return std::chrono::steady_clock::now();
@@ -122,8 +120,7 @@
     tried.push_back(attempt.upstream_);
   }
   auto grant = dispatcher_.Grant(
-      DispatchRequest{request_.route_, part.service_, tried, state_.snapshot_,
-                      state_.deadline_ + kSlotGrace},
+      DispatchRequest{request_.route_, part.service_, tried, state_.snapshot_},
       now);
   if (!grant) {
     Decline(action, grant.error(), now);
--- a/src/daemon/upstream_state.h
+++ b/src/daemon/upstream_state.h
@@ -1,8 +1,8 @@
 #ifndef CLEMENTINERILL_DAEMON_UPSTREAM_STATE_H_
 #define CLEMENTINERILL_DAEMON_UPSTREAM_STATE_H_
 
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,8 +28,7 @@
   int slots_ = 0;
   std::string service_;
   std::string pool_name_;
-  /// Outstanding slot tokens with the time at which each expires.
-  std::map<uint64_t, Instant> tokens_;
+  std::set<uint64_t> tokens_;  ///< Slots in use.
   UpstreamHealth health_;
   LatencyWindow latencies_;
   std::optional<std::vector<Snapshot>> offers_;
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
@@ -52,8 +53,9 @@
   changed_.notify_all();
 }
 
-Result<LeasedConnection> ConnectionPool::Acquire(bool is_protected,
-                                                 Instant deadline) {
+tl::expected<LeasedConnection, AcquireError> ConnectionPool::Acquire(
+    bool is_protected,
+    Instant deadline) {
   std::unique_lock lock(mutex_);
   while (true) {
     LeasedConnection lent;
@@ -76,7 +78,7 @@
       continue;
     }
     if (changed_.wait_until(lock, deadline) == std::cv_status::timeout) {
-      return Fail("no connection became free before the deadline");
+      return tl::make_unexpected(AcquireError::kExhausted);
     }
   }
 }
@@ -96,7 +98,7 @@
   return false;
 }
 
-Result<LeasedConnection> ConnectionPool::Open(
+tl::expected<LeasedConnection, AcquireError> ConnectionPool::Open(
     std::unique_lock<std::mutex>& lock,
     bool busy,
     bool is_protected,
@@ -104,20 +106,22 @@
   ++connections_.opening_;
   lock.unlock();
   std::shared_ptr<UpstreamSession> session;
-  std::string error;
+  AcquireError error = AcquireError::kConnect;
   try {
     const Duration timeout =
         std::min<Duration>(kConnectTimeout, deadline - Now());
     session = std::make_shared<UpstreamSession>(
         ConnectSocket(address_, port_, timeout));
-  } catch (const Poco::Exception& exception) {
-    error = exception.displayText();
+  } catch (const Poco::Net::ConnectionRefusedException&) {
+    error = AcquireError::kRefused;
+  } catch (const std::exception&) {
+    error = AcquireError::kConnect;
   }
   lock.lock();
   --connections_.opening_;
   changed_.notify_all();
   if (!session) {
-    return Fail("connecting failed: " + error);
+    return tl::make_unexpected(error);
   }
   ConnectionRecord record;
   record.id_ = ++last_id_;
@@ -200,7 +204,7 @@
                            Now() + kConnectTimeout);
   lock.unlock();
   if (!opened) {
-    return tl::make_unexpected(opened.error());
+    return Fail("the upstream could not be reached");
   }
   auto signals = ProveOrDiscard(*opened);
   if (signals) {
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -9,9 +9,12 @@
 #include <string>
 #include <vector>
 
+#include <tl/expected.hpp>
+
 #include "base/result.h"
 #include "base/time.h"
 #include "connections/replica_connections.h"
+#include "upstream/acquire_error.h"
 #include "upstream/exchange_result.h"
 #include "upstream/upstream_session.h"
 
@@ -37,8 +40,9 @@
   /// Waits until `deadline` for a connection when the share is used up.
   /// @param is_protected The exchange is non-idempotent; the connection must
   /// be proven and is probed with `/ping` when it is not.
-  [[nodiscard]] Result<LeasedConnection> Acquire(bool is_protected,
-                                                 Instant deadline);
+  [[nodiscard]] tl::expected<LeasedConnection, AcquireError> Acquire(
+      bool is_protected,
+      Instant deadline);
 
   /// @brief Takes back a connection at a message boundary.
   void Release(const LeasedConnection& connection);
@@ -69,7 +73,7 @@
     std::shared_ptr<UpstreamSession> session_;
   };
 
-  [[nodiscard]] Result<LeasedConnection> Open(
+  [[nodiscard]] tl::expected<LeasedConnection, AcquireError> Open(
       std::unique_lock<std::mutex>& lock,
       bool busy,
       bool is_protected,
