Add hedge and retry budgets

Cause: extra attempts must not amplify an overload: hedges are bounded by 5% and retries by 10% of the primary attempts of a pool.

Ruled out: a refill by time, which breaks the bound at low traffic; floating point tokens, which drift (the bucket counts thousandths of an attempt); a bucket larger than the reserve, which keeps the bound over the whole run only and allows a burst after a quiet hour.

Before: no bound on extra attempts. After: over any consecutive part of a run, extras are at most the fraction of the primaries plus a reserve of 5, available from the start.

Conclusion: the property test compares each decision with the exact bound over all parts of the run.

--- /dev/null
+++ b/src/limits/limits.h
@@ -0,0 +1,15 @@
+#ifndef CLEMENTINERILL_LIMITS_LIMITS_H_
+#define CLEMENTINERILL_LIMITS_LIMITS_H_
+
+// Includes the whole limits library.
+
+#include "limits/adaptive_limit.h"
+#include "limits/attempt_budget.h"
+#include "limits/forward_declarations.h"
+#include "limits/latency_window.h"
+#include "limits/refusal_reason.h"
+#include "limits/slot_grant.h"
+#include "limits/slot_limiter.h"
+#include "limits/slot_outcome.h"
+
+#endif  // CLEMENTINERILL_LIMITS_LIMITS_H_
