Add the admission queue with priorities and early refusal

Ruled out: a service rate per wall-clock time, since a quiet period looks like a slow service and refuses the next burst; weighted round robin, since it delays holds without need.

Before: no admission control. After: a bounded queue in which each priority with a backlog is served at least once in 12 takes. The wait is estimated from the entries ahead and the mean time between takes while there is a backlog.

--- a/src/limits/forward_declarations.h
+++ b/src/limits/forward_declarations.h
@@ -6,10 +6,15 @@
 enum class RefusalReason;
 enum class SlotOutcome;
 struct AdaptiveLimit;
+struct AdmissionQueue;
 struct AttemptBudget;
 struct LatencyWindow;
+struct QueueEntry;
+struct RefusedEntry;
+struct ServiceInterval;
 struct SlotGrant;
 struct SlotLimiter;
+struct TakeResult;
 
 }  // namespace clementinerill
 
