--- /dev/null
+++ b/src/limits/forward_declarations.h
@@ -0,0 +1,21 @@
+#ifndef CLEMENTINERILL_LIMITS_FORWARD_DECLARATIONS_H_
+#define CLEMENTINERILL_LIMITS_FORWARD_DECLARATIONS_H_
+
+namespace clementinerill {
+
+enum class RefusalReason;
+enum class SlotOutcome;
+struct AdaptiveLimit;
+struct AdmissionQueue;
+struct AttemptBudget;
+struct LatencyWindow;
+struct QueueEntry;
+struct RefusedEntry;
+struct ServiceInterval;
+struct SlotGrant;
+struct SlotLimiter;
+struct TakeResult;
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_LIMITS_FORWARD_DECLARATIONS_H_
