Add the membership library: roster, liveness, seats and advisories

Cause: seats need a holder that is alone at every moment, also while links fail one way, daemons pause or restart, and members disagree about who is live.

Decision: each witness names one holder per seat and marks in its heartbeat which seats it supports for the receiver. A permit needs a majority of such echoes. A witness names another holder only after the last echo it gave to the earlier one is older than kSelfFence, so two majorities cannot exist at the same moment. The handover wait covers requests of the previous holder.

Ruled out: liveness by majority alone, without named holders. Members whose views of a third member differ would hold the same seat for as long as the views differ.

Before: no membership library.

--- /dev/null
+++ b/src/membership/group_state.cc
@@ -0,0 +1,212 @@
+#include "membership/group_state.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "membership/lease.h"
+#include "membership/liveness.h"
+#include "membership/seats.h"
+#include "membership/timing.h"
+
+namespace clementinerill {
+namespace {
+
+constexpr int kMaxSeats = 64;
+
+int CountSeats(const WitnessGroup& group) noexcept {
+  int seats = 0;
+  for (const GroupPool& pool : group.pools_) {
+    seats += pool.seats_;
+  }
+  return seats;
+}
+
+Instant MajorityLeaseEnd(const GroupState& state, Instant now) {
+  std::vector<Instant> sent;
+  for (const PeerRecord& peer : state.peers_) {
+    if (peer.echoed_) {
+      sent.push_back(*peer.echoed_);
+    }
+  }
+  if (IsWitness(state, now)) {
+    sent.push_back(now);
+  }
+  return LeaseEnd(std::move(sent), MajorityOf(state.group_));
+}
+
+// Readiness outlasts the lease, so that a short loss of echoes does not move
+// seats twice.
+bool IsReady(const GroupState& state, const SelfStatus& status, Instant now) {
+  if (status.config_version_ == 0 || status.leaving_) {
+    return false;
+  }
+  const bool never = state.lease_until_ == Instant::min();
+  return !never && now < state.lease_until_ + kSilenceTimeout;
+}
+
+void UpdateSelf(GroupState& state, const SelfStatus& status, Instant now) {
+  state.lease_until_ = MajorityLeaseEnd(state, now);
+  PeerRecord& self = state.peers_[state.self_];
+  self.incarnation_ = state.incarnation_;
+  self.leaving_ = status.leaving_;
+  self.ready_ = IsReady(state, status, now);
+}
+
+void Raise(std::optional<Instant>& latest, Instant value) noexcept {
+  latest = latest ? std::max(*latest, value) : value;
+}
+
+void ApplyEcho(GroupState& state, const Heartbeat& heartbeat, Instant now) {
+  const bool counts = heartbeat.has_echo_ && heartbeat.witness_ &&
+                      heartbeat.echo_incarnation_ == state.incarnation_;
+  const auto age = std::chrono::milliseconds(heartbeat.echo_sent_ms_);
+  if (!counts || age > now - state.started_) {
+    return;
+  }
+  const Instant sent = state.started_ + age;
+  PeerRecord& peer = state.peers_[heartbeat.sender_];
+  Raise(peer.echoed_, sent);
+  for (size_t seat = 0; seat < state.seats_.size(); ++seat) {
+    if (((heartbeat.grants_ >> seat) & 1U) != 0) {
+      Raise(peer.granted_[seat], sent);
+    }
+  }
+}
+
+uint32_t HearsBits(const GroupState& state, Instant now) noexcept {
+  uint32_t bits = 0;
+  for (size_t member = 0; member < state.peers_.size(); ++member) {
+    if (Hears(state, static_cast<int>(member), now)) {
+      bits |= 1U << member;
+    }
+  }
+  return bits;
+}
+
+uint64_t GrantSeats(GroupState& state, int receiver) {
+  uint64_t bits = 0;
+  const Instant heard = *state.peers_[receiver].last_heard_;
+  for (size_t index = 0; index < state.seats_.size(); ++index) {
+    SeatRecord& seat = state.seats_[index];
+    if (seat.named_ == receiver && seat.holder_ == receiver) {
+      seat.named_echo_ = std::max(seat.named_echo_, heard);
+      bits |= uint64_t{1} << index;
+    }
+  }
+  return bits;
+}
+
+}  // namespace
+
+Result<GroupState> MakeGroupState(WitnessGroup group,
+                                  std::string_view self,
+                                  uint32_t incarnation,
+                                  Instant process_start,
+                                  Instant now) {
+  const int index = IndexOf(group, self);
+  if (index < 0) {
+    return Fail("daemon '" + std::string(self) + "' is not in group '" +
+                group.name_ + "'");
+  }
+  if (static_cast<int>(group.members_.size()) > kMaxGroupSize) {
+    return Fail("group '" + group.name_ + "' has more than " +
+                std::to_string(kMaxGroupSize) + " members");
+  }
+  if (CountSeats(group) > kMaxSeats) {
+    return Fail("group '" + group.name_ + "' has more than " +
+                std::to_string(kMaxSeats) + " seats");
+  }
+  GroupState state;
+  state.digest_ = DigestOf(group);
+  state.self_ = index;
+  state.incarnation_ = incarnation;
+  state.started_ = process_start;
+  state.lease_until_ = Instant::min();
+  state.seats_ = MakeSeats(group, now);
+  state.peers_.resize(group.members_.size());
+  for (PeerRecord& peer : state.peers_) {
+    peer.granted_.resize(state.seats_.size());
+  }
+  state.group_ = std::move(group);
+  return state;
+}
+
+void Advance(GroupState& state, const SelfStatus& status, Instant now) {
+  UpdateSelf(state, status, now);
+  UpdateLiveness(state, now);
+  UpdateSeats(state, now);
+}
+
+Heartbeat MakeHeartbeat(GroupState& state,
+                        const SelfStatus& status,
+                        int receiver,
+                        Instant now) {
+  Heartbeat heartbeat;
+  heartbeat.group_ = state.digest_;
+  heartbeat.sender_ = static_cast<uint32_t>(state.self_);
+  heartbeat.incarnation_ = state.incarnation_;
+  heartbeat.sent_ms_ =
+      static_cast<uint64_t>(ToMilliseconds(now - state.started_));
+  heartbeat.hears_ = HearsBits(state, now);
+  heartbeat.config_version_ = status.config_version_;
+  heartbeat.advisory_digest_ = status.advisory_digest_;
+  heartbeat.leaving_ = status.leaving_;
+  heartbeat.ready_ = state.peers_[state.self_].ready_;
+  heartbeat.witness_ = IsWitness(state, now);
+  const PeerRecord& peer = state.peers_[receiver];
+  if (heartbeat.witness_ && peer.last_heard_) {
+    heartbeat.has_echo_ = true;
+    heartbeat.echo_incarnation_ = peer.incarnation_;
+    heartbeat.echo_sent_ms_ = peer.last_sent_ms_;
+    heartbeat.grants_ = GrantSeats(state, receiver);
+  }
+  return heartbeat;
+}
+
+bool ReceiveHeartbeat(GroupState& state,
+                      const Heartbeat& heartbeat,
+                      Instant now) {
+  const bool known = heartbeat.group_ == state.digest_ &&
+                     heartbeat.sender_ < state.peers_.size() &&
+                     static_cast<int>(heartbeat.sender_) != state.self_;
+  if (!known) {
+    return false;
+  }
+  PeerRecord& peer = state.peers_[heartbeat.sender_];
+  const bool same_process = peer.incarnation_ == heartbeat.incarnation_;
+  if (same_process && heartbeat.sent_ms_ <= peer.last_sent_ms_ &&
+      peer.last_heard_) {
+    return false;
+  }
+  peer.incarnation_ = heartbeat.incarnation_;
+  peer.last_sent_ms_ = heartbeat.sent_ms_;
+  peer.last_heard_ = now;
+  peer.leaving_ = heartbeat.leaving_;
+  peer.ready_ = heartbeat.ready_;
+  peer.witness_ = heartbeat.witness_;
+  peer.hears_ = heartbeat.hears_;
+  peer.config_version_ = heartbeat.config_version_;
+  peer.advisory_digest_ = heartbeat.advisory_digest_;
+  ApplyEcho(state, heartbeat, now);
+  return true;
+}
+
+bool HasMajority(const GroupState& state, Instant now) noexcept {
+  return now < state.lease_until_;
+}
+
+const SeatRecord* FindSeat(const GroupState& state,
+                           std::string_view pool,
+                           int seat) noexcept {
+  for (const SeatRecord& record : state.seats_) {
+    if (record.seat_ == seat &&
+        state.group_.pools_[record.pool_].name_ == pool) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/membership/liveness.cc
@@ -0,0 +1,56 @@
+#include "membership/liveness.h"
+
+#include "membership/timing.h"
+
+namespace clementinerill {
+namespace {
+
+bool ReportCounts(const GroupState& state, int witness, Instant now) noexcept {
+  if (witness == state.self_) {
+    return IsWitness(state, now);
+  }
+  return state.peers_[witness].witness_ && Hears(state, witness, now);
+}
+
+bool ReportsHearing(const GroupState& state,
+                    int witness,
+                    int member,
+                    Instant now) noexcept {
+  if (witness == state.self_) {
+    return Hears(state, member, now);
+  }
+  return ((state.peers_[witness].hears_ >> member) & 1U) != 0;
+}
+
+}  // namespace
+
+bool IsWitness(const GroupState& state, Instant now) noexcept {
+  return now - state.started_ >= kWitnessWait;
+}
+
+bool Hears(const GroupState& state, int member, Instant now) noexcept {
+  if (member == state.self_) {
+    return true;
+  }
+  const auto& heard = state.peers_[member].last_heard_;
+  return heard && now - *heard < kSilenceTimeout;
+}
+
+void UpdateLiveness(GroupState& state, Instant now) {
+  const int size = static_cast<int>(state.peers_.size());
+  const int majority = MajorityOf(state.group_);
+  for (int member = 0; member < size; ++member) {
+    int hearing = 0;
+    int silent = 0;
+    for (int witness = 0; witness < size; ++witness) {
+      if (ReportCounts(state, witness, now)) {
+        const bool hears = ReportsHearing(state, witness, member, now);
+        ++(hears ? hearing : silent);
+      }
+    }
+    bool& live = state.peers_[member].live_;
+    live = live ? silent < majority : hearing >= majority;
+  }
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/membership/member.h
@@ -0,0 +1,24 @@
+#ifndef CLEMENTINERILL_MEMBERSHIP_MEMBER_H_
+#define CLEMENTINERILL_MEMBERSHIP_MEMBER_H_
+
+#include <cstdint>
+#include <string>
+
+namespace clementinerill {
+
+/// @brief One daemon as the roster knows it.
+///
+/// `incarnation_` is chosen at random at process start; zero means that the
+/// daemon has not announced itself.
+struct Member {
+  std::string name_;
+  std::string address_;
+  uint16_t port_ = 0;
+  uint32_t incarnation_ = 0;
+  bool listed_ = false;   ///< Present in the platform's VM list.
+  bool leaving_ = false;  ///< Leaving according to the list or the daemon.
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_MEMBERSHIP_MEMBER_H_
--- /dev/null
+++ b/src/membership/peer_record.h
@@ -0,0 +1,30 @@
+#ifndef CLEMENTINERILL_MEMBERSHIP_PEER_RECORD_H_
+#define CLEMENTINERILL_MEMBERSHIP_PEER_RECORD_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/time.h"
+
+namespace clementinerill {
+
+/// @brief What a daemon knows about one member of its group.
+struct PeerRecord {
+  uint32_t incarnation_ = 0;
+  uint64_t last_sent_ms_ = 0;
+  std::optional<Instant> last_heard_;
+  bool leaving_ = false;
+  bool ready_ = false;
+  bool witness_ = false;
+  uint32_t hears_ = 0;
+  uint64_t config_version_ = 0;
+  uint32_t advisory_digest_ = 0;
+  bool live_ = false;  ///< By majority; kept while neither side has one.
+  std::optional<Instant> echoed_;  ///< Latest own send time it has echoed.
+  std::vector<std::optional<Instant>> granted_;  ///< The same, per seat.
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_MEMBERSHIP_PEER_RECORD_H_
--- /dev/null
+++ b/tests/membership/advisory_map_test.cc
@@ -0,0 +1,52 @@
+#include "membership/advisory_map.h"
+
+#include <algorithm>
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+namespace clementinerill {
+namespace {
+
+rc::Gen<Advisory> AnyAdvisory() {
+  return rc::gen::build<Advisory>(
+      rc::gen::set(&Advisory::kind_,
+                   rc::gen::element(AdvisoryKind::kReplicaCold,
+                                    AdvisoryKind::kVersionStopped)),
+      rc::gen::set(&Advisory::subject_,
+                   rc::gen::element<std::string>("a", "b")),
+      rc::gen::set(&Advisory::generation_, rc::gen::inRange<uint64_t>(0, 4)),
+      rc::gen::set(&Advisory::active_));
+}
+
+// Guards against daemons that keep different advisories after an exchange in
+// another order, or with repetitions.
+TEST_CASE("the merge does not depend on the order", "[advisory]") {
+  CHECK(rc::check([] {
+    auto advisories = *rc::gen::container<std::vector<Advisory>>(AnyAdvisory());
+    AdvisoryMap first;
+    MergeAdvisories(first, advisories);
+    std::reverse(advisories.begin(), advisories.end());
+    AdvisoryMap second;
+    MergeAdvisories(second, advisories);
+    RC_ASSERT(MergeAdvisories(second, advisories).empty());
+    RC_ASSERT(DigestOf(first) == DigestOf(second));
+    RC_ASSERT(AdvisoriesFor(first, DigestOf(second)).empty());
+  }));
+}
+
+// Guards against an old report that returns a subject to service.
+TEST_CASE("the generation decides, then active", "[advisory]") {
+  AdvisoryMap map;
+  const auto kind = AdvisoryKind::kFailureDomainOut;
+  CHECK(MergeAdvisory(map, {kind, "fd-1", 2, false, "a"}));
+  CHECK_FALSE(MergeAdvisory(map, {kind, "fd-1", 1, true, "b"}));
+  CHECK_FALSE(IsActive(map, kind, "fd-1"));
+  CHECK(MergeAdvisory(map, {kind, "fd-1", 2, true, "b"}));
+  CHECK_FALSE(MergeAdvisory(map, {kind, "fd-1", 2, false, "a"}));
+  CHECK(IsActive(map, kind, "fd-1"));
+  CHECK(AdvisoriesFor(map, 0).size() == 1);
+}
+
+}  // namespace
+}  // namespace clementinerill
--- /dev/null
+++ b/tests/membership/cluster.h
@@ -0,0 +1,73 @@
+#ifndef CLEMENTINERILL_TESTS_MEMBERSHIP_CLUSTER_H_
+#define CLEMENTINERILL_TESTS_MEMBERSHIP_CLUSTER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "membership/membership.h"
+
+namespace clementinerill {
+
+/// @brief One daemon of the protocol test.
+struct TestMember {
+  std::optional<GroupState> state_;  ///< Empty while the process is down.
+  SelfStatus status_{1, 0, false};
+  Duration clock_offset_{};
+  Duration next_heartbeat_{};
+  Duration paused_until_{};
+  Duration down_until_{};
+  std::vector<std::pair<Duration, Heartbeat>> inbox_;  ///< By arrival.
+};
+
+/// @brief One direction between two members.
+struct TestLink {
+  bool cut_ = false;
+  int drop_percent_ = 0;
+  int max_delay_ms_ = 20;
+};
+
+/// @brief The members' states, driven by one random sequence on one time
+/// line. `now_` is real time; each member sees it plus its clock offset.
+struct Cluster {
+  Cluster(int size, uint64_t seed);
+
+  /// Advances by one step; in the fault phase, changes faults at random.
+  void Step(bool faults);
+  /// Ends all faults and restarts what is down.
+  void Heal();
+
+  [[nodiscard]] int Random(int bound);
+
+  std::mt19937_64 random_;
+  WitnessGroup group_;
+  Duration now_{};
+  std::vector<TestMember> members_;
+  std::vector<std::vector<TestLink>> links_;
+  Duration isolated_since_{};
+  std::vector<int> sides_;  ///< Side of each member while partitioned.
+  /// Per seat: the process (incarnation) that last used it, and the time until
+  /// which its last request may run.
+  std::vector<std::pair<uint32_t, Duration>> last_use_;
+  std::vector<int> users_;  ///< Members using each seat in this step.
+  int handovers_ = 0;
+  std::string violation_;
+
+ private:
+  void Start(TestMember& member, size_t index);
+  void ChangeFaults();
+  void ChangePartition();
+  void Run(TestMember& member, size_t index);
+  void Deliver(TestMember& member, Instant local);
+  void SendAll(TestMember& member, size_t index, Instant local);
+  void UseSeats(const TestMember& member, size_t index, Instant local);
+  void RecordUse(const TestMember& member, size_t seat);
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_TESTS_MEMBERSHIP_CLUSTER_H_
