--- a/src/membership/group_state.cc
+++ b/src/membership/group_state.cc
@@ -58,7 +58,10 @@
   latest = latest ? std::max(*latest, value) : value;
 }
 
-void ApplyEcho(GroupState& state, const Heartbeat& heartbeat, Instant now) {
+void ApplyEcho(GroupState& state,
+               int sender,
+               const Heartbeat& heartbeat,
+               Instant now) {
   const bool counts = heartbeat.has_echo_ && heartbeat.witness_ &&
                       heartbeat.echo_incarnation_ == state.incarnation_;
   const auto age = std::chrono::milliseconds(heartbeat.echo_sent_ms_);
@@ -66,7 +69,7 @@
     return;
   }
   const Instant sent = state.started_ + age;
-  PeerRecord& peer = state.peers_[heartbeat.sender_];
+  PeerRecord& peer = state.peers_[sender];
   Raise(peer.echoed_, sent);
   for (size_t seat = 0; seat < state.seats_.size(); ++seat) {
     if (((heartbeat.grants_ >> seat) & 1U) != 0) {
@@ -145,7 +148,6 @@
                         Instant now) {
   Heartbeat heartbeat;
   heartbeat.group_ = state.digest_;
-  heartbeat.sender_ = static_cast<uint32_t>(state.self_);
   heartbeat.incarnation_ = state.incarnation_;
   heartbeat.sent_ms_ =
       static_cast<uint64_t>(ToMilliseconds(now - state.started_));
@@ -166,15 +168,16 @@
 }
 
 bool ReceiveHeartbeat(GroupState& state,
+                      int sender,
                       const Heartbeat& heartbeat,
                       Instant now) {
-  const bool known = heartbeat.group_ == state.digest_ &&
-                     heartbeat.sender_ < state.peers_.size() &&
-                     static_cast<int>(heartbeat.sender_) != state.self_;
+  const bool known = heartbeat.group_ == state.digest_ && sender >= 0 &&
+                     sender < static_cast<int>(state.peers_.size()) &&
+                     sender != state.self_;
   if (!known) {
     return false;
   }
-  PeerRecord& peer = state.peers_[heartbeat.sender_];
+  PeerRecord& peer = state.peers_[sender];
   const bool same_process = peer.incarnation_ == heartbeat.incarnation_;
   if (same_process && heartbeat.sent_ms_ <= peer.last_sent_ms_ &&
       peer.last_heard_) {
@@ -189,7 +192,7 @@
   peer.hears_ = heartbeat.hears_;
   peer.config_version_ = heartbeat.config_version_;
   peer.advisory_digest_ = heartbeat.advisory_digest_;
-  ApplyEcho(state, heartbeat, now);
+  ApplyEcho(state, sender, heartbeat, now);
   return true;
 }
 
--- a/src/membership/group_state.h
+++ b/src/membership/group_state.h
@@ -60,9 +60,12 @@
                                       int receiver,
                                       Instant now);
 
-/// @brief Applies a heartbeat; returns whether it belongs to this group and
-/// is newer than the last one of its sender.
+/// @brief Applies a heartbeat of the member with index `sender`; returns
+/// whether it belongs to this group and is newer than the sender's last one.
+///
+/// `sender` is `IndexOf` the name of the link the heartbeat arrived on.
 bool ReceiveHeartbeat(GroupState& state,
+                      int sender,
                       const Heartbeat& heartbeat,
                       Instant now);
 
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -8,10 +8,10 @@
 /// @brief One heartbeat from one member of a witness group to another.
 ///
 /// A heartbeat carries the echo for its receiver only, and refers to members
-/// and seats by index, so that its size does not grow with the fleet.
+/// and seats by index, so that its size does not grow with the fleet. The link
+/// it arrives on identifies its sender.
 struct Heartbeat {
-  uint32_t group_ = 0;   ///< Digest of the sender's group.
-  uint32_t sender_ = 0;  ///< Index in the group.
+  uint32_t group_ = 0;  ///< Digest of the sender's group.
   uint32_t incarnation_ = 0;
   uint64_t sent_ms_ = 0;  ///< Since process start of the sender.
   uint32_t echo_incarnation_ = 0;
--- a/src/membership/witness_group.cc
+++ b/src/membership/witness_group.cc
@@ -1,12 +1,35 @@
 #include "membership/witness_group.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 #include "base/hash.h"
 #include "base/rendezvous.h"
 
 namespace clementinerill {
 
+namespace {
+
+// Takes the best-ranked members among those in the fewest groups so far.
+std::vector<std::string> ChooseMembers(const GroupPool& pool,
+                                       const std::vector<std::string>& listed,
+                                       std::map<std::string, int>& groups_of) {
+  std::vector<std::string> ranked = RankByRendezvous(pool.name_, listed);
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [&groups_of](const auto& a, const auto& b) {
+                     return groups_of[a] < groups_of[b];
+                   });
+  ranked.resize(kMaxGroupSize);
+  for (const std::string& member : ranked) {
+    ++groups_of[member];
+  }
+  std::sort(ranked.begin(), ranked.end());
+  return ranked;
+}
+
+}  // namespace
+
 std::vector<WitnessGroup> MakeWitnessGroups(
     const std::vector<std::string>& listed,
     const std::vector<GroupPool>& pools) {
@@ -15,12 +38,12 @@
     std::sort(group.members_.begin(), group.members_.end());
     return {std::move(group)};
   }
+  std::map<std::string, int> groups_of;
   std::vector<WitnessGroup> groups;
+  groups.reserve(pools.size());
   for (const GroupPool& pool : pools) {
-    std::vector<std::string> members = RankByRendezvous(pool.name_, listed);
-    members.resize(kMaxGroupSize);
-    std::sort(members.begin(), members.end());
-    groups.push_back({pool.name_, std::move(members), {pool}});
+    groups.push_back(
+        {pool.name_, ChooseMembers(pool, listed, groups_of), {pool}});
   }
   return groups;
 }
--- a/src/membership/witness_group.h
+++ b/src/membership/witness_group.h
@@ -26,6 +26,9 @@
 
 /// @brief The groups of a fleet: one group `all` for up to `kMaxGroupSize`
 /// daemons, otherwise one per pool, chosen by rendezvous for the pool's name.
+///
+/// A daemon joins a second group only when there are too few daemons: its
+/// heartbeat traffic grows with each group.
 [[nodiscard]] std::vector<WitnessGroup> MakeWitnessGroups(
     const std::vector<std::string>& listed,
     const std::vector<GroupPool>& pools);
--- /dev/null
+++ b/src/peer/advisories.h
@@ -0,0 +1,17 @@
+#ifndef CLEMENTINERILL_PEER_ADVISORIES_H_
+#define CLEMENTINERILL_PEER_ADVISORIES_H_
+
+#include <vector>
+
+#include "membership/advisory.h"
+
+namespace clementinerill {
+
+/// @brief Advisories raised by the sender, or missing at the receiver.
+struct Advisories {
+  std::vector<Advisory> entries_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_PEER_ADVISORIES_H_
--- a/tests/membership/cluster.cc
+++ b/tests/membership/cluster.cc
@@ -132,12 +132,13 @@
 }
 
 void Cluster::Deliver(TestMember& member, Instant local) {
-  std::vector<std::pair<Duration, Heartbeat>> later;
-  for (const auto& [arrival, heartbeat] : member.inbox_) {
-    if (arrival > now_) {
-      later.emplace_back(arrival, heartbeat);
+  std::vector<TestMessage> later;
+  for (const TestMessage& message : member.inbox_) {
+    if (message.arrival_ > now_) {
+      later.push_back(message);
     } else {
-      ReceiveHeartbeat(*member.state_, heartbeat, local);
+      ReceiveHeartbeat(*member.state_, message.sender_, message.heartbeat_,
+                       local);
     }
   }
   member.inbox_ = std::move(later);
@@ -155,7 +156,8 @@
                                               static_cast<int>(to), local);
     if (!lost) {
       const auto delay = milliseconds(Random(link.max_delay_ms_));
-      members_[to].inbox_.emplace_back(now_ + delay, heartbeat);
+      members_[to].inbox_.push_back(
+          {now_ + delay, static_cast<int>(index), heartbeat});
     }
   }
 }
--- a/tests/membership/cluster.h
+++ b/tests/membership/cluster.h
@@ -13,6 +13,13 @@
 
 namespace clementinerill {
 
+/// @brief A heartbeat on its way.
+struct TestMessage {
+  Duration arrival_{};
+  int sender_ = 0;
+  Heartbeat heartbeat_;
+};
+
 /// @brief One daemon of the protocol test.
 struct TestMember {
   std::optional<GroupState> state_;  ///< Empty while the process is down.
@@ -21,7 +28,7 @@
   Duration next_heartbeat_{};
   Duration paused_until_{};
   Duration down_until_{};
-  std::vector<std::pair<Duration, Heartbeat>> inbox_;  ///< By arrival.
+  std::vector<TestMessage> inbox_;
 };
 
 /// @brief One direction between two members.
--- a/tests/membership/group_state_test.cc
+++ b/tests/membership/group_state_test.cc
@@ -18,10 +18,9 @@
   return *MakeGroupState(std::move(group), "a", 7, kStart, kStart);
 }
 
-Heartbeat EchoFrom(const GroupState& state, uint32_t sender, uint64_t sent) {
+Heartbeat EchoFrom(const GroupState& state, uint64_t sent) {
   Heartbeat heartbeat;
   heartbeat.group_ = state.digest_;
-  heartbeat.sender_ = sender;
   heartbeat.incarnation_ = 9;
   heartbeat.sent_ms_ = sent;
   heartbeat.has_echo_ = true;
@@ -35,15 +34,15 @@
 // first still counts an echo from before the restart.
 TEST_CASE("a restarted daemon is no witness at first", "[membership]") {
   GroupState state = MakeState();
-  ReceiveHeartbeat(state, EchoFrom(state, 1, 1), kStart);
+  ReceiveHeartbeat(state, 1, EchoFrom(state, 1), kStart);
   const auto before = kStart + kWitnessWait - milliseconds(1);
   const auto after = kStart + kWitnessWait;
   CHECK_FALSE(MakeHeartbeat(state, kReady, 1, before).has_echo_);
   CHECK(MakeHeartbeat(state, kReady, 1, after).has_echo_);
 
-  Heartbeat echo = EchoFrom(state, 1, 1999);
+  Heartbeat echo = EchoFrom(state, 1999);
   echo.witness_ = false;
-  ReceiveHeartbeat(state, echo, after);
+  ReceiveHeartbeat(state, 1, echo, after);
   Advance(state, kReady, after);
   CHECK_FALSE(HasMajority(state, after));
 }
@@ -53,9 +52,9 @@
 TEST_CASE("an echo for an earlier process does not count", "[membership]") {
   GroupState state = MakeState();
   const auto now = kStart + seconds(3);
-  Heartbeat echo = EchoFrom(state, 1, 2900);
+  Heartbeat echo = EchoFrom(state, 2900);
   echo.echo_incarnation_ = 6;
-  CHECK(ReceiveHeartbeat(state, echo, now));
+  CHECK(ReceiveHeartbeat(state, 1, echo, now));
   Advance(state, kReady, now);
   CHECK_FALSE(HasMajority(state, now));
 }
@@ -64,7 +63,7 @@
 TEST_CASE("the lease counts from the send time", "[membership]") {
   GroupState state = MakeState();
   const auto now = kStart + seconds(3);
-  ReceiveHeartbeat(state, EchoFrom(state, 1, 2000), now);
+  ReceiveHeartbeat(state, 1, EchoFrom(state, 2000), now);
   Advance(state, kReady, now);
   CHECK(HasMajority(state, kStart + seconds(2) + kSelfFence - milliseconds(1)));
   CHECK_FALSE(HasMajority(state, kStart + seconds(2) + kSelfFence));
@@ -73,11 +72,11 @@
 // Guards against indexes out of range and against another group's votes.
 TEST_CASE("a heartbeat of another group is not counted", "[membership]") {
   GroupState state = MakeState();
-  CHECK_FALSE(ReceiveHeartbeat(state, EchoFrom(state, 3, 1), kStart));
-  CHECK_FALSE(ReceiveHeartbeat(state, EchoFrom(state, 0, 1), kStart));
-  Heartbeat other = EchoFrom(state, 1, 1);
+  CHECK_FALSE(ReceiveHeartbeat(state, 3, EchoFrom(state, 1), kStart));
+  CHECK_FALSE(ReceiveHeartbeat(state, 0, EchoFrom(state, 1), kStart));
+  Heartbeat other = EchoFrom(state, 1);
   other.group_ ^= 1U;
-  CHECK_FALSE(ReceiveHeartbeat(state, other, kStart));
+  CHECK_FALSE(ReceiveHeartbeat(state, 1, other, kStart));
 }
 
 }  // namespace
