Add the platform client

Cause: daemons and operator commands need the object API and the VM list with outcomes that stay accurate when the platform is down, slow or loses responses.

Ruled out: connection reuse. A reused connection can fail after the request was sent although the platform never read it, which would turn refusals into unknown outcomes; a daemon makes few calls. Ruled out as well: reporting a lost response as a conflict when another writer's version is read back. The write may have taken effect and been replaced, so the outcome is unknown and names the version seen.

Before: no client. After: get, conditional put, watch and VM list with deadlines, jittered backoff and one retry budget per client. Only a refused connection, 429 and 503 count as "not written".

--- /dev/null
+++ b/src/platform/backoff.cc
@@ -0,0 +1,23 @@
+#include "platform/backoff.h"
+
+#include <algorithm>
+
+namespace clementinerill {
+
+Duration BackoffDelay(const BackoffPolicy& policy,
+                      int failures,
+                      uint64_t random) noexcept {
+  if (failures <= 0) {
+    return Duration::zero();
+  }
+  Duration delay = policy.first_;
+  for (int i = 1; i < failures && delay < policy.longest_; ++i) {
+    delay *= 2;
+  }
+  delay = std::min(delay, policy.longest_);
+  constexpr uint64_t kSteps = 1024;
+  const auto step = static_cast<Duration::rep>(random % (kSteps + 1));
+  return delay / 2 + (delay / 2) * step / static_cast<Duration::rep>(kSteps);
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/platform/backoff.h
@@ -0,0 +1,27 @@
+#ifndef CLEMENTINERILL_PLATFORM_BACKOFF_H_
+#define CLEMENTINERILL_PLATFORM_BACKOFF_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "base/time.h"
+
+namespace clementinerill {
+
+/// @brief Bounds of the delay between attempts.
+struct BackoffPolicy {
+  Duration first_ = std::chrono::milliseconds(50);
+  Duration longest_ = std::chrono::seconds(5);
+};
+
+/// @brief The delay after `failures` consecutive failures.
+///
+/// Doubles from `first_` up to `longest_`, then takes between half and all of
+/// that, as chosen by `random`. Zero failures give no delay.
+[[nodiscard]] Duration BackoffDelay(const BackoffPolicy& policy,
+                                    int failures,
+                                    uint64_t random) noexcept;
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_PLATFORM_BACKOFF_H_
--- /dev/null
+++ b/src/platform/http_caller.cc
@@ -0,0 +1,116 @@
+#include "platform/http_caller.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+
+namespace clementinerill {
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+uint64_t ParseVersion(std::string text) {
+  text.erase(std::remove(text.begin(), text.end(), '"'), text.end());
+  if (text.empty() || text.find_first_not_of("0123456789") != text.npos) {
+    return 0;
+  }
+  return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+HTTPRequest MakeRequest(const HttpCall& call, const std::string& token) {
+  HTTPRequest request(call.method_, call.path_, HTTPRequest::HTTP_1_1);
+  request.setKeepAlive(false);
+  if (!token.empty()) {
+    request.set("Authorization", "Bearer " + token);
+  }
+  if (!call.condition_header_.empty()) {
+    request.set(call.condition_header_, call.condition_value_);
+  }
+  if (call.method_ != HTTPRequest::HTTP_GET) {
+    request.setContentType("application/json");
+    request.setContentLength(static_cast<std::streamsize>(call.body_.size()));
+  }
+  return request;
+}
+
+}  // namespace
+
+HttpCaller::HttpCaller(std::string address, uint16_t port, std::string token)
+    : address_(std::move(address)), port_(port), token_(std::move(token)) {}
+
+HttpExchange HttpCaller::Run(const HttpCall& call) {
+  HttpExchange exchange;
+  Session session(address_, port_);
+  const Poco::Timespan timeout(call.timeout_.count() * 1000);
+  session.setTimeout(timeout, timeout, timeout);
+  try {
+    Exchange(session, call, exchange);
+  } catch (const Poco::Exception& error) {
+    exchange.reason_ = error.displayText();
+  } catch (const std::exception& error) {
+    exchange.reason_ = error.what();
+  }
+  RemovePending(session);
+  return exchange;
+}
+
+void HttpCaller::Exchange(Session& session,
+                          const HttpCall& call,
+                          HttpExchange& exchange) {
+  HTTPRequest request = MakeRequest(call, token_);
+  // Connects and sends the head. Without the head the call can't be served.
+  std::ostream& body = session.sendRequest(request);
+  exchange.end_ = ExchangeEnd::kLost;
+  if (!AddPending(session)) {
+    exchange.reason_ = "the client was stopped";
+    return;
+  }
+  body << call.body_ << std::flush;
+  HTTPResponse response;
+  std::istream& answer = session.receiveResponse(response);
+  Poco::StreamCopier::copyToString(answer, exchange.body_);
+  const auto length = response.getContentLength();
+  if (length != HTTPResponse::UNKNOWN_CONTENT_LENGTH &&
+      exchange.body_.size() != static_cast<size_t>(length)) {
+    exchange.reason_ = "the answer was cut short";
+    return;
+  }
+  exchange.status_ = response.getStatus();
+  exchange.version_ = ParseVersion(response.get("ETag", ""));
+  exchange.end_ = ExchangeEnd::kAnswered;
+}
+
+bool HttpCaller::AddPending(Session& session) {
+  const std::lock_guard lock(mutex_);
+  if (stopped_) {
+    return false;
+  }
+  pending_.insert(&session);
+  return true;
+}
+
+void HttpCaller::RemovePending(Session& session) {
+  const std::lock_guard lock(mutex_);
+  pending_.erase(&session);
+}
+
+void HttpCaller::Stop() noexcept {
+  const std::lock_guard lock(mutex_);
+  stopped_ = true;
+  for (Session* session : pending_) {
+    try {
+      session->abort();
+    } catch (const Poco::Exception&) {
+      // The connection is already closed.
+      continue;
+    }
+  }
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/platform/platform_settings.h
@@ -0,0 +1,26 @@
+#ifndef CLEMENTINERILL_PLATFORM_PLATFORM_SETTINGS_H_
+#define CLEMENTINERILL_PLATFORM_PLATFORM_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "platform/backoff.h"
+#include "platform/retry_budget.h"
+
+namespace clementinerill {
+
+/// @brief How to reach the platform.
+struct PlatformSettings {
+  std::string address_ = "127.0.0.1";
+  uint16_t port_ = 0;
+  std::string token_;  ///< Sent as `Authorization: Bearer` when not empty.
+  /// Longest wait for the answer to one attempt; a watch adds its own wait.
+  std::chrono::milliseconds call_timeout_{2'000};
+  BackoffPolicy backoff_;
+  RetryBudget retry_budget_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_PLATFORM_PLATFORM_SETTINGS_H_
--- /dev/null
+++ b/src/platform/vm.h
@@ -0,0 +1,20 @@
+#ifndef CLEMENTINERILL_PLATFORM_VM_H_
+#define CLEMENTINERILL_PLATFORM_VM_H_
+
+#include <string>
+
+#include "platform/vm_state.h"
+
+namespace clementinerill {
+
+/// @brief One row of the VM list of the platform.
+struct Vm {
+  std::string name_;
+  std::string address_;         ///< IP address.
+  std::string failure_domain_;  ///< Empty when the platform names none.
+  VmState state_ = VmState::kLive;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_PLATFORM_VM_H_
