Add the control library

Cause: each daemon needs one place that decides which configuration is in force, whom to ask for a newer one and what operators see.

Ruled out: one store watch per daemon (a read per daemon and change) and a single watch per group (a watcher without access to the store would hold the group up for a poll interval). Ruled out as well: following a store that was restored to an older version; the version in force stays and the status names both versions.

Before: no configuration state. After: Offer applies only higher versions, PlanFetch asks peers that know more at once and the store on a jittered schedule, DescribeState reports phase, staleness and outages, and ChangeProgress gives accepted, in force at k of n, done or rolled back.

--- /dev/null
+++ b/src/control/configuration_state.h
@@ -0,0 +1,49 @@
+#ifndef CLEMENTINERILL_CONTROL_CONFIGURATION_STATE_H_
+#define CLEMENTINERILL_CONTROL_CONFIGURATION_STATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "config/configuration.h"
+#include "control/configuration_source.h"
+#include "control/store_record.h"
+
+namespace clementinerill {
+
+/// @brief The configuration of one daemon and how it came by it.
+///
+/// Changed only by the functions of this library. `current_` is null until the
+/// first document is applied; its version never decreases.
+struct ConfigurationState {
+  std::string daemon_;  ///< Name of this daemon; seeds its jitter.
+  int group_size_ = 1;  ///< Daemons that may start at the same time.
+  Instant started_;     ///< Start of this process.
+  std::shared_ptr<const Configuration> current_;
+  ConfigurationSource source_ = ConfigurationSource::kStartUp;
+  std::string origin_;  ///< Peer that sent `current_`, if one did.
+  Instant applied_;     ///< When `current_` was applied.
+  StoreRecord store_;
+  uint64_t invalid_version_ = 0;  ///< Highest version that could not be read.
+  std::string invalid_reason_;
+  uint64_t divergent_version_ = 0;  ///< Version seen with two contents.
+  std::optional<Instant> peer_asked_;
+  int peer_asks_ = 0;  ///< Requests to peers since the last applied version.
+};
+
+/// @brief Version in force at this daemon; 0 when there is none.
+[[nodiscard]] inline uint64_t CurrentVersion(
+    const ConfigurationState& state) noexcept {
+  return state.current_ ? state.current_->version_ : 0;
+}
+
+/// @brief Whether the daemon may serve: it has a configuration.
+[[nodiscard]] inline bool MayServe(const ConfigurationState& state) noexcept {
+  return state.current_ != nullptr;
+}
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CONTROL_CONFIGURATION_STATE_H_
--- /dev/null
+++ b/src/control/forward_declarations.h
@@ -0,0 +1,18 @@
+#ifndef CLEMENTINERILL_CONTROL_FORWARD_DECLARATIONS_H_
+#define CLEMENTINERILL_CONTROL_FORWARD_DECLARATIONS_H_
+
+namespace clementinerill {
+
+struct Candidate;
+struct Change;
+struct ChangeProgress;
+struct ConfigurationState;
+struct ConfigurationStatus;
+struct FetchPlan;
+struct PeerVersion;
+struct StoreRecord;
+struct VersionReport;
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CONTROL_FORWARD_DECLARATIONS_H_
--- /dev/null
+++ b/src/control/offer.cc
@@ -0,0 +1,59 @@
+#include "control/offer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementinerill {
+namespace {
+
+OfferOutcome CompareWithCurrent(const ConfigurationState& state,
+                                const Configuration& offered) {
+  const uint64_t current = CurrentVersion(state);
+  if (offered.version_ > current) {
+    return OfferOutcome::kApplied;
+  }
+  if (offered.version_ < current || current == 0) {
+    return OfferOutcome::kOlder;
+  }
+  return offered.change_id_ == state.current_->change_id_
+             ? OfferOutcome::kSame
+             : OfferOutcome::kDivergent;
+}
+
+}  // namespace
+
+OfferOutcome Offer(ConfigurationState& state,
+                   Candidate candidate,
+                   Instant now) {
+  const OfferOutcome outcome =
+      CompareWithCurrent(state, *candidate.configuration_);
+  if (outcome == OfferOutcome::kDivergent) {
+    state.divergent_version_ = candidate.configuration_->version_;
+  }
+  if (outcome != OfferOutcome::kApplied) {
+    return outcome;
+  }
+  state.current_ = std::move(candidate.configuration_);
+  state.source_ = candidate.source_;
+  state.origin_ = std::move(candidate.origin_);
+  state.applied_ = now;
+  state.peer_asked_.reset();
+  state.peer_asks_ = 0;
+  return outcome;
+}
+
+void RecordInvalid(ConfigurationState& state,
+                   uint64_t version,
+                   std::string reason) {
+  if (version < state.invalid_version_) {
+    return;
+  }
+  state.invalid_version_ = version;
+  state.invalid_reason_ = std::move(reason);
+}
+
+uint64_t WatchVersion(const ConfigurationState& state) noexcept {
+  return std::max(CurrentVersion(state), state.invalid_version_);
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/control/store_observation.cc
@@ -0,0 +1,43 @@
+#include "control/store_observation.h"
+
+namespace clementinerill {
+namespace {
+
+void RecordAnswered(StoreRecord& store, Instant now) noexcept {
+  store.last_answer_ = now;
+  store.failing_since_.reset();
+  store.consecutive_failures_ = 0;
+}
+
+}  // namespace
+
+void RecordStoreAttempt(ConfigurationState& state, Instant now) noexcept {
+  state.store_.last_attempt_ = now;
+}
+
+void RecordStoreAnswer(ConfigurationState& state,
+                       uint64_t version,
+                       Instant now) noexcept {
+  RecordAnswered(state.store_, now);
+  state.store_.absent_ = false;
+  state.store_.version_ = version;
+}
+
+void RecordStoreUnchanged(ConfigurationState& state, Instant now) noexcept {
+  RecordAnswered(state.store_, now);
+}
+
+void RecordStoreAbsent(ConfigurationState& state, Instant now) noexcept {
+  RecordAnswered(state.store_, now);
+  state.store_.absent_ = true;
+  state.store_.version_ = 0;
+}
+
+void RecordStoreFailure(ConfigurationState& state, Instant now) noexcept {
+  if (!state.store_.failing_since_) {
+    state.store_.failing_since_ = now;
+  }
+  ++state.store_.consecutive_failures_;
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/control/store_observation.h
@@ -0,0 +1,34 @@
+#ifndef CLEMENTINERILL_CONTROL_STORE_OBSERVATION_H_
+#define CLEMENTINERILL_CONTROL_STORE_OBSERVATION_H_
+
+#include <cstdint>
+
+#include "base/time.h"
+#include "control/configuration_state.h"
+
+namespace clementinerill {
+
+/// @brief Records that a call to the store has started.
+void RecordStoreAttempt(ConfigurationState& state, Instant now) noexcept;
+
+/// @brief Records an answer with a document of `version`.
+///
+/// The document itself goes to `Offer` or `RecordInvalid`.
+void RecordStoreAnswer(ConfigurationState& state,
+                       uint64_t version,
+                       Instant now) noexcept;
+
+/// @brief Records a watch that ended without a newer version.
+void RecordStoreUnchanged(ConfigurationState& state, Instant now) noexcept;
+
+/// @brief Records that the store holds no configuration.
+///
+/// A configuration in force stays in force.
+void RecordStoreAbsent(ConfigurationState& state, Instant now) noexcept;
+
+/// @brief Records a call without a usable answer.
+void RecordStoreFailure(ConfigurationState& state, Instant now) noexcept;
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CONTROL_STORE_OBSERVATION_H_
--- /dev/null
+++ b/src/control/store_record.h
@@ -0,0 +1,23 @@
+#ifndef CLEMENTINERILL_CONTROL_STORE_RECORD_H_
+#define CLEMENTINERILL_CONTROL_STORE_RECORD_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "base/time.h"
+
+namespace clementinerill {
+
+/// @brief What a daemon knows from its own calls to the store.
+struct StoreRecord {
+  std::optional<Instant> last_attempt_;
+  std::optional<Instant> last_answer_;    ///< Any answer, including "absent".
+  std::optional<Instant> failing_since_;  ///< First failure since an answer.
+  int consecutive_failures_ = 0;
+  bool absent_ = false;   ///< The last answer was "no such object".
+  uint64_t version_ = 0;  ///< Version in the last answer that had one.
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CONTROL_STORE_RECORD_H_
--- /dev/null
+++ b/tests/control/offer_test.cc
@@ -0,0 +1,135 @@
+#include "control/offer.h"
+
+#include <algorithm>
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "control/control_fixture.h"
+
+namespace clementinerill {
+namespace {
+
+// Guards against a restored store or a late peer that takes a daemon back.
+TEST_CASE("only higher versions are applied", "[control]") {
+  ConfigurationState state = MakeState("d");
+  CHECK_FALSE(MayServe(state));
+  CHECK(Offer(state, MakeTestCandidate(0), {}) == OfferOutcome::kOlder);
+  CHECK_FALSE(MayServe(state));
+  CHECK(Offer(state, MakeTestCandidate(7), {}) == OfferOutcome::kApplied);
+  CHECK(Offer(state, MakeTestCandidate(7), {}) == OfferOutcome::kSame);
+  CHECK(Offer(state, MakeTestCandidate(6, ConfigurationSource::kPeer), {}) ==
+        OfferOutcome::kOlder);
+  CHECK(Offer(state, MakeTestCandidate(7, ConfigurationSource::kStore, "x"),
+              {}) == OfferOutcome::kDivergent);
+  CHECK(state.current_->change_id_ == "c7");
+  CHECK(CurrentVersion(state) == 7);
+}
+
+// Guards against an invalid document that stops the daemon, is fetched in a
+// loop or hides a later valid one.
+TEST_CASE("an invalid document leaves the version in force", "[control]") {
+  ConfigurationState state = MakeState("d");
+  Offer(state, MakeTestCandidate(3), {});
+  RecordInvalid(state, 5, "bad");
+  CHECK(CurrentVersion(state) == 3);
+  CHECK(WatchVersion(state) == 5);
+  CHECK_FALSE(PlanFetch(state, {{"p", 5}}, StoreRole::kPoll, {}).peer_);
+  CHECK(DescribeState(state, {}, {}).problems_ ==
+        std::vector<std::string>{"version 5 is invalid: bad"});
+  CHECK(Offer(state, MakeTestCandidate(6), {}) == OfferOutcome::kApplied);
+  CHECK(DescribeState(state, {}, {}).problems_.empty());
+}
+
+// Guards against any order of documents, duplicates, losses, invalid documents
+// and store answers that lowers the version or misses the highest one.
+TEST_CASE("the version never decreases", "[control][property]") {
+  CHECK(rc::check("any sequence of events", [] {
+    ConfigurationState state = MakeState("d");
+    Instant now{};
+    uint64_t highest_offered = 0;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 6), rc::gen::inRange(0, 20)));
+    for (const auto& [event, number] : steps) {
+      const auto version = static_cast<uint64_t>(number);
+      const uint64_t before = CurrentVersion(state);
+      now += std::chrono::milliseconds(number);
+      switch (event) {
+        case 0:
+          RecordStoreAbsent(state, now);
+          break;
+        case 1:
+          RecordStoreFailure(state, now);
+          break;
+        case 2:
+          RecordInvalid(state, version, "bad");
+          break;
+        case 3:
+          RecordStoreAnswer(state, version, now);
+          Offer(state, MakeTestCandidate(version), now);
+          highest_offered = std::max(highest_offered, version);
+          break;
+        default:
+          Offer(state, MakeTestCandidate(version, ConfigurationSource::kPeer),
+                now);
+          highest_offered = std::max(highest_offered, version);
+          break;
+      }
+      RC_ASSERT(CurrentVersion(state) >= before);
+      RC_ASSERT(CurrentVersion(state) == highest_offered);
+      RC_ASSERT(DescribeState(state, {}, now).version_ == highest_offered);
+    }
+  }));
+}
+
+// Guards against a group that does not converge to the highest version when
+// messages are lost, repeated and reordered and the store goes back.
+TEST_CASE("a group converges to the highest version", "[control][property]") {
+  CHECK(rc::check("gossip with loss", [] {
+    constexpr size_t kDaemons = 5;
+    std::vector<ConfigurationState> group;
+    for (size_t i = 0; i < kDaemons; ++i) {
+      group.push_back(MakeState("d" + std::to_string(i), kDaemons));
+    }
+    Instant now{};
+    uint64_t highest = 0;
+    // Each tick the store answers one daemon and then messages are exchanged.
+    const auto exchange = [&](int lost) {
+      now += kPeerAskTimeout;
+      for (size_t i = 0; i < kDaemons; ++i) {
+        std::vector<PeerVersion> peers;
+        for (const ConfigurationState& peer : group) {
+          peers.push_back({peer.daemon_, CurrentVersion(peer)});
+        }
+        const auto plan = PlanFetch(group[i], peers, StoreRole::kPoll, now);
+        if (!plan.peer_) {
+          continue;
+        }
+        RecordPeerAsk(group[i], now);
+        const size_t asked = plan.peer_->back() - '0';
+        if ((lost >> i & 1) == 0) {
+          const uint64_t version = CurrentVersion(group[asked]);
+          Offer(group[i],
+                MakeTestCandidate(version, ConfigurationSource::kPeer), now);
+        }
+      }
+    };
+    const auto ticks = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 30), rc::gen::inRange(0, 32)));
+    for (const auto& [store_version, lost] : ticks) {
+      const auto version = static_cast<uint64_t>(store_version);
+      const size_t reader = static_cast<size_t>(lost) % kDaemons;
+      Offer(group[reader], MakeTestCandidate(version), now);
+      highest = std::max(highest, version);
+      exchange(lost);
+    }
+    exchange(0);
+    exchange(0);
+    for (const ConfigurationState& daemon : group) {
+      RC_ASSERT(CurrentVersion(daemon) == highest);
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace clementinerill
--- /dev/null
+++ b/tests/control/status_test.cc
@@ -0,0 +1,92 @@
+#include <catch2/catch.hpp>
+
+#include "control/control_fixture.h"
+
+namespace clementinerill {
+namespace {
+
+using std::chrono::seconds;
+
+VersionReport Report(const char* daemon, uint64_t version) {
+  return {daemon, version, 0, {}};
+}
+
+// Guards against "no answer" being shown as "no configuration".
+TEST_CASE("a daemon without a configuration says why", "[control]") {
+  ConfigurationState state = MakeState("d");
+  Instant now{};
+  CHECK(DescribeState(state, {}, now).phase_ == ConfigurationPhase::kWaiting);
+  CHECK(DescribeState(state, {}, now).store_ == StoreHealth::kNotAsked);
+  RecordStoreFailure(state, now);
+  CHECK(DescribeState(state, {}, now).phase_ == ConfigurationPhase::kWaiting);
+  RecordStoreAbsent(state, now);
+  CHECK(DescribeState(state, {}, now).phase_ == ConfigurationPhase::kNoneYet);
+  CHECK_FALSE(MayServe(state));
+  Offer(state, MakeTestCandidate(1), now);
+  CHECK(DescribeState(state, {}, now).phase_ == ConfigurationPhase::kInForce);
+}
+
+// Guards against an outage that is hidden, or reported for a single failure.
+TEST_CASE("an outage of the store is reported", "[control]") {
+  ConfigurationState state = MakeState("d");
+  Instant now{};
+  RecordStoreAnswer(state, 4, now);
+  Offer(state, MakeTestCandidate(4), now);
+  now += seconds(1);
+  RecordStoreFailure(state, now);
+  CHECK(DescribeState(state, {}, now).store_ == StoreHealth::kAvailable);
+  now += seconds(9);
+  RecordStoreFailure(state, now);
+  const auto status = DescribeState(state, {{"p", 6}}, now);
+  CHECK(status.store_ == StoreHealth::kOutage);
+  CHECK(status.outage_ == Duration(seconds(9)));
+  CHECK(status.staleness_ == Duration(seconds(10)));
+  CHECK(status.newest_known_version_ == 6);
+  RecordStoreUnchanged(state, now);
+  CHECK(DescribeState(state, {}, now).store_ == StoreHealth::kAvailable);
+}
+
+// Guards against a restored store that operators do not notice.
+TEST_CASE("a store that lost versions is reported", "[control]") {
+  ConfigurationState state = MakeState("d");
+  Offer(state, MakeTestCandidate(9), {});
+  RecordStoreAnswer(state, 5, {});
+  const auto status = DescribeState(state, {}, {});
+  CHECK(status.store_ == StoreHealth::kBehind);
+  CHECK(status.version_ == 9);
+  REQUIRE(status.problems_.size() == 1);
+  CHECK(status.problems_[0] ==
+        "the store last answered with version 5, below version 9 in force");
+}
+
+// Guards against counts that leave out live daemons without the version.
+TEST_CASE("a change proceeds from accepted to done", "[control]") {
+  ChangeProgress progress;
+  progress.change_ = {5, "c5"};
+  CHECK(Describe(progress) == "accepted");
+  UpdateProgress(progress, {});
+  CHECK(Describe(progress) == "accepted");
+  UpdateProgress(progress, {Report("a", 5), Report("b", 6), Report("c", 4)});
+  CHECK(Describe(progress) == "in force at 2 of 3");
+  UpdateProgress(progress,
+                 {Report("a", 5), Report("b", 6), {"c", 4, 5, "bad"}});
+  CHECK(Describe(progress) ==
+        "in force at 2 of 3: c reports it as invalid: bad");
+  UpdateProgress(progress, {Report("a", 5), Report("b", 6), Report("c", 5)});
+  CHECK(Describe(progress) == "done");
+  // A daemon that has just started has no version yet.
+  UpdateProgress(progress, {Report("a", 5), Report("d", 0)});
+  CHECK(Describe(progress) == "done");
+}
+
+// Guards against a rolled back change that is later shown as done.
+TEST_CASE("a rolled back change stays rolled back", "[control]") {
+  ChangeProgress progress;
+  progress.change_ = {5, "c5"};
+  RecordRollBack(progress, "route search: errors rose");
+  UpdateProgress(progress, {Report("a", 6)});
+  CHECK(Describe(progress) == "rolled back: route search: errors rose");
+}
+
+}  // namespace
+}  // namespace clementinerill
