Add the admin library

Cause: operators change single parts of the configuration while others do the same, and need to see what a change does before and after it is made.

Ruled out: repeating every operation after a conflict, which would let a whole document or a label override a decision that was made meanwhile. Each operation declares whether it is commutative and which part of the document it depends on; it is repeated only while this part is unchanged. Taking a failure domain out depends on nothing, since it only reduces exposure. Ruled out as well: applying single operations on top of a stored document that can't be read; only a whole document may replace it.

Before: documents were written by hand. After: operations on upstreams, selectors and failure domains, a diff by pointer with named list items, and ApplyChange, which writes conditionally and names the current version in a conflict.

--- /dev/null
+++ b/src/admin/change_result.h
@@ -0,0 +1,33 @@
+#ifndef CLEMENTINERILL_ADMIN_CHANGE_RESULT_H_
+#define CLEMENTINERILL_ADMIN_CHANGE_RESULT_H_
+
+#include <array>
+
+#include "base/name_table.h"
+
+namespace clementinerill {
+
+/// @brief How an attempt to change the configuration ended.
+enum class ChangeResult {
+  kAccepted,
+  kUnchanged,    ///< The document was already as wanted.
+  kInvalid,      ///< The operation does not apply; nothing was written.
+  kConflict,     ///< Another writer was first; nothing was written.
+  kRejected,     ///< The store refused the call; nothing was written.
+  kUnavailable,  ///< The store was unavailable; nothing was written.
+  kUnknown,      ///< The change may have been written.
+};
+
+inline constexpr std::array<NameEntry<ChangeResult>, 7> kChangeResultNames = {{
+    {ChangeResult::kAccepted, "accepted"},
+    {ChangeResult::kUnchanged, "unchanged"},
+    {ChangeResult::kInvalid, "invalid"},
+    {ChangeResult::kConflict, "conflict"},
+    {ChangeResult::kRejected, "rejected"},
+    {ChangeResult::kUnavailable, "unavailable"},
+    {ChangeResult::kUnknown, "unknown"},
+}};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_ADMIN_CHANGE_RESULT_H_
--- /dev/null
+++ b/src/admin/checked.cc
@@ -0,0 +1,17 @@
+#include "admin/checked.h"
+
+#include <utility>
+
+#include "config/configuration_check.h"
+
+namespace clementinerill {
+
+Result<Configuration> Checked(Configuration configuration) {
+  std::vector<Error> errors = CheckReferences(configuration);
+  if (!errors.empty()) {
+    return tl::make_unexpected(std::move(errors.front()));
+  }
+  return configuration;
+}
+
+}  // namespace clementinerill
