Add the settings library: typed YAML settings of one daemon

Cause: a daemon needs its addresses, failure domain, token and limits at its start, and an operator needs to see every mistake in the file at once.

Ruled out: YAML::Node::as<T>, because it throws at the first error and its message repeats the value, which may be the token; a resolver for host names, because daemons address each other by IP number; a plain std::string for the token, because it would print by accident. Errors never repeat a value.

Before: no settings.

LogLevel is in base because the settings and logging libraries share it.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -7,6 +7,7 @@
 #include "base/forward_declarations.h"
 #include "base/hash.h"
 #include "base/invariant.h"
+#include "base/log_level.h"
 #include "base/name_table.h"
 #include "base/rendezvous.h"
 #include "base/result.h"
--- /dev/null
+++ b/src/settings/process_settings.h
@@ -0,0 +1,41 @@
+#ifndef CLEMENTINERILL_SETTINGS_PROCESS_SETTINGS_H_
+#define CLEMENTINERILL_SETTINGS_PROCESS_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/log_level.h"
+#include "base/time.h"
+#include "settings/endpoint.h"
+#include "settings/secret.h"
+#include "settings/static_peer.h"
+
+namespace clementinerill {
+
+/// @brief The settings of one daemon, read once at its start.
+///
+/// Source: the settings file; docs/configuration.md is the reference. Exactly
+/// one of `admin_token_` and `admin_token_file_` is set after parsing.
+struct Settings {
+  std::string name_;            ///< Unique among the daemons.
+  std::string failure_domain_;  ///< Where this VM runs.
+  Endpoint caller_listen_;
+  Endpoint admin_listen_;
+  Endpoint peer_listen_;  ///< Never a wildcard: peers connect to it.
+  Endpoint platform_;
+  Secret admin_token_;
+  std::string
+      admin_token_file_;  ///< Path that the daemon reads the token from.
+  std::vector<StaticPeer> peers_;  ///< May contain this daemon itself.
+  Duration balancer_delay_ = std::chrono::seconds(3);
+  int exchange_threads_ = 256;  ///< Concurrent exchanges with upstreams.
+  int caller_threads_ = 64;     ///< Concurrent requests of callers.
+  int64_t max_request_bytes_ = 64 * 1024;
+  LogLevel log_level_ = LogLevel::kInfo;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_SETTINGS_PROCESS_SETTINGS_H_
--- /dev/null
+++ b/src/settings/size_text.h
@@ -0,0 +1,22 @@
+#ifndef CLEMENTINERILL_SETTINGS_SIZE_TEXT_H_
+#define CLEMENTINERILL_SETTINGS_SIZE_TEXT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+
+namespace clementinerill {
+
+/// @brief Parses a whole number of bytes with the unit B, KiB, MiB or GiB.
+///
+/// Example: `ParseSize("64KiB")`. A number without a unit is an error.
+[[nodiscard]] Result<int64_t> ParseSize(std::string_view text);
+
+/// @brief Writes the text that `ParseSize` reads.
+[[nodiscard]] std::string FormatSize(int64_t bytes);
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_SETTINGS_SIZE_TEXT_H_
