Add the query gate, which holds goodput near its peak

Cause: a daemon that runs every query it receives lets all of them time out under overload. In the model of the tests, goodput without a gate falls below 20% of its peak at twice the load.

Before: no bound on running queries. After: the limit climbs on measured goodput, halves on a collapse, and treats misses that do not depend on load as usual. The test requires 80% of the best fixed limit at 2 and 6 times the load, with and without contention, for deadlines of 260 ms and 3 s.

--- a/src/limits/forward_declarations.h
+++ b/src/limits/forward_declarations.h
@@ -3,12 +3,15 @@
 
 namespace clementinerill {
 
+enum class QueryEnd;
 enum class RefusalReason;
 enum class SlotOutcome;
 struct AdaptiveLimit;
 struct AdmissionQueue;
 struct AttemptBudget;
+struct GoodputInterval;
 struct LatencyWindow;
+struct QueryGate;
 struct QueueEntry;
 struct RefusedEntry;
 struct ServiceInterval;
--- /dev/null
+++ b/tests/limits/overload_model.h
@@ -0,0 +1,91 @@
+#ifndef CLEMENTINERILL_TESTS_LIMITS_OVERLOAD_MODEL_H_
+#define CLEMENTINERILL_TESTS_LIMITS_OVERLOAD_MODEL_H_
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+#include <vector>
+
+#include "limits/query_gate.h"
+
+namespace clementinerill {
+
+/// @brief A daemon whose queries share a few workers equally.
+struct OverloadModel {
+  double workers_ = 20;
+  double contention_ = 0;  ///< Relative loss of capacity per excess query.
+  int shortest_ms_ = 50;   ///< Service times are uniform in this range.
+  int longest_ms_ = 150;
+  int deadline_ms_ = 260;
+  double load_ = 1;          ///< Offered work relative to the workers.
+  double failed_share_ = 0;  ///< Queries that miss at any load.
+};
+
+/// @brief Work answered in time in each second, relative to the workers.
+///
+/// A query beyond the limit is rejected; one past its deadline is given up.
+/// Queries still running at the end leave as not run.
+inline std::vector<double> RunModel(const OverloadModel& model,
+                                    QueryGate& gate,
+                                    int seconds,
+                                    unsigned seed,
+                                    Instant start = {}) {
+  struct Running {
+    Instant entered_;
+    double work_ms_;
+    double left_ms_;
+  };
+  std::mt19937 random(seed);
+  const double mean_ms = (model.shortest_ms_ + model.longest_ms_) / 2.0;
+  std::poisson_distribution<int> arrivals(model.load_ * model.workers_ /
+                                          mean_ms);
+  std::uniform_real_distribution<double> work(model.shortest_ms_,
+                                              model.longest_ms_);
+  std::bernoulli_distribution fails(model.failed_share_);
+  const double endless_ms = 1e9;
+  std::vector<Running> running;
+  std::vector<double> goodput(seconds, 0.0);
+  for (int ms = 0; ms < seconds * 1000; ++ms) {
+    const Instant now = start + std::chrono::milliseconds(ms);
+    for (int i = arrivals(random); i > 0; --i) {
+      const double work_ms = work(random);
+      const double left_ms = fails(random) ? endless_ms : work_ms;
+      if (EnterQuery(gate)) {
+        running.push_back({now, work_ms, left_ms});
+      }
+    }
+    const double excess = std::max(0.0, running.size() - model.workers_);
+    const double capacity = model.workers_ / (1 + model.contention_ * excess);
+    const double progress = std::min(1.0, capacity / running.size());
+    const auto ends = [&](Running& query) {
+      query.left_ms_ -= progress;
+      const bool answered = query.left_ms_ <= 0;
+      const bool late =
+          now - query.entered_ >= std::chrono::milliseconds(model.deadline_ms_);
+      if (answered || late) {
+        const bool in_time = answered && !late;
+        LeaveQuery(gate, in_time ? QueryEnd::kInTime : QueryEnd::kMissed, now);
+        const double share = query.work_ms_ / (1000 * model.workers_);
+        goodput[ms / 1000] += in_time ? share : 0;
+      }
+      return answered || late;
+    };
+    running.erase(std::remove_if(running.begin(), running.end(), ends),
+                  running.end());
+  }
+  for (size_t i = 0; i < running.size(); ++i) {
+    LeaveQuery(gate, QueryEnd::kNotRun, start);
+  }
+  return goodput;
+}
+
+/// @brief The mean from second `first` on.
+inline double MeanFrom(const std::vector<double>& goodput, size_t first) {
+  const double sum =
+      std::accumulate(goodput.begin() + first, goodput.end(), 0.0);
+  return sum / static_cast<double>(goodput.size() - first);
+}
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_TESTS_LIMITS_OVERLOAD_MODEL_H_
--- /dev/null
+++ b/tests/limits/query_gate_test.cc
@@ -0,0 +1,104 @@
+#include "limits/query_gate.h"
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "limits/overload_model.h"
+#include "limits/steps.h"
+
+namespace clementinerill {
+namespace {
+
+// Guards against more queries than the limit, and against a limit that leaves
+// its range, under any mix of ends.
+TEST_CASE("queries stay within the gate limit", "[gate]") {
+  CHECK(rc::check([] {
+    const int lowest = *rc::gen::inRange(1, 4);
+    const int highest = lowest + *rc::gen::inRange(0, 20);
+    QueryGate gate = MakeQueryGate(lowest, highest);
+    int running = 0;
+    Instant now{};
+    for (const int step : *Steps()) {
+      for (int i = 0; i < 10; ++i) {
+        now += std::chrono::milliseconds(step % 7);
+        const int before = gate.in_use_;
+        const bool entered = EnterQuery(gate).has_value();
+        RC_ASSERT(entered == (before < GateLimit(gate)));
+        running += entered ? 1 : 0;
+        if ((step >> i) % 2 == 0 && running > 0) {
+          LeaveQuery(gate, static_cast<QueryEnd>(step % 3), now);
+          --running;
+        }
+        RC_ASSERT(gate.in_use_ == running);
+        RC_ASSERT(GateLimit(gate) >= lowest);
+        RC_ASSERT(GateLimit(gate) <= highest);
+      }
+    }
+  }));
+}
+
+// Guards against running so many queries that all of them time out.
+TEST_CASE("goodput stays near its peak under overload", "[gate]") {
+  OverloadModel model;
+  model.contention_ = GENERATE(0.0, 0.02);
+  model.deadline_ms_ = GENERATE(260, 3000);
+  model.load_ = GENERATE(2.0, 6.0);
+  QueryGate peak = MakeQueryGate(20, 20);
+  QueryGate unlimited = MakeQueryGate(1000, 1000);
+  const double best = MeanFrom(RunModel(model, peak, 20, 1), 5);
+  CHECK(MeanFrom(RunModel(model, unlimited, 20, 1), 5) < 0.2 * best);
+  for (unsigned seed = 1; seed <= 3; ++seed) {
+    QueryGate gate = MakeQueryGate(4, 1000);
+    CHECK(MeanFrom(RunModel(model, gate, 40, seed), 10) > 0.8 * best);
+  }
+}
+
+// Guards against a limit that shrinks because of misses it cannot prevent.
+TEST_CASE("misses at any load do not close the gate", "[gate]") {
+  OverloadModel model;
+  model.failed_share_ = 0.1;
+  double total = 0;
+  for (unsigned seed = 1; seed <= 4; ++seed) {
+    QueryGate gate = MakeQueryGate(4, 1000);
+    total += MeanFrom(RunModel(model, gate, 60, seed), 10);
+  }
+  CHECK(total / 4 > 0.7);
+}
+
+// Guards against learning a long outage as usual: the limit would rise while
+// nothing is answered, and the recovery would start in overload.
+TEST_CASE("the gate recovers after an outage", "[gate]") {
+  OverloadModel model;
+  model.load_ = 3;
+  model.failed_share_ = 1;
+  QueryGate gate = MakeQueryGate(4, 1000);
+  (void)RunModel(model, gate, 300, 1);
+  CHECK(GateLimit(gate) == 4);
+  model.failed_share_ = 0;
+  const Instant recovered = Instant{} + std::chrono::seconds(300);
+  CHECK(MeanFrom(RunModel(model, gate, 30, 2, recovered), 20) > 0.85);
+}
+
+// Guards against a limit that follows a low load and rejects the next burst.
+TEST_CASE("the limit does not change below saturation", "[gate]") {
+  OverloadModel model;
+  model.load_ = 0.5;
+  QueryGate gate = MakeQueryGate(4, 100);
+  (void)RunModel(model, gate, 30, 1);
+  CHECK(GateLimit(gate) == 100);
+}
+
+// Guards against refusals by upstreams that count as missed deadlines.
+TEST_CASE("queries that did not run do not change the limit", "[gate]") {
+  QueryGate gate = MakeQueryGate(4, 100);
+  Instant now{};
+  for (int i = 0; i < 1000; ++i) {
+    now += std::chrono::milliseconds(1);
+    REQUIRE(EnterQuery(gate));
+    LeaveQuery(gate, QueryEnd::kNotRun, now);
+  }
+  CHECK(GateLimit(gate) == 100);
+}
+
+}  // namespace
+}  // namespace clementinerill
