Search more carefully around a collapse of goodput

Cause: after an interval in which most queries missed their deadline, any later goodput looked like a gain from lowering, so the limit fell once more than needed; and a raise slightly past the best limit halved it.

Conclusion: a collapse clears the goodput to compare with, and one right after a raise lowers by the small step. Each was removed, its new test was seen to fail, and it was restored; the earlier removals were repeated and still fail.

--- a/src/limits/query_gate.cc
+++ b/src/limits/query_gate.cc
@@ -44,12 +44,19 @@
   gate.limit_ = std::max(gate.limit_ * kGateGrowth, gate.limit_ + 1);
 }
 
+// A collapse right after a raise is undone by a small step, since the limit
+// before the raise was good.
+double DecreaseFactor(const QueryGate& gate) noexcept {
+  const bool after_raise = gate.raised_ && gate.previous_goodput_;
+  return HasCollapsed(gate) && !after_raise ? kGateCollapse : kGateDecrease;
+}
+
 // The limit may be far above the queries that were in use when deadlines were
 // missed; lowering it from there would have no effect.
 void Lower(QueryGate& gate) noexcept {
   const double used =
       std::min<double>(gate.limit_, gate.interval_.peak_in_use_);
-  gate.limit_ = used * (HasCollapsed(gate) ? kGateCollapse : kGateDecrease);
+  gate.limit_ = used * DecreaseFactor(gate);
 }
 
 void Adapt(QueryGate& gate, Instant now) noexcept {
@@ -63,6 +70,10 @@
   gate.limit_ = std::clamp<double>(gate.limit_, gate.lowest_, gate.highest_);
   gate.raised_ = raise;
   gate.previous_goodput_ = goodput;
+  if (HasCollapsed(gate)) {
+    // Any later goodput would look like a gain and lower the limit further.
+    gate.previous_goodput_.reset();
+  }
 }
 
 void CloseInterval(QueryGate& gate, Instant now) noexcept {
--- a/src/limits/query_gate.h
+++ b/src/limits/query_gate.h
@@ -62,8 +62,8 @@
   int lowest_;   ///< At least one.
   int highest_;  ///< Queries for which the daemon has threads.
   int in_use_ = 0;
-  bool raised_ = true;  ///< Direction of the last change.
-  std::optional<double> previous_goodput_;
+  bool raised_ = true;                      ///< Direction of the last change.
+  std::optional<double> previous_goodput_;  ///< Empty after a collapse.
   double usual_misses_ = 0;  ///< Missed fraction not caused by the limit.
   GoodputInterval interval_;
 };
--- a/tests/limits/query_gate_test.cc
+++ b/tests/limits/query_gate_test.cc
@@ -53,6 +53,24 @@
   }
 }
 
+// Guards against many seconds of missed deadlines at the start of an overload.
+TEST_CASE("a sudden overload is contained within seconds", "[gate]") {
+  OverloadModel model;
+  model.load_ = 3;
+  QueryGate gate = MakeQueryGate(4, 1000);
+  CHECK(MeanFrom(RunModel(model, gate, 5, 2), 2) > 0.8);
+}
+
+// Guards against halving a limit that one raise has taken past its best value.
+TEST_CASE("one raise too many costs little goodput", "[gate]") {
+  OverloadModel model;
+  model.load_ = 3;
+  model.shortest_ms_ = model.longest_ms_ = 200;
+  model.deadline_ms_ = 230;
+  QueryGate gate = MakeQueryGate(4, 1000);
+  CHECK(MeanFrom(RunModel(model, gate, 60, 1), 10) > 0.72);
+}
+
 // Guards against a limit that shrinks because of misses it cannot prevent.
 TEST_CASE("misses at any load do not close the gate", "[gate]") {
   OverloadModel model;
