Rename LatencyWindow to LatencyTrend

Cause: the routing library has a type of the same name in the same namespace. A program that uses both would not compile or would break the one-definition rule.

Ruled out: a namespace per library, since no other library has one.

Before: clementinerill::LatencyWindow in two libraries. After: LatencyTrend in limits; behaviour is unchanged.

--- a/src/limits/adaptive_limit.h
+++ b/src/limits/adaptive_limit.h
@@ -2,7 +2,7 @@
 #define CLEMENTINERILL_LIMITS_ADAPTIVE_LIMIT_H_
 
 #include "base/time.h"
-#include "limits/latency_window.h"
+#include "limits/latency_trend.h"
 
 namespace clementinerill {
 
@@ -26,7 +26,7 @@
   double level_ = 1;      ///< The limit before rounding and clamping.
   bool reduced_ = false;  ///< Set by a decrease, cleared at the full share.
   Instant last_decrease_ = Instant::min();
-  LatencyWindow latency_;
+  LatencyTrend latency_;
 };
 
 /// @brief The limit in requests: at most `share`, and at least one unless the
--- a/src/limits/forward_declarations.h
+++ b/src/limits/forward_declarations.h
@@ -10,7 +10,7 @@
 struct AdmissionQueue;
 struct AttemptBudget;
 struct GoodputInterval;
-struct LatencyWindow;
+struct LatencyTrend;
 struct QueryGate;
 struct QueueEntry;
 struct RefusedEntry;
--- a/src/limits/latency_window.h
+++ b/src/limits/latency_trend.h
@@ -1,5 +1,5 @@
-#ifndef CLEMENTINERILL_LIMITS_LATENCY_WINDOW_H_
-#define CLEMENTINERILL_LIMITS_LATENCY_WINDOW_H_
+#ifndef CLEMENTINERILL_LIMITS_LATENCY_TREND_H_
+#define CLEMENTINERILL_LIMITS_LATENCY_TREND_H_
 
 #include <array>
 #include <chrono>
@@ -30,7 +30,7 @@
 
 /// @brief Compares the median latency of recent answers with the low-latency
 /// baseline of the same replica.
-struct LatencyWindow {
+struct LatencyTrend {
   std::array<Duration, kLatencyWindowSize> samples_{};
   size_t count_ = 0;      ///< Samples in the window that is being filled.
   Duration baseline_{0};  ///< Zero until the first window is complete.
@@ -40,12 +40,12 @@
 /// @brief The longest latency that does not count as rising.
 ///
 /// `Duration::max()` until there is a baseline.
-[[nodiscard]] Duration TolerableLatency(const LatencyWindow& window) noexcept;
+[[nodiscard]] Duration TolerableLatency(const LatencyTrend& trend) noexcept;
 
 /// @brief Adds one sample; returns whether it completed a window, in which case
 /// `rising_` and `baseline_` are up to date.
-bool AddLatency(LatencyWindow& window, Duration latency) noexcept;
+bool AddLatency(LatencyTrend& trend, Duration latency) noexcept;
 
 }  // namespace clementinerill
 
-#endif  // CLEMENTINERILL_LIMITS_LATENCY_WINDOW_H_
+#endif  // CLEMENTINERILL_LIMITS_LATENCY_TREND_H_
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -8,7 +8,7 @@
 #include "limits/attempt_budget.h"
 #include "limits/forward_declarations.h"
 #include "limits/goodput_interval.h"
-#include "limits/latency_window.h"
+#include "limits/latency_trend.h"
 #include "limits/query_end.h"
 #include "limits/query_gate.h"
 #include "limits/queue_entry.h"
