--- a/src/explain/explain_log.h
+++ b/src/explain/explain_log.h
@@ -29,7 +29,8 @@
   void Add(ExplainedQuery query);
 
   /// @brief All records with this request id, in the order of their entry,
-  /// newest first. Empty when none is kept any more.
+  /// newest first. Empty when none is kept any more. Reads every record: with
+  /// the default limits up to about 30,000 records of fetches.
   [[nodiscard]] std::vector<const ExplainedQuery*> Find(
       std::string_view request_id) const;
 
