--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -60,7 +60,7 @@
 
 Result<uint16_t> Daemon::Start() {
   control_thread_ = std::thread([this] { RunControl(); });
-  const auto admin_port = admin_server_.Start();
+  auto admin_port = admin_server_.Start();
   if (!admin_port) {
     return admin_port;
   }
