Add the warm-up library: cold detection, ramp, admission and shares

Decisions: the limit doubles after 8 fast answers per unit of the limit, and only answers to requests sent at the present limit count. Until requests of other seats can no longer run, the warm-up seat stays within its own share of the slots; after the ramp it falls back to that share before the replica is declared warm, because the other seats start to send then. A latency step is confirmed by windows of the replica and of its siblings that began after the step.

Ruled out: comparing each replica's step with its siblings' steps. Ruled out as well: letting the ramp reach all slots at once, because requests that other seats sent before the mark may run until their deadline.

Found by the property test and fixed: a cold advisory that overtakes a clear must renew the wait for requests of other seats.

Before: no warm-up state.

Conclusion: the daemon can drive warm-up with one call per dispatch and one per answer.

--- /dev/null
+++ b/src/warmup/seat_role.h
@@ -0,0 +1,14 @@
+#ifndef CLEMENTINERILL_WARMUP_SEAT_ROLE_H_
+#define CLEMENTINERILL_WARMUP_SEAT_ROLE_H_
+
+namespace clementinerill {
+
+/// @brief Whether this daemon holds the warm-up seat of a replica.
+enum class SeatRole {
+  kWarmup,  ///< Holder of the warm-up seat: the only sender while cold.
+  kOther,   ///< Holder of another seat of the pool.
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_WARMUP_SEAT_ROLE_H_
--- /dev/null
+++ b/src/warmup/warmup_admission.cc
@@ -0,0 +1,37 @@
+#include "warmup/warmup_admission.h"
+
+#include <algorithm>
+
+namespace clementinerill {
+
+namespace {
+
+bool IsWarming(const WarmupCandidate& candidate) noexcept {
+  return candidate.in_service_ && candidate.cold_ &&
+         (candidate.admitted_ || !candidate.by_choice_);
+}
+
+}  // namespace
+
+std::vector<std::string> AdmitWarming(
+    const std::vector<WarmupCandidate>& service) {
+  const int limit = WarmingLimit(static_cast<int>(service.size()));
+  int warming = static_cast<int>(
+      std::count_if(service.begin(), service.end(), IsWarming));
+  std::vector<std::string> admitted;
+  for (const auto& candidate : service) {
+    if (!candidate.in_service_ || !candidate.cold_) {
+      continue;
+    }
+    if (!IsWarming(candidate)) {
+      if (warming >= limit) {
+        continue;
+      }
+      ++warming;
+    }
+    admitted.push_back(candidate.replica_);
+  }
+  return admitted;
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/warmup/warmup_seat.h
@@ -0,0 +1,21 @@
+#ifndef CLEMENTINERILL_WARMUP_WARMUP_SEAT_H_
+#define CLEMENTINERILL_WARMUP_WARMUP_SEAT_H_
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace clementinerill {
+
+/// @brief The one seat that may send to `replica` while it is cold.
+///
+/// `seat_slots` holds the share of each seat at this replica, by seat index.
+/// Only seats with a slot are eligible. Every daemon computes the same seat;
+/// removing one seat moves only the replicas it was responsible for.
+/// @return the seat index, or nothing when no seat has a slot.
+[[nodiscard]] std::optional<int> WarmupSeat(const std::vector<int>& seat_slots,
+                                            std::string_view replica);
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_WARMUP_WARMUP_SEAT_H_
--- /dev/null
+++ b/tests/warmup/service_warmup_test.cc
@@ -0,0 +1,130 @@
+#include <chrono>
+#include <numeric>
+#include <set>
+
+#include "property.h"
+#include "warmup/domain_ramp.h"
+#include "warmup/share_plan.h"
+#include "warmup/warmup_admission.h"
+#include "warmup/warmup_seat.h"
+
+namespace clementinerill {
+namespace {
+
+// Guards against two daemons that both believe to hold the warm-up seat, and
+// against a seat without slots.
+TEST_CASE("one eligible seat warms a replica", "[warmup]") {
+  std::set<int> used;
+  for (int i = 0; i < 100; ++i) {
+    const std::string replica = "claims-" + std::to_string(i);
+    const auto seat = WarmupSeat({1, 1, 0, 1}, replica);
+    REQUIRE(seat);
+    used.insert(*seat);
+    const auto shrunk = WarmupSeat({1, 1, 0}, replica);
+    CHECK((*seat == 3 || shrunk == seat));
+  }
+  CHECK(used == std::set<int>{0, 1, 3});
+  CHECK_FALSE(WarmupSeat({0, 0}, "claims-0"));
+}
+
+// Guards against a return of domains that limits two of three replicas at
+// once, for any states and in every order of warming.
+TEST_CASE("one third of a service warms up at once", "[warmup]") {
+  CheckProperty(1, 300, [] {
+    const int count = *rc::gen::inRange(1, 13);
+    std::vector<WarmupCandidate> service;
+    service.reserve(count);
+    for (int i = 0; i < count; ++i) {
+      service.push_back(
+          {std::to_string(i), true, true, false, *rc::gen::inRange(0, 4) > 0});
+    }
+    int by_itself = 0;
+    for (const auto& candidate : service) {
+      by_itself += candidate.by_choice_ ? 0 : 1;
+    }
+    for (int round = 0; round < count; ++round) {
+      const auto admitted = AdmitWarming(service);
+      RC_ASSERT(static_cast<int>(admitted.size()) <=
+                std::max(by_itself, WarmingLimit(count)));
+      RC_ASSERT(!admitted.empty());
+      for (const auto& name : admitted) {
+        service[std::stoi(name)].admitted_ = true;
+      }
+      auto& warmed = service[std::stoi(admitted[0])];
+      warmed.cold_ = false;
+      by_itself -= warmed.by_choice_ ? 0 : 1;
+    }
+    RC_ASSERT(AdmitWarming(service).empty());
+  });
+  CHECK(WarmingLimit(3) == 1);
+  CHECK(WarmingLimit(20) == 6);
+}
+
+// Guards against a returned domain that takes its full load at once.
+TEST_CASE("traffic to a returned domain ramps by useful answers", "[warmup]") {
+  DomainRamp domain;
+  CHECK(StartDomainRequest(domain));
+  ReturnDomain(domain, 75);
+  CHECK(domain.ramp_.limit_ == 7);
+  const auto one = [&domain](bool useful, bool shed) {
+    const auto ticket = StartDomainRequest(domain);
+    REQUIRE(ticket);
+    FinishDomainRequest(domain, *ticket, useful, shed);
+  };
+  for (int i = 0; i < 1000; ++i) {
+    one(false, false);
+  }
+  CHECK(domain.ramp_.limit_ == 7);
+  for (int i = 0; i < 7 * kAnswersPerSlot; ++i) {
+    one(true, false);
+  }
+  CHECK(domain.ramp_.limit_ == 14);
+  one(false, true);
+  CHECK(domain.ramp_.limit_ == 7);
+  for (int i = 0; i < (7 + 14 + 28 + 56 + 75) * kAnswersPerSlot; ++i) {
+    one(true, false);
+  }
+  CHECK_FALSE(domain.active_);
+}
+
+// Guards against shares that overload a warm sibling or hide the excess.
+TEST_CASE("planned load stays within every limit", "[warmup]") {
+  CheckProperty(2, 300, [] {
+    std::vector<ReplicaLoad> replicas;
+    const int count = *rc::gen::inRange(1, 8);
+    replicas.reserve(count);
+    for (int i = 0; i < count; ++i) {
+      replicas.push_back(
+          {*rc::gen::inRange(0, 7), *rc::gen::inRange(0, 4) * 0.5,
+           std::chrono::milliseconds(*rc::gen::inRange(1, 900))});
+    }
+    const double rate = *rc::gen::inRange(1, 400);
+    const auto plan = PlanShares(replicas, rate);
+    double sum = plan.refused_;
+    for (int i = 0; i < count; ++i) {
+      const double load =
+          rate * plan.shares_[i] *
+          std::chrono::duration<double>(replicas[i].latency_).count();
+      sum += plan.shares_[i];
+      RC_ASSERT(load == 0 ||
+                load + replicas[i].other_load_ <=
+                    kPlannedUtilization * replicas[i].limit_ + 1e-9);
+    }
+    RC_ASSERT(std::abs(sum - 1) < 1e-9);
+  });
+}
+
+// Guards against early refusal while free slots remain, and against a cold
+// replica that gets the share of a warm one.
+TEST_CASE("a cold replica gets what its limit carries", "[warmup]") {
+  const std::chrono::milliseconds latency(100);
+  const auto plan =
+      PlanShares({{3, 0, latency}, {3, 0, latency}, {1, 0, latency}}, 50);
+  CHECK(plan.refused_ == 0);
+  CHECK(plan.shares_[2] == Approx(1.0 / 7));
+  CHECK(PlanShares({{3, 0, latency}}, 51).refused_ == Approx(0.5));
+  CHECK(PlanShares({{0, 0, latency}}, 1).refused_ == 1);
+}
+
+}  // namespace
+}  // namespace clementinerill
