Connect daemons: seats from membership, configuration through the store and peers, forwarded queries

Cause: seats were static, so a killed or frozen daemon kept its share of the slots and a daemon without a seat could not serve.

The control thread owns roster, groups, advisories and configuration and publishes seats with their permits; each dispatch and each send checks the permit. A daemon without a usable seat forwards the query whole to a holder. An idempotency key is answered by the holder of one seat.

Before: killing a holder lost its share for good.

Conclusion: the shares of seats in the routing library are replaced by those of membership, with their test.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import time
 
@@ -57,6 +58,18 @@
     return http.client.HTTPConnection("127.0.0.1", port, timeout=timeout_s)
 
 
+def free_ports(count):
+    """Ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for s in sockets:
+            s.bind(("127.0.0.1", 0))
+        return [s.getsockname()[1] for s in sockets]
+    finally:
+        for s in sockets:
+            s.close()
+
+
 def wait_until(condition, timeout_s, what):
     """Polls until the condition holds; raises when it does not in time."""
     end = time.monotonic() + timeout_s
@@ -84,6 +97,7 @@
         self.top = top
         self.balancer_delay_ms = balancer_delay_ms
         self.daemon_names = [f"daemon-{i}" for i in range(daemons)]
+        self.peer_ports = {}
         self.platform = None
         self.upstreams = {}
         self.daemons = {}
@@ -110,6 +124,10 @@
             for replica in range(self.replicas):
                 self.start_upstream(service, replica)
         self.put_configuration(self.configuration())
+        for name, port in zip(self.daemon_names,
+                              free_ports(len(self.daemon_names))):
+            self.peer_ports[name] = port
+        self.put_vms(self.daemon_names)
         for name in self.daemon_names:
             self.start_daemon(name)
         for name in self.daemon_names:
@@ -130,9 +148,10 @@
     def start_daemon(self, name):
         command = [f"{BUILD}/src/clementinerill", "serve", "--name", name,
                    "--platform-port", str(self.platform.port),
+                   "--peer-port", str(self.peer_ports[name]),
                    "--balancer-delay-ms", str(self.balancer_delay_ms)]
-        for member in self.daemon_names:
-            command += ["--member", member]
+        for peer, port in self.peer_ports.items():
+            command += ["--peer", f"{peer}:{port}"]
         self.daemons[name] = Process(name, command)
 
     def wait_ready(self, name):
@@ -185,6 +204,15 @@
         if status not in (200, 201):
             raise RuntimeError(f"writing the configuration failed: {status} {text}")
 
+    def put_vms(self, names, leaving=()):
+        rows = [{"name": n, "address": "127.0.0.1",
+                 "state": "leaving" if n in leaving else "live"} for n in names]
+        exchange(self.platform.port, "PUT", "/vms", json.dumps(rows))
+
+    def status(self, daemon):
+        return json.loads(exchange(self.daemons[daemon].admin_port,
+                                   "GET", "/status")[2])
+
     def ports(self):
         return [d.port for d in self.daemons.values()]
 
--- a/src/daemon/attempt_runner.cc
+++ b/src/daemon/attempt_runner.cc
@@ -66,8 +66,10 @@
     }
     attempt.connection_id_ = connection->id_;
   }
-  if (Now() >= request.deadline_) {
-    // An upstream counts the deadline from the arrival of the request.
+  const Instant now = Now();
+  if (now >= request.deadline_ || now >= attempt.grant_.fence_) {
+    // An upstream counts the deadline from the arrival of the request, and
+    // after the fence the slot may belong to another daemon.
     pool.Release(*connection);
     return result;
   }
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,53 +1,51 @@
 #include "daemon/daemon.h"
 
-#include <algorithm>
 #include <chrono>
-#include <limits>
 #include <utility>
 
-#include "config/configuration_json.h"
-#include "daemon/fetch_configuration.h"
-#include "daemon/static_seats.h"
-#include "routing/build_routing_table.h"
+#include "daemon/forward_query.h"
+#include "daemon/query_answer_json.h"
 
 namespace clementinerill {
 namespace {
 
 constexpr auto kControlInterval = std::chrono::milliseconds(20);
-constexpr int kTicksPerConfigurationPoll = 25;
+constexpr int kTicksPerUpdate = 5;
 constexpr int kTicksPerCancelRetry = 10;
 
 Instant Now() noexcept {
   return std::chrono::steady_clock::now();
 }
 
-// Slots of the service that has the fewest: the number of sweeps that the pool
-// can run at once.
-int FewestSlots(const RoutingPool& pool) noexcept {
-  int fewest = std::numeric_limits<int>::max();
-  for (const RoutingService& service : pool.services_) {
-    int slots = 0;
-    for (const RoutingTarget& target : service.targets_) {
-      slots += target.open_ ? target.slots_ : 0;
-    }
-    fewest = std::min(fewest, slots);
-  }
-  return pool.services_.empty() ? 0 : fewest;
-}
-
 }  // namespace
 
 Daemon::Daemon(DaemonOptions options)
     : options_(std::move(options)),
       exchange_pool_(options_.exchange_threads_),
       control_pool_(options_.control_threads_),
+      forward_pool_(options_.forward_threads_),
       runner_(dispatcher_, exchange_pool_, control_pool_),
+      control_plane_(
+          options_.cluster_,
+          {[this](auto table) { ApplyTable(std::move(table)); },
+           [this](auto seats) {
+             has_majority_ = seats->has_majority_;
+             dispatcher_.SetSeats(std::move(seats));
+           },
+           [this](const std::string& peer, Forward forward) {
+             forward_pool_.Post([this, peer, forward = std::move(forward)] {
+               ServeForward(peer, forward);
+             });
+           },
+           [this](const std::string& peer, uint64_t id) {
+             active_forwards_.Cancel(peer, id);
+           }}),
       caller_server_(
           options_.caller_,
           {[this](const QueryInput& input, const std::function<bool()>& gone) {
              return Serve(input, gone);
            },
-           [this] { return dispatcher_.Table() != nullptr && !draining_; }}),
+           [this] { return IsReady(); }}),
       admin_server_(
           options_.admin_address_,
           options_.admin_port_,
@@ -59,6 +57,10 @@
 }
 
 Result<uint16_t> Daemon::Start() {
+  auto peer_port = control_plane_.Start(Now());
+  if (!peer_port) {
+    return peer_port;
+  }
   control_thread_ = std::thread([this] { RunControl(); });
   auto admin_port = admin_server_.Start();
   if (!admin_port) {
@@ -73,6 +75,7 @@
     return;
   }
   draining_ = true;
+  control_plane_.Leave();
   std::this_thread::sleep_for(options_.balancer_delay_);
   caller_server_.Stop();
   admin_server_.Stop();
@@ -80,8 +83,10 @@
   if (control_thread_.joinable()) {
     control_thread_.join();
   }
+  forward_pool_.Stop();
   exchange_pool_.Stop();
   control_pool_.Stop();
+  control_plane_.Stop();
 }
 
 QueryAnswer Daemon::Serve(const QueryInput& input,
@@ -107,12 +112,73 @@
   if (!request) {
     return request.error();
   }
+  return Route(*request, input.body_, 0, caller_gone);
+}
+
+QueryAnswer Daemon::Route(const QueryRequest& request,
+                          const std::string& body,
+                          int hops,
+                          const std::function<bool()>& caller_gone) {
+  const PoolSeats seats = dispatcher_.SeatsOf(request.route_.pool_);
+  const bool has_key = !request.idempotency_key_.empty();
+  const bool key_is_here =
+      !has_key || KeyHolder(request, seats) == options_.name_;
+  if (AcceptsNewQueries(seats, Now()) && key_is_here) {
+    return RunHere(request, caller_gone);
+  }
+  if (hops > 0) {
+    return RefusedAnswer(request.request_id_, Reason::kNoSeat);
+  }
+  return ForwardQuery(control_plane_.Forwards(), request, body,
+                      ForwardTargets(request, seats, options_.name_),
+                      caller_gone);
+}
+
+QueryAnswer Daemon::RunHere(const QueryRequest& request,
+                            const std::function<bool()>& caller_gone) {
   const QueryContext context{dispatcher_, runner_, admission_, metrics_};
-  return RunQuery(context, *request, caller_gone);
+  const auto run = [&] { return RunQuery(context, request, caller_gone); };
+  return request.idempotency_key_.empty() ? run()
+                                          : idempotency_.RunOnce(request, run);
+}
+
+void Daemon::ServeForward(const std::string& peer, const Forward& forward) {
+  const ActiveForwards::Flag cancelled =
+      active_forwards_.Add(peer, forward.id_);
+  QueryInput input;
+  input.route_ = forward.route_;
+  input.request_id_ = forward.request_id_;
+  input.deadline_ms_ = std::to_string(forward.deadline_ms_);
+  input.idempotency_key_ = forward.idempotency_key_;
+  input.body_ = forward.body_;
+  const auto table = dispatcher_.Table();
+  QueryAnswer answer =
+      RefusedAnswer(forward.request_id_, Reason::kNoConfiguration);
+  if (table) {
+    const auto request = ParseQuery(input, *table, forward.request_id_, Now());
+    answer = request
+                 ? Route(*request, input.body_, static_cast<int>(forward.hops_),
+                         [&cancelled] { return cancelled->load(); })
+                 : request.error();
+  }
+  active_forwards_.Remove(peer, forward.id_);
+  ForwardAnswer reply;
+  reply.id_ = forward.id_;
+  reply.status_ = static_cast<uint32_t>(HttpStatusOf(answer));
+  reply.body_ = ToJsonText(answer);
+  reply.not_run_ = answer.outcome_ == Outcome::kRefused;
+  control_plane_.Send(peer, reply);
+}
+
+bool Daemon::IsReady() const {
+  return dispatcher_.Table() != nullptr && has_majority_ && !draining_;
 }
 
 AdminReply Daemon::ServeAdmin(const AdminRequest& request) {
   constexpr int kNotFound = 404;
+  if (request.path_ == "/status") {
+    return {200, "application/json", control_plane_.StatusText()};
+  }
   if (request.path_ == "/metrics") {
     return {200, "text/plain; version=0.0.4",
             metrics_.registry_.PrometheusText()};
@@ -126,10 +192,12 @@
 
 void Daemon::RunControl() {
   for (int tick = 0; !stopping_; ++tick) {
-    if (tick % kTicksPerConfigurationPoll == 0) {
-      PollConfiguration();
+    const Instant now = Now();
+    control_plane_.Tick(now);
+    if (tick % kTicksPerUpdate == 0) {
+      dispatcher_.Maintain(now);
+      UpdateCapacities(now);
     }
-    dispatcher_.Maintain();
     MaintainConnections();
     if (tick % kTicksPerCancelRetry == 0) {
       runner_.RetryCancellations();
@@ -154,25 +222,17 @@
   }
 }
 
-void Daemon::PollConfiguration() {
-  const auto text =
-      FetchConfiguration(options_.platform_address_, options_.platform_port_);
-  if (!text) {
-    return;
-  }
-  const auto configuration = ParseConfiguration(*text);
-  if (!configuration || configuration->version_ <= configuration_version_) {
+void Daemon::ApplyTable(std::shared_ptr<const RoutingTable> table) {
+  dispatcher_.Apply(std::move(table));
+}
+
+void Daemon::UpdateCapacities(Instant now) {
+  const auto table = dispatcher_.Table();
+  if (!table) {
     return;
   }
-  configuration_version_ = configuration->version_;
-  RoutingRestrictions restrictions;
-  restrictions.seats_ =
-      StaticSeats(*configuration, options_.members_, options_.name_);
-  const auto table = std::make_shared<const RoutingTable>(
-      BuildRoutingTable(*configuration, restrictions));
-  dispatcher_.Apply(table);
   for (const auto& [name, pool] : table->pools_) {
-    admission_.Of(name)->SetCapacity(FewestSlots(pool));
+    admission_.Of(name)->SetCapacity(dispatcher_.SweepCapacity(name, now));
   }
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -4,15 +4,19 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 
 #include "base/result.h"
+#include "cluster/control_plane.h"
+#include "daemon/active_forwards.h"
 #include "daemon/admin_server.h"
 #include "daemon/attempt_runner.h"
 #include "daemon/caller_server.h"
 #include "daemon/daemon_options.h"
 #include "daemon/dispatcher.h"
+#include "daemon/idempotency_table.h"
 #include "daemon/query_engine.h"
 #include "upstream/task_pool.h"
 
@@ -45,15 +49,28 @@
   [[nodiscard]] AdminReply ServeAdmin(const AdminRequest& request);
   void RunControl();
   void MaintainConnections();
-  void PollConfiguration();
+  void ApplyTable(std::shared_ptr<const RoutingTable> table);
+  void UpdateCapacities(Instant now);
+  void ServeForward(const std::string& peer, const Forward& forward);
+  [[nodiscard]] QueryAnswer RunHere(const QueryRequest& request,
+                                    const std::function<bool()>& caller_gone);
+  [[nodiscard]] QueryAnswer Route(const QueryRequest& request,
+                                  const std::string& body,
+                                  int hops,
+                                  const std::function<bool()>& caller_gone);
+  [[nodiscard]] bool IsReady() const;
 
   const DaemonOptions options_;
   Dispatcher dispatcher_;
   TaskPool exchange_pool_;
   TaskPool control_pool_;
+  TaskPool forward_pool_;
   AttemptRunner runner_;
   AdmissionControl admission_;
   DaemonMetrics metrics_;
+  IdempotencyTable idempotency_;
+  ActiveForwards active_forwards_;
+  ControlPlane control_plane_;
   CallerServer caller_server_;
   AdminServer admin_server_;
   uint16_t admin_port_ = 0;
@@ -61,7 +78,7 @@
   std::atomic<bool> stopping_{false};
   std::atomic<bool> draining_{false};
   std::atomic<uint64_t> last_request_{0};
-  uint64_t configuration_version_ = 0;
+  std::atomic<bool> has_majority_{false};
 };
 
 }  // namespace clementinerill
--- a/src/daemon/daemon_options.h
+++ b/src/daemon/daemon_options.h
@@ -3,8 +3,8 @@
 
 #include <chrono>
 #include <string>
-#include <vector>
 
+#include "cluster/cluster_options.h"
 #include "daemon/caller_server.h"
 
 namespace clementinerill {
@@ -15,11 +15,10 @@
   CallerServerOptions caller_;
   std::string admin_address_ = "127.0.0.1";
   uint16_t admin_port_ = 0;  ///< Zero lets the system choose.
-  std::string platform_address_ = "127.0.0.1";
-  uint16_t platform_port_ = 0;
-  std::vector<std::string> members_;  ///< Names of all daemons.
+  ClusterOptions cluster_;
   int exchange_threads_ = 128;
   int control_threads_ = 16;
+  int forward_threads_ = 64;
   std::chrono::milliseconds balancer_delay_{3000};
 };
 
--- a/src/daemon/dispatch_grant.h
+++ b/src/daemon/dispatch_grant.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 
+#include "base/time.h"
 #include "daemon/upstream_state.h"
 
 namespace clementinerill {
@@ -12,6 +13,8 @@
 struct DispatchGrant {
   std::shared_ptr<UpstreamState> upstream_;
   uint64_t token_ = 0;
+  /// The request must have left before this time: the seat may move then.
+  Instant fence_;
 };
 
 }  // namespace clementinerill
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "daemon/dispatcher.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -26,11 +27,8 @@
   return found == table.pools_.end() ? nullptr : &found->second;
 }
 
-int LimitOf(const UpstreamState& state) noexcept {
-  if (!state.cold_limit_) {
-    return state.slots_;
-  }
-  return std::min(state.slots_, *state.cold_limit_);
+int LimitOf(const UpstreamState& state, int slots) noexcept {
+  return state.cold_limit_ ? std::min(slots, *state.cold_limit_) : slots;
 }
 
 bool WasTried(const DispatchRequest& request, const std::string& upstream) {
@@ -38,15 +36,16 @@
          request.tried_.end();
 }
 
-Candidate MakeCandidate(const DispatchRequest& request,
-                        const UpstreamState& state,
-                        Duration typical,
-                        Instant now) {
-  Candidate candidate;
+UpstreamCandidate MakeUpstreamCandidate(const DispatchRequest& request,
+                                        const UpstreamState& state,
+                                        int slots,
+                                        Duration typical,
+                                        Instant now) {
+  UpstreamCandidate candidate;
   candidate.open_ =
       state.open_ && Matches(request.route_.selector_, state.upstream_.labels_);
   candidate.tried_ = WasTried(request, state.upstream_.name_);
-  candidate.limit_ = LimitOf(state);
+  candidate.limit_ = LimitOf(state, slots);
   candidate.in_use_ = static_cast<int>(state.tokens_.size());
   candidate.skip_until_ = state.health_.skip_until_;
   candidate.expected_latency_ = ExpectedLatency(state.health_, typical, now);
@@ -88,26 +87,77 @@
       const bool moved =
           state && (state->upstream_.address_ != target.upstream_.address_ ||
                     state->upstream_.port_ != target.upstream_.port_);
-      if (!state || moved ||
-          state->upstream_.labels_ != target.upstream_.labels_) {
-        auto fresh = std::make_shared<UpstreamState>(target.upstream_);
-        state = std::move(fresh);
+      if (!state || moved) {
+        state = std::make_shared<UpstreamState>(target.upstream_);
       }
+      // A change of labels must keep the slots in use.
+      state->upstream_.labels_ = target.upstream_.labels_;
+      state->upstream_.failure_domain_ = target.upstream_.failure_domain_;
+      state->upstream_.version_ = target.upstream_.version_;
       state->open_ = target.open_;
-      state->slots_ = target.slots_;
       state->service_ = service.name_;
       state->pool_name_ = pool.pool_.name_;
-      ConnectionPolicy policy;
-      policy.share_ = target.connections_;
-      policy.ready_ =
-          target.slots_ > 0 && target.open_
-              ? std::min(target.connections_, target.slots_ + kSpareConnections)
-              : 0;
-      state->pool_.SetPolicy(policy);
     }
   }
 }
 
+void Dispatcher::SetSeats(std::shared_ptr<const PublishedSeats> seats) {
+  const std::lock_guard lock(mutex_);
+  seats_ = std::move(seats);
+}
+
+void Dispatcher::UpdateConnections(Instant now) {
+  if (!table_) {
+    return;
+  }
+  for (const auto& [name, pool] : table_->pools_) {
+    const PoolSeats& seats = SeatsOfLocked(name);
+    for (const RoutingService& service : pool.services_) {
+      for (const RoutingTarget& target : service.targets_) {
+        const std::string& upstream = target.upstream_.name_;
+        const int slots = UsableSlots(seats, pool.pool_, upstream, now);
+        ConnectionPolicy policy;
+        policy.share_ = UsableConnections(seats, pool.pool_, upstream, now);
+        policy.ready_ = slots > 0 && target.open_
+                            ? std::min(policy.share_, slots + kSpareConnections)
+                            : 0;
+        upstreams_.at(upstream)->pool_.SetPolicy(policy);
+      }
+    }
+  }
+}
+
+PoolSeats Dispatcher::SeatsOf(const std::string& pool) const {
+  const std::lock_guard lock(mutex_);
+  return SeatsOfLocked(pool);
+}
+
+const PoolSeats& Dispatcher::SeatsOfLocked(const std::string& pool) const {
+  static const PoolSeats none;
+  const auto found = seats_->pools_.find(pool);
+  return found == seats_->pools_.end() ? none : found->second;
+}
+
+int Dispatcher::SweepCapacity(const std::string& pool, Instant now) const {
+  const std::lock_guard lock(mutex_);
+  const RoutingPool* routed = table_ ? FindRoutingPool(*table_, pool) : nullptr;
+  if (routed == nullptr || routed->services_.empty()) {
+    return 0;
+  }
+  const PoolSeats& seats = SeatsOfLocked(pool);
+  int fewest = std::numeric_limits<int>::max();
+  for (const RoutingService& service : routed->services_) {
+    int slots = 0;
+    for (const RoutingTarget& target : service.targets_) {
+      slots += target.open_ ? UsableSlots(seats, routed->pool_,
+                                          target.upstream_.name_, now)
+                            : 0;
+    }
+    fewest = std::min(fewest, slots);
+  }
+  return fewest;
+}
+
 std::shared_ptr<const RoutingTable> Dispatcher::Table() const {
   const std::lock_guard lock(mutex_);
   return table_;
@@ -123,15 +173,20 @@
   if (service == nullptr) {
     return tl::make_unexpected(Reason::kNoUpstream);
   }
-  if (!pool->holds_seat_) {
+  const PoolSeats& seats = SeatsOfLocked(request.route_.pool_);
+  const Instant fence = EarliestEnd(seats, now);
+  if (fence == Instant::max()) {
     return tl::make_unexpected(Reason::kNoSeat);
   }
   const Duration typical = policies_[request.route_.pool_].expected_answer_;
-  std::vector<Candidate> candidates;
+  std::vector<UpstreamCandidate> candidates;
   std::vector<std::shared_ptr<UpstreamState>> states;
   for (const RoutingTarget& target : service->targets_) {
     const auto& state = upstreams_.at(target.upstream_.name_);
-    candidates.push_back(MakeCandidate(request, *state, typical, now));
+    const int slots =
+        UsableSlots(seats, pool->pool_, target.upstream_.name_, now);
+    candidates.push_back(
+        MakeUpstreamCandidate(request, *state, slots, typical, now));
     states.push_back(state);
   }
   const auto chosen = ChooseCandidate(candidates, request.snapshot_, now);
@@ -141,8 +196,9 @@
   UpstreamState& state = *states[*chosen];
   const uint64_t token = ++last_token_;
   state.tokens_.insert(token);
-  CR_INVARIANT(static_cast<int>(state.tokens_.size()) <= state.slots_);
-  return DispatchGrant{states[*chosen], token};
+  CR_INVARIANT(static_cast<int>(state.tokens_.size()) <=
+               candidates[*chosen].limit_);
+  return DispatchGrant{states[*chosen], token, fence};
 }
 
 void Dispatcher::AddWaiter(const std::string& service,
@@ -245,9 +301,10 @@
   return policies_[pool];
 }
 
-void Dispatcher::Maintain() {
+void Dispatcher::Maintain(Instant now) {
   const std::lock_guard lock(mutex_);
   UpdatePolicies();
+  UpdateConnections(now);
 }
 
 void Dispatcher::UpdatePolicies() {
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -15,6 +15,7 @@
 #include "config/route.h"
 #include "daemon/dispatch_grant.h"
 #include "daemon/mailbox.h"
+#include "routing/pool_seats.h"
 #include "routing/routing_table.h"
 #include "sweep/query_policy.h"
 #include "sweep/reason.h"
@@ -36,6 +37,15 @@
   /// @brief Takes over a new routing table.
   void Apply(std::shared_ptr<const RoutingTable> table);
 
+  /// @brief Takes over the seats of this daemon; called after each heartbeat.
+  void SetSeats(std::shared_ptr<const PublishedSeats> seats);
+
+  /// @brief The seats of a pool; empty when there are none.
+  [[nodiscard]] PoolSeats SeatsOf(const std::string& pool) const;
+
+  /// @brief Sweeps of the pool that the slots of this daemon can run at once.
+  [[nodiscard]] int SweepCapacity(const std::string& pool, Instant now) const;
+
   /// @brief The table in force, or null before the first one.
   [[nodiscard]] std::shared_ptr<const RoutingTable> Table() const;
 
@@ -67,8 +77,9 @@
   /// @brief Limits for a query of the pool, from recent latencies.
   [[nodiscard]] QueryPolicy PolicyFor(const std::string& pool);
 
-  /// @brief Recomputes policies from the latencies.
-  void Maintain();
+  /// @brief Recomputes policies from the latencies and shares of connections
+  /// from the seats.
+  void Maintain(Instant now);
 
   /// @brief All upstreams of the table.
   [[nodiscard]] std::vector<std::shared_ptr<UpstreamState>> Upstreams() const;
@@ -78,9 +89,13 @@
   void ReleaseLocked(UpstreamState& upstream, uint64_t token);
   void WakeWaiter(const std::string& service);
   void UpdatePolicies();
+  void UpdateConnections(Instant now);
+  [[nodiscard]] const PoolSeats& SeatsOfLocked(const std::string& pool) const;
 
   mutable std::mutex mutex_;
   std::shared_ptr<const RoutingTable> table_;
+  std::shared_ptr<const PublishedSeats> seats_ =
+      std::make_shared<const PublishedSeats>();
   std::map<std::string, std::shared_ptr<UpstreamState>> upstreams_;
   std::map<std::string, std::deque<std::weak_ptr<Mailbox>>> waiters_;
   std::map<std::string, QueryPolicy> policies_;
--- a/src/daemon/query_answer_json.cc
+++ b/src/daemon/query_answer_json.cc
@@ -45,6 +45,44 @@
   return document.dump();
 }
 
+std::optional<QueryAnswer> ParseQueryAnswer(const std::string& text) {
+  try {
+    const json document = json::parse(text);
+    const auto outcome =
+        ValueOf(kOutcomeNames, document.at("outcome").get<std::string>());
+    const auto reason =
+        ValueOf(kReasonNames, document.at("reason").get<std::string>());
+    if (!outcome || !reason) {
+      return std::nullopt;
+    }
+    QueryAnswer answer;
+    answer.request_id_ = document.at("request_id");
+    answer.outcome_ = *outcome;
+    answer.reason_ = *reason;
+    answer.coverage_ = document.at("coverage");
+    for (const json& range : document.at("missing")) {
+      const auto parsed = ParseKeyRange(range.get<std::string>());
+      if (!parsed) {
+        return std::nullopt;
+      }
+      answer.missing_.push_back(*parsed);
+    }
+    for (const json& hit : document.at("hits")) {
+      answer.hits_.push_back(Hit{hit.at("id"), hit.at("score")});
+    }
+    if (document.contains("index_version")) {
+      answer.snapshot_ =
+          Snapshot{document.at("index_version"), document.at("partition_map")};
+    }
+    if (document.contains("answer")) {
+      answer.body_ = document.at("answer").dump();
+    }
+    return answer;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 int HttpStatusOf(const QueryAnswer& answer) noexcept {
   constexpr int kOk = 200;
   constexpr int kBadRequest = 400;
--- a/src/daemon/query_answer_json.h
+++ b/src/daemon/query_answer_json.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINERILL_DAEMON_QUERY_ANSWER_JSON_H_
 #define CLEMENTINERILL_DAEMON_QUERY_ANSWER_JSON_H_
 
+#include <optional>
 #include <string>
 
 #include "sweep/query_answer.h"
@@ -10,6 +11,10 @@
 /// @brief The answer as the JSON text that callers receive.
 [[nodiscard]] std::string ToJsonText(const QueryAnswer& answer);
 
+/// @brief Reads what `ToJsonText` writes; nothing when malformed.
+[[nodiscard]] std::optional<QueryAnswer> ParseQueryAnswer(
+    const std::string& text);
+
 /// @brief The HTTP status that goes with the answer.
 [[nodiscard]] int HttpStatusOf(const QueryAnswer& answer) noexcept;
 
--- a/src/daemon/upstream_state.h
+++ b/src/daemon/upstream_state.h
@@ -17,15 +17,15 @@
 
 /// @brief What this daemon knows about one upstream.
 ///
-/// All members but `pool_` are guarded by the mutex of the dispatcher.
+/// All members but `pool_` and the name are guarded by the mutex of the
+/// dispatcher.
 struct UpstreamState {
   explicit UpstreamState(const Upstream& upstream)
       : upstream_(upstream), pool_(upstream.address_, upstream.port_) {}
 
-  const Upstream upstream_;
+  Upstream upstream_;
   ConnectionPool pool_;
   bool open_ = true;
-  int slots_ = 0;
   std::string service_;
   std::string pool_name_;
   std::set<uint64_t> tokens_;  ///< Slots in use.
--- a/src/routing/build_routing_table.cc
+++ b/src/routing/build_routing_table.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "routing/seat_share.h"
-
 namespace clementinerill {
 namespace {
 
@@ -24,20 +22,12 @@
                       const Pool& pool) {
   RoutingPool built;
   built.pool_ = pool;
-  const auto found = restrictions.seats_.find(pool.name_);
-  const std::vector<int> held =
-      found == restrictions.seats_.end() ? std::vector<int>() : found->second;
-  built.holds_seat_ = !held.empty();
   for (const Service* service : ServicesOfPool(configuration, pool.name_)) {
     RoutingService routed;
     routed.name_ = service->name_;
     for (const Upstream& upstream : service->upstreams_) {
       RoutingTarget target;
       target.upstream_ = upstream;
-      target.slots_ =
-          ShareOfSeats(pool.slots_, pool.seats_, held, upstream.name_);
-      target.connections_ =
-          ShareOfSeats(pool.connections_, pool.seats_, held, upstream.name_);
       target.open_ = IsOpen(configuration, restrictions, upstream);
       routed.targets_.push_back(std::move(target));
     }
--- a/src/routing/choose_candidate.cc
+++ b/src/routing/choose_candidate.cc
@@ -5,7 +5,7 @@
 namespace clementinerill {
 namespace {
 
-bool Offers(const Candidate& candidate,
+bool Offers(const UpstreamCandidate& candidate,
             const std::optional<Snapshot>& snapshot) noexcept {
   if (!snapshot) {
     return true;
@@ -15,27 +15,28 @@
                    *snapshot) != candidate.offers_->end();
 }
 
-bool IsSkipped(const Candidate& candidate, Instant now) noexcept {
+bool IsSkipped(const UpstreamCandidate& candidate, Instant now) noexcept {
   return now < candidate.skip_until_;
 }
 
-bool IsEligible(const Candidate& candidate,
+bool IsEligible(const UpstreamCandidate& candidate,
                 const std::optional<Snapshot>& snapshot) noexcept {
   return candidate.open_ && Offers(candidate, snapshot);
 }
 
 // Whether skipping leaves no upstream at all. Waiting for the end of the
 // shortest skip would then cost every query its deadline, so none is skipped.
-bool AllSkipped(const std::vector<Candidate>& candidates,
+bool AllSkipped(const std::vector<UpstreamCandidate>& candidates,
                 const std::optional<Snapshot>& snapshot,
                 Instant now) noexcept {
-  return std::all_of(
-      candidates.begin(), candidates.end(), [&](const Candidate& candidate) {
-        return !IsEligible(candidate, snapshot) || IsSkipped(candidate, now);
-      });
+  return std::all_of(candidates.begin(), candidates.end(),
+                     [&](const UpstreamCandidate& candidate) {
+                       return !IsEligible(candidate, snapshot) ||
+                              IsSkipped(candidate, now);
+                     });
 }
 
-bool IsBetter(const Candidate& a, const Candidate& b) noexcept {
+bool IsBetter(const UpstreamCandidate& a, const UpstreamCandidate& b) noexcept {
   if (a.tried_ != b.tried_) {
     return !a.tried_;
   }
@@ -46,14 +47,14 @@
 }  // namespace
 
 tl::expected<size_t, Reason> ChooseCandidate(
-    const std::vector<Candidate>& candidates,
+    const std::vector<UpstreamCandidate>& candidates,
     const std::optional<Snapshot>& snapshot,
     Instant now) noexcept {
   Reason reason = Reason::kNoUpstream;
   std::optional<size_t> best;
   const bool ignore_skips = AllSkipped(candidates, snapshot, now);
   for (size_t i = 0; i < candidates.size(); ++i) {
-    const Candidate& candidate = candidates[i];
+    const UpstreamCandidate& candidate = candidates[i];
     if (!candidate.open_) {
       continue;
     }
--- a/src/routing/choose_candidate.h
+++ b/src/routing/choose_candidate.h
@@ -8,7 +8,7 @@
 #include <tl/expected.hpp>
 
 #include "base/time.h"
-#include "routing/candidate.h"
+#include "routing/upstream_candidate.h"
 #include "sweep/reason.h"
 
 namespace clementinerill {
@@ -22,7 +22,7 @@
 /// when none is open, `kNoSnapshot` when no open one offers the snapshot,
 /// `kNoSlot` when one may become usable later.
 [[nodiscard]] tl::expected<size_t, Reason> ChooseCandidate(
-    const std::vector<Candidate>& candidates,
+    const std::vector<UpstreamCandidate>& candidates,
     const std::optional<Snapshot>& snapshot,
     Instant now) noexcept;
 
--- a/src/routing/forward_declarations.h
+++ b/src/routing/forward_declarations.h
@@ -3,14 +3,17 @@
 
 namespace clementinerill {
 
-struct Candidate;
+struct UpstreamCandidate;
 struct LatencyWindow;
+struct PoolSeats;
+struct PublishedSeats;
 struct RoutingPool;
 struct RoutingRestrictions;
 struct RoutingService;
 struct RoutingTable;
 struct RoutingTarget;
 struct UpstreamHealth;
+struct UsableSeat;
 
 }  // namespace clementinerill
 
--- /dev/null
+++ b/src/routing/pool_seats.cc
@@ -0,0 +1,52 @@
+#include "routing/pool_seats.h"
+
+#include <algorithm>
+
+#include "membership/slot_share.h"
+
+namespace clementinerill {
+
+bool AcceptsNewQueries(const PoolSeats& seats, Instant now) noexcept {
+  return std::any_of(
+      seats.own_.begin(), seats.own_.end(), [now](const UsableSeat& seat) {
+        return seat.accepts_new_ && MayUseSeat(seat.permit_, now);
+      });
+}
+
+int UsableSlots(const PoolSeats& seats,
+                const Pool& pool,
+                const std::string& replica,
+                Instant now) noexcept {
+  int slots = 0;
+  for (const UsableSeat& seat : seats.own_) {
+    if (MayUseSeat(seat.permit_, now)) {
+      slots += SlotShare(pool, seat.seat_, replica);
+    }
+  }
+  return slots;
+}
+
+int UsableConnections(const PoolSeats& seats,
+                      const Pool& pool,
+                      const std::string& replica,
+                      Instant now) noexcept {
+  int connections = 0;
+  for (const UsableSeat& seat : seats.own_) {
+    if (MayUseSeat(seat.permit_, now)) {
+      connections += ConnectionShare(pool, seat.seat_, replica);
+    }
+  }
+  return connections;
+}
+
+Instant EarliestEnd(const PoolSeats& seats, Instant now) noexcept {
+  Instant earliest = Instant::max();
+  for (const UsableSeat& seat : seats.own_) {
+    if (MayUseSeat(seat.permit_, now)) {
+      earliest = std::min(earliest, seat.permit_.valid_until_);
+    }
+  }
+  return earliest;
+}
+
+}  // namespace clementinerill
--- a/src/routing/routing_pool.h
+++ b/src/routing/routing_pool.h
@@ -8,10 +8,9 @@
 
 namespace clementinerill {
 
-/// @brief One pool as this daemon sees it.
+/// @brief One pool with its services.
 struct RoutingPool {
   Pool pool_;
-  bool holds_seat_ = false;  ///< Whether this daemon may send to the pool.
   std::vector<RoutingService> services_;
 };
 
--- a/src/routing/routing_target.h
+++ b/src/routing/routing_target.h
@@ -5,12 +5,10 @@
 
 namespace clementinerill {
 
-/// @brief One upstream with what this daemon may send to it.
+/// @brief One upstream and whether it receives new work.
 struct RoutingTarget {
   Upstream upstream_;
-  int slots_ = 0;        ///< Share of the slots of the replica.
-  int connections_ = 0;  ///< Share of the connections of the replica.
-  bool open_ = true;     ///< False: no new work (taken out or leaving).
+  bool open_ = true;  ///< False: no new work (taken out or leaving).
 };
 
 }  // namespace clementinerill
--- a/src/routing/candidate.h
+++ b/src/routing/upstream_candidate.h
@@ -1,5 +1,5 @@
-#ifndef CLEMENTINERILL_ROUTING_CANDIDATE_H_
-#define CLEMENTINERILL_ROUTING_CANDIDATE_H_
+#ifndef CLEMENTINERILL_ROUTING_UPSTREAM_CANDIDATE_H_
+#define CLEMENTINERILL_ROUTING_UPSTREAM_CANDIDATE_H_
 
 #include <optional>
 #include <vector>
@@ -10,7 +10,7 @@
 namespace clementinerill {
 
 /// @brief One upstream as seen by the choice for one attempt.
-struct Candidate {
+struct UpstreamCandidate {
   bool open_ = true;
   bool tried_ = false;  ///< An earlier attempt of the same part used it.
   int limit_ = 0;       ///< Requests that this daemon may run there now.
@@ -23,4 +23,4 @@
 
 }  // namespace clementinerill
 
-#endif  // CLEMENTINERILL_ROUTING_CANDIDATE_H_
+#endif  // CLEMENTINERILL_ROUTING_UPSTREAM_CANDIDATE_H_
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -50,6 +50,14 @@
 void ConnectionPool::SetPolicy(const ConnectionPolicy& policy) {
   const std::lock_guard lock(mutex_);
   policy_ = policy;
+  while (static_cast<int>(connections_.records_.size()) > policy_.share_) {
+    const auto idle =
+        ChooseIdle(connections_, policy_, /*needs_proof=*/false, Now());
+    if (!idle) {
+      break;
+    }
+    Erase(*idle);
+  }
   changed_.notify_all();
 }
 
--- /dev/null
+++ b/tests/routing/pool_seats_test.cc
@@ -0,0 +1,48 @@
+#include "routing/pool_seats.h"
+
+#include <catch2/catch.hpp>
+
+namespace clementinerill {
+namespace {
+
+using std::chrono::seconds;
+
+const Instant kNow = Instant(std::chrono::hours(1));
+
+Pool MakePool() {
+  Pool pool;
+  pool.name_ = "claims";
+  pool.slots_ = 3;
+  pool.connections_ = 30;
+  pool.seats_ = 3;
+  return pool;
+}
+
+PoolSeats OneSeat() {
+  PoolSeats seats;
+  seats.own_ = {{1, SeatPermit{true, kNow, kNow + seconds(1)}, true}};
+  return seats;
+}
+
+// Guards against sending without a valid permit, for example after a pause.
+TEST_CASE("slots end with the permit", "[seats]") {
+  const PoolSeats seats = OneSeat();
+  CHECK(UsableSlots(seats, MakePool(), "a", kNow) == 1);
+  CHECK(UsableConnections(seats, MakePool(), "a", kNow) == 10);
+  CHECK(UsableSlots(seats, MakePool(), "a", kNow + seconds(1)) == 0);
+  CHECK(UsableSlots(seats, MakePool(), "a", kNow - seconds(1)) == 0);
+  CHECK(UsableSlots({}, MakePool(), "a", kNow) == 0);
+  CHECK(EarliestEnd(seats, kNow) == kNow + seconds(1));
+}
+
+// Guards against a planned move of a seat that cuts off running queries.
+TEST_CASE("a seat that has moved serves running queries only", "[seats]") {
+  PoolSeats seats = OneSeat();
+  CHECK(AcceptsNewQueries(seats, kNow));
+  seats.own_[0].accepts_new_ = false;
+  CHECK_FALSE(AcceptsNewQueries(seats, kNow));
+  CHECK(UsableSlots(seats, MakePool(), "a", kNow) == 1);
+}
+
+}  // namespace
+}  // namespace clementinerill
