Add the operator commands and the fleet status

Cause: operators need commands to read and change the configuration, with exit codes that scripts can rely on and a way to wait until a change is in force everywhere.

Ruled out: one status object per daemon for `--wait`. One daemon writes `status/fleet` from the heartbeats instead, and a waiting command keeps one watch on it.

Before: no commands. A version in an applied file is the one it was edited from; a newer stored version is a conflict.

--- /dev/null
+++ b/src/cli/command_io.h
@@ -0,0 +1,16 @@
+#ifndef CLEMENTINERILL_CLI_COMMAND_IO_H_
+#define CLEMENTINERILL_CLI_COMMAND_IO_H_
+
+#include <iostream>
+
+namespace clementinerill {
+
+/// @brief Where a command writes. The streams must outlive the command.
+struct CommandIo {
+  std::ostream* out_ = &std::cout;
+  std::ostream* err_ = &std::cerr;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CLI_COMMAND_IO_H_
--- /dev/null
+++ b/src/cli/diff_command.h
@@ -0,0 +1,18 @@
+#ifndef CLEMENTINERILL_CLI_DIFF_COMMAND_H_
+#define CLEMENTINERILL_CLI_DIFF_COMMAND_H_
+
+#include <CLI/CLI.hpp>
+
+#include "cli/command_io.h"
+
+namespace clementinerill {
+
+/// @brief Adds `diff <file>`, which shows what `apply <file>` would change.
+///
+/// Text: the lines of `DiffDocuments`. JSON: `{version, diff: [line]}`.
+/// Differences do not change the exit code.
+void AddDiffCommand(CLI::App& app, CommandIo io = {});
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CLI_DIFF_COMMAND_H_
--- /dev/null
+++ b/src/cli/exit_code.h
@@ -0,0 +1,18 @@
+#ifndef CLEMENTINERILL_CLI_EXIT_CODE_H_
+#define CLEMENTINERILL_CLI_EXIT_CODE_H_
+
+namespace clementinerill {
+
+/// @brief Exit codes of the operator commands.
+enum class ExitCode {
+  kDone = 0,
+  kInvalid = 1,      ///< Usage or invalid input, including a refused token.
+  kConflict = 2,     ///< Another change was first; nothing was written.
+  kUnavailable = 3,  ///< The platform was unavailable.
+  kUnknown = 4,      ///< The outcome is not known before the timeout.
+  kRolledBack = 5,   ///< With `--wait`: the change was rolled back.
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CLI_EXIT_CODE_H_
--- /dev/null
+++ b/src/cli/failure_domain_command.h
@@ -0,0 +1,15 @@
+#ifndef CLEMENTINERILL_CLI_FAILURE_DOMAIN_COMMAND_H_
+#define CLEMENTINERILL_CLI_FAILURE_DOMAIN_COMMAND_H_
+
+#include <CLI/CLI.hpp>
+
+#include "cli/command_io.h"
+
+namespace clementinerill {
+
+/// @brief Adds `failure-domain out|in <name>`.
+void AddFailureDomainCommand(CLI::App& app, CommandIo io = {});
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CLI_FAILURE_DOMAIN_COMMAND_H_
--- /dev/null
+++ b/src/cli/run_command_line.h
@@ -0,0 +1,21 @@
+#ifndef CLEMENTINERILL_CLI_RUN_COMMAND_LINE_H_
+#define CLEMENTINERILL_CLI_RUN_COMMAND_LINE_H_
+
+#include <CLI/CLI.hpp>
+
+#include "cli/command_io.h"
+
+namespace clementinerill {
+
+/// @brief Parses the command line, runs the chosen command and returns the
+/// exit code of the process.
+///
+/// Usage errors return 1 instead of the codes above 100 of CLI11.
+[[nodiscard]] int RunCommandLine(CLI::App& app,
+                                 int argc,
+                                 const char* const* argv,
+                                 CommandIo io = {});
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CLI_RUN_COMMAND_LINE_H_
--- /dev/null
+++ b/src/cli/wait_for_change.cc
@@ -0,0 +1,72 @@
+#include "cli/wait_for_change.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "control/fleet_status.h"
+
+namespace clementinerill {
+namespace {
+
+bool IsFinal(const ChangeProgress& progress) noexcept {
+  return progress.state_ == ChangeState::kDone ||
+         progress.state_ == ChangeState::kRolledBack;
+}
+
+void Update(ChangeProgress& progress, const std::string& text) {
+  const Result<FleetStatus> status = ParseFleetStatus(text);
+  if (!status) {
+    progress.reason_ = Format(status.error());
+    return;
+  }
+  for (const RolledBackChange& change : status->rolled_back_) {
+    if (change.version_ == progress.change_.version_) {
+      RecordRollBack(progress, change.reason_);
+    }
+  }
+  UpdateProgress(progress, status->reports_);
+}
+
+}  // namespace
+
+ChangeProgress WaitForChange(
+    PlatformClient& client,
+    const Change& change,
+    Instant deadline,
+    const std::function<void(const ChangeProgress&)>& on_progress) {
+  constexpr std::chrono::milliseconds kLongestWatch{10'000};
+  ChangeProgress progress;
+  progress.change_ = change;
+  progress.reason_ = "no daemon has reported";
+  std::string described;
+  uint64_t seen_version = 0;
+  int failures = 0;
+  while (!IsFinal(progress)) {
+    const auto left = deadline - std::chrono::steady_clock::now();
+    if (left <= Duration::zero()) {
+      break;
+    }
+    const std::chrono::milliseconds wait(
+        std::min<int64_t>(ToMilliseconds(left) + 1, kLongestWatch.count()));
+    const ReadOutcome read = client.Watch(kFleetStatusKey, seen_version, wait);
+    if (read.status_ == ReadStatus::kFound) {
+      seen_version = read.object_.version_;
+      failures = 0;
+      Update(progress, read.object_.value_);
+    } else if (read.status_ != ReadStatus::kUnchanged) {
+      progress.reason_ = read.reason_;
+      ++failures;
+      std::this_thread::sleep_for(
+          std::min(client.DelayAfter(failures), Duration(left)));
+    }
+    if (Describe(progress) != described) {
+      described = Describe(progress);
+      on_progress(progress);
+    }
+  }
+  return progress;
+}
+
+}  // namespace clementinerill
--- /dev/null
+++ b/src/control/fleet_status.h
@@ -0,0 +1,47 @@
+#ifndef CLEMENTINERILL_CONTROL_FLEET_STATUS_H_
+#define CLEMENTINERILL_CONTROL_FLEET_STATUS_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "control/rolled_back_change.h"
+#include "control/version_report.h"
+
+namespace clementinerill {
+
+/// @brief Key of the object in the store that holds a `FleetStatus`.
+inline constexpr const char* kFleetStatusKey = "status/fleet";
+
+/// @brief Shortest pause between two writes of the status.
+inline constexpr std::chrono::seconds kStatusWriteInterval{1};
+
+/// @brief What operators can read from the store about all live daemons.
+///
+/// Written by one daemon from the heartbeats of its peers, so that a waiting
+/// operator needs one watch instead of one read per daemon.
+struct FleetStatus {
+  std::vector<VersionReport> reports_;  ///< One per live daemon.
+  std::vector<RolledBackChange> rolled_back_;
+};
+
+/// @brief Whether `daemon` writes the status.
+///
+/// `live_members` are the live daemons, with or without `daemon`.
+[[nodiscard]] bool WritesFleetStatus(const std::string& daemon,
+                                     std::vector<std::string> live_members);
+
+/// @brief Writes `{change_id, daemons: [{daemon, version, invalid_version,
+/// invalid_reason}], rolled_back: [{version, reason}]}`.
+///
+/// `change_id` must be new for each write; it resolves lost responses.
+[[nodiscard]] std::string ToJsonText(const FleetStatus& status,
+                                     const std::string& change_id);
+
+/// @brief Reads what `ToJsonText` writes.
+[[nodiscard]] Result<FleetStatus> ParseFleetStatus(const std::string& text);
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CONTROL_FLEET_STATUS_H_
--- a/src/control/forward_declarations.h
+++ b/src/control/forward_declarations.h
@@ -9,7 +9,9 @@
 struct ConfigurationState;
 struct ConfigurationStatus;
 struct FetchPlan;
+struct FleetStatus;
 struct PeerVersion;
+struct RolledBackChange;
 struct StoreRecord;
 struct VersionReport;
 
--- a/tests/control/status_test.cc
+++ b/tests/control/status_test.cc
@@ -88,5 +88,22 @@
   CHECK(Describe(progress) == "rolled back: route search: errors rose");
 }
 
+// Guards against a status that several daemons write or none, and against a
+// reader that differs from the writer.
+TEST_CASE("the fleet status", "[control]") {
+  const std::vector<std::string> members = {"a", "b", "c"};
+  int writers = 0;
+  for (const std::string& member : members) {
+    writers += WritesFleetStatus(member, members) ? 1 : 0;
+  }
+  CHECK(writers == 1);
+  const FleetStatus status{{{"a", 5, 6, "bad"}}, {{4, "errors rose"}}};
+  const auto read = ParseFleetStatus(ToJsonText(status, "id"));
+  REQUIRE(read);
+  CHECK(ToJsonText(*read, "id") == ToJsonText(status, "id"));
+  CHECK_FALSE(ParseFleetStatus("{}"));
+  CHECK_FALSE(ParseFleetStatus(R"({"daemons": [{}], "rolled_back": []})"));
+}
+
 }  // namespace
 }  // namespace clementinerill
