Shut down pending platform calls without closing their sockets

Cause: PlatformClient::Stop used HTTPSession::abort, which closes the descriptor while another thread waits on it. The number could be reused by another connection in between. ThreadSanitizer reported it.

Ruled out: shutting down the original descriptor, which the waiting thread may close at the same time.

Stop now shuts down a duplicate of the descriptor; the stand-in detaches the socket and lets the last reference close it.

--- a/fakes/platform/fake_platform_handler.cc
+++ b/fakes/platform/fake_platform_handler.cc
@@ -44,7 +44,8 @@
 void CloseConnection(HTTPServerRequest& request, HTTPServerResponse& response) {
   response.setKeepAlive(false);
   auto& accepted = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request);
-  accepted.detachSocket().close();
+  // The connection closes with the last reference, after the handler.
+  (void)accepted.detachSocket();
 }
 
 std::optional<uint64_t> ParseNumber(std::string text) {
--- a/src/platform/http_caller.cc
+++ b/src/platform/http_caller.cc
@@ -4,8 +4,13 @@
 #include <cstdlib>
 #include <utility>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketImpl.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
 #include <Poco/Timespan.h>
 
@@ -91,25 +96,27 @@
   if (stopped_) {
     return false;
   }
-  pending_.insert(&session);
+  const int duplicate = dup(session.socket().impl()->sockfd());
+  if (duplicate >= 0) {
+    pending_.emplace(&session, duplicate);
+  }
   return true;
 }
 
 void HttpCaller::RemovePending(Session& session) {
   const std::lock_guard lock(mutex_);
-  pending_.erase(&session);
+  const auto found = pending_.find(&session);
+  if (found != pending_.end()) {
+    close(found->second);
+    pending_.erase(found);
+  }
 }
 
 void HttpCaller::Stop() noexcept {
   const std::lock_guard lock(mutex_);
   stopped_ = true;
-  for (Session* session : pending_) {
-    try {
-      session->abort();
-    } catch (const Poco::Exception&) {
-      // The connection is already closed.
-      continue;
-    }
+  for (const auto& [session, duplicate] : pending_) {
+    shutdown(duplicate, SHUT_RDWR);
   }
 }
 
--- a/src/platform/http_caller.h
+++ b/src/platform/http_caller.h
@@ -2,8 +2,8 @@
 #define CLEMENTINERILL_PLATFORM_HTTP_CALLER_H_
 
 #include <cstdint>
+#include <map>
 #include <mutex>
-#include <set>
 #include <string>
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -38,7 +38,10 @@
   uint16_t port_;
   std::string token_;
   std::mutex mutex_;
-  std::set<Session*> pending_;
+  /// Duplicates of the descriptors that wait for an answer. `Stop` shuts the
+  /// connection down through the duplicate; closing the original from another
+  /// thread could hit a descriptor that was reused.
+  std::map<const Session*, int> pending_;
   bool stopped_ = false;
 };
 
