Stop reading settings after two YAML documents

Cause: ParseSettings never returned, and took memory without bound, for a text with a document that starts with a comma, such as "a: 1\n---\n, b: 2\n". The YAML library reports an empty document there without moving on, and YAML::LoadAll repeats that forever. Found by parsing randomly changed copies of the example.

Ruled out: YAML::Load alone, because it silently ignores further documents; a search for "---" in the text, because it may be part of a value.

Before: YAML::LoadAll ended with std::bad_alloc under a limit of 500 MB.

--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -12,6 +12,7 @@
 #include "settings/quantity.h"
 #include "settings/secret.h"
 #include "settings/settings_yaml.h"
+#include "settings/single_document.h"
 #include "settings/size_text.h"
 #include "settings/static_peer.h"
 #include "settings/yaml_reader.h"
--- a/src/settings/settings_yaml.cc
+++ b/src/settings/settings_yaml.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -11,6 +12,7 @@
 #include "base/name_table.h"
 #include "settings/admin_token.h"
 #include "settings/duration_text.h"
+#include "settings/single_document.h"
 #include "settings/size_text.h"
 #include "settings/yaml_reader.h"
 
@@ -203,9 +205,9 @@
   std::vector<Error> errors;
   Settings settings;
   try {
-    const std::vector<YAML::Node> documents = YAML::LoadAll(text);
-    if (documents.size() == 1) {
-      settings = ReadSettings(documents.front(), file_name, errors);
+    const std::optional<YAML::Node> document = LoadSingleDocument(text);
+    if (document) {
+      settings = ReadSettings(*document, file_name, errors);
     } else {
       errors.push_back(Error{"must be one YAML document", {file_name, 1, 1}});
     }
--- /dev/null
+++ b/src/settings/single_document.h
@@ -0,0 +1,18 @@
+#ifndef CLEMENTINERILL_SETTINGS_SINGLE_DOCUMENT_H_
+#define CLEMENTINERILL_SETTINGS_SINGLE_DOCUMENT_H_
+
+#include <optional>
+#include <string>
+
+#include <yaml-cpp/yaml.h>
+
+namespace clementinerill {
+
+/// @brief The only document of a YAML text, or nothing when it has none or
+/// several. Throws `YAML::ParserException` on malformed text.
+[[nodiscard]] std::optional<YAML::Node> LoadSingleDocument(
+    const std::string& text);
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_SETTINGS_SINGLE_DOCUMENT_H_
--- a/tests/settings/settings_yaml_test.cc
+++ b/tests/settings/settings_yaml_test.cc
@@ -155,6 +155,10 @@
   CHECK(ErrorsOf("") == Lines{"s.yaml:1:1: must be one YAML document"});
   CHECK(ErrorsOf("a: 1\n---\nb: 2\n") ==
         Lines{"s.yaml:1:1: must be one YAML document"});
+  // Reading all documents of this text with the YAML library never ends.
+  CHECK(ErrorsOf("a: 1\n---\n, b: 2\n") ==
+        Lines{"s.yaml:1:1: must be one YAML document"});
+  CHECK(ErrorsOf(", a: 1") == Lines{"s.yaml:1:1: must be one YAML document"});
   CHECK(ErrorsOf("- a") ==
         Lines{"s.yaml:1:1: must be a map of keys to values"});
 }
