--- /dev/null
+++ b/src/rollout/planned_step.h
@@ -0,0 +1,19 @@
+#ifndef CLEMENTINERILL_ROLLOUT_PLANNED_STEP_H_
+#define CLEMENTINERILL_ROLLOUT_PLANNED_STEP_H_
+
+#include <cstdint>
+
+#include "rollout/wall_time.h"
+
+namespace clementinerill {
+
+/// @brief One step of a rollout.
+struct PlannedStep {
+  int share_ = 0;                 ///< Basis points of the requests: 100 is 1%.
+  uint64_t needed_requests_ = 0;  ///< Per route and version.
+  WallTime until_;  ///< The next step starts then, at the earliest.
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_ROLLOUT_PLANNED_STEP_H_
--- /dev/null
+++ b/src/rollout/rollout_state.h
@@ -0,0 +1,35 @@
+#ifndef CLEMENTINERILL_ROLLOUT_ROLLOUT_STATE_H_
+#define CLEMENTINERILL_ROLLOUT_ROLLOUT_STATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "rollout/rollout_status.h"
+#include "rollout/route_counts.h"
+#include "rollout/stop_reason.h"
+#include "rollout/wall_time.h"
+
+namespace clementinerill {
+
+/// @brief The state document of a rollout, one object in the store.
+///
+/// Every write is conditional on the version of the object that was read.
+struct RolloutState {
+  std::string rollout_id_;
+  size_t step_ = 0;
+  int share_ = 0;            ///< Basis points of the requests: 100 is 1%.
+  uint64_t generation_ = 0;  ///< Rises by one with each change.
+  WallTime since_;           ///< Start of this step or status.
+  RolloutStatus status_ = RolloutStatus::kRunning;
+  StopReason reason_ = StopReason::kNone;  ///< Why it was rolled back.
+  std::string route_;                      ///< Route of that reason.
+
+  /// Counts of the old version at the step before the last one.
+  std::vector<RouteCounts> baseline_;
+};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_ROLLOUT_ROLLOUT_STATE_H_
--- /dev/null
+++ b/src/rollout/rollout_status.h
@@ -0,0 +1,26 @@
+#ifndef CLEMENTINERILL_ROLLOUT_ROLLOUT_STATUS_H_
+#define CLEMENTINERILL_ROLLOUT_ROLLOUT_STATUS_H_
+
+#include <array>
+
+#include "base/name_table.h"
+
+namespace clementinerill {
+
+/// @brief Where a rollout stands.
+enum class RolloutStatus {
+  kRunning,
+  kDone,        ///< All steps passed; may still be rolled back for a while.
+  kRolledBack,  ///< Stopped; the new version gets no traffic.
+};
+
+inline constexpr std::array<NameEntry<RolloutStatus>, 3> kRolloutStatusNames = {
+    {
+        {RolloutStatus::kRunning, "running"},
+        {RolloutStatus::kDone, "done"},
+        {RolloutStatus::kRolledBack, "rolled_back"},
+    }};
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_ROLLOUT_ROLLOUT_STATUS_H_
