--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -8,6 +8,8 @@
 #include "rollout/judge.h"
 #include "rollout/latency_axis.h"
 #include "rollout/planned_step.h"
+#include "rollout/rollout_comparison.h"
+#include "rollout/rollout_machine.h"
 #include "rollout/rollout_plan.h"
 #include "rollout/rollout_request.h"
 #include "rollout/rollout_state.h"
