Report a restored store only from its own answer

Cause: the status compared the last read of the store with the version in force. A polling daemon that received a change from a peer showed the store as behind until its next read, up to 45 s.

Ruled out: hiding the state for the poll interval, which would also hide a restored store.

Before: a false "behind" after each change on polling daemons. After: the comparison is made when the store answers.

A test was added.

--- a/src/control/configuration_status.cc
+++ b/src/control/configuration_status.cc
@@ -21,10 +21,8 @@
   if (!store.last_answer_) {
     return StoreHealth::kNotAsked;
   }
-  const bool has_answered = store.absent_ || store.version_ > 0;
-  const bool is_behind = has_answered && MayServe(state) &&
-                         state.source_ != ConfigurationSource::kStartUp &&
-                         store.version_ < CurrentVersion(state);
+  const bool is_behind =
+      store.behind_ && state.source_ != ConfigurationSource::kStartUp;
   return is_behind ? StoreHealth::kBehind : StoreHealth::kAvailable;
 }
 
--- a/src/control/store_observation.cc
+++ b/src/control/store_observation.cc
@@ -21,6 +21,7 @@
   RecordAnswered(state.store_, now);
   state.store_.absent_ = false;
   state.store_.version_ = version;
+  state.store_.behind_ = version < CurrentVersion(state);
 }
 
 void RecordStoreUnchanged(ConfigurationState& state, Instant now) noexcept {
@@ -31,6 +32,7 @@
   RecordAnswered(state.store_, now);
   state.store_.absent_ = true;
   state.store_.version_ = 0;
+  state.store_.behind_ = MayServe(state);
 }
 
 void RecordStoreFailure(ConfigurationState& state, Instant now) noexcept {
--- a/src/control/store_record.h
+++ b/src/control/store_record.h
@@ -16,6 +16,8 @@
   int consecutive_failures_ = 0;
   bool absent_ = false;   ///< The last answer was "no such object".
   uint64_t version_ = 0;  ///< Version in the last answer that had one.
+  /// The last answer had a version below the one in force at that time.
+  bool behind_ = false;
 };
 
 }  // namespace clementinerill
--- a/tests/control/status_test.cc
+++ b/tests/control/status_test.cc
@@ -59,6 +59,16 @@
         "the store last answered with version 5, below version 9 in force");
 }
 
+// Guards against a change that a peer delivers before the next read of the
+// store being reported as a store that lost versions.
+TEST_CASE("a peer may be ahead of the last read", "[control]") {
+  ConfigurationState state = MakeState("d");
+  RecordStoreAnswer(state, 5, {});
+  Offer(state, MakeTestCandidate(5), {});
+  Offer(state, MakeTestCandidate(9, ConfigurationSource::kPeer), {});
+  CHECK(DescribeState(state, {}, {}).store_ == StoreHealth::kAvailable);
+}
+
 // Guards against counts that leave out live daemons without the version.
 TEST_CASE("a change proceeds from accepted to done", "[control]") {
   ChangeProgress progress;
