Carry seats over when the members of a group change

Cause: a change of the roster built a new GroupState, which forgot holders, grants and leases. Every seat of every pool then waited kHandoverWait plus the longest route deadline, although its holder was well.

Now: ChangeGroup carries the state over by member name and by pool and seat. Members that are one step apart understand each other's heartbeats, since daemons see a step up to 1 s apart and a lease lasts 1.5 s only. NextMembers takes one step; MayTakeNextStep tells when no lease rests on the group before.

Ruled out: a fixed time between steps alone. Removals always before additions: replacing all three members emptied the group.

A new member that ranks first for a seat still takes it with the handover wait.

--- a/src/membership/forward_declarations.h
+++ b/src/membership/forward_declarations.h
@@ -10,6 +10,7 @@
 struct Heartbeat;
 struct Member;
 struct PeerRecord;
+struct PreviousGroup;
 struct Roster;
 struct SeatPermit;
 struct SeatRecord;
--- a/src/membership/group_state.cc
+++ b/src/membership/group_state.cc
@@ -54,6 +54,16 @@
   self.ready_ = IsReady(state, status, now);
 }
 
+void UpdateAdoption(GroupState& state, Instant now) {
+  state.peers_[state.self_].in_group_ = true;
+  const auto members =
+      std::count_if(state.peers_.begin(), state.peers_.end(),
+                    [](const PeerRecord& peer) { return peer.in_group_; });
+  if (!state.adopted_ && members >= MajorityOf(state.group_)) {
+    state.adopted_ = now;
+  }
+}
+
 void Raise(std::optional<Instant>& latest, Instant value) noexcept {
   latest = latest ? std::max(*latest, value) : value;
 }
@@ -88,6 +98,19 @@
   return bits;
 }
 
+bool UsesPreviousGroup(const GroupState& state, int receiver, Instant now) {
+  return state.previous_ && now < state.previous_->sent_until_ &&
+         !state.peers_[receiver].in_group_ &&
+         state.previous_->members_[receiver] != kNobody;
+}
+
+bool IsOfPreviousGroup(const GroupState& state,
+                       int sender,
+                       const Heartbeat& heartbeat) {
+  return state.previous_ && heartbeat.group_ == state.previous_->digest_ &&
+         state.previous_->members_[sender] != kNobody;
+}
+
 uint64_t GrantSeats(GroupState& state, int receiver) {
   uint64_t bits = 0;
   const Instant heard = *state.peers_[receiver].last_heard_;
@@ -138,6 +161,7 @@
 
 void Advance(GroupState& state, const SelfStatus& status, Instant now) {
   UpdateSelf(state, status, now);
+  UpdateAdoption(state, now);
   UpdateLiveness(state, now);
   UpdateSeats(state, now);
 }
@@ -164,19 +188,25 @@
     heartbeat.echo_sent_ms_ = peer.last_sent_ms_;
     heartbeat.grants_ = GrantSeats(state, receiver);
   }
+  if (UsesPreviousGroup(state, receiver, now)) {
+    return ToPreviousGroup(*state.previous_, heartbeat);
+  }
   return heartbeat;
 }
 
 bool ReceiveHeartbeat(GroupState& state,
                       int sender,
-                      const Heartbeat& heartbeat,
+                      const Heartbeat& received,
                       Instant now) {
-  const bool known = heartbeat.group_ == state.digest_ && sender >= 0 &&
-                     sender < static_cast<int>(state.peers_.size()) &&
-                     sender != state.self_;
-  if (!known) {
+  const bool is_peer = sender >= 0 &&
+                       sender < static_cast<int>(state.peers_.size()) &&
+                       sender != state.self_;
+  const bool in_group = received.group_ == state.digest_;
+  if (!is_peer || (!in_group && !IsOfPreviousGroup(state, sender, received))) {
     return false;
   }
+  const Heartbeat heartbeat =
+      in_group ? received : FromPreviousGroup(*state.previous_, received);
   PeerRecord& peer = state.peers_[sender];
   const bool same_process = peer.incarnation_ == heartbeat.incarnation_;
   if (same_process && heartbeat.sent_ms_ <= peer.last_sent_ms_ &&
@@ -186,6 +216,7 @@
   peer.incarnation_ = heartbeat.incarnation_;
   peer.last_sent_ms_ = heartbeat.sent_ms_;
   peer.last_heard_ = now;
+  peer.in_group_ = in_group;
   peer.leaving_ = heartbeat.leaving_;
   peer.ready_ = heartbeat.ready_;
   peer.witness_ = heartbeat.witness_;
--- a/src/membership/group_state.h
+++ b/src/membership/group_state.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "membership/heartbeat.h"
 #include "membership/peer_record.h"
+#include "membership/previous_group.h"
 #include "membership/seat_record.h"
 #include "membership/witness_group.h"
 
@@ -26,8 +27,10 @@
   uint32_t incarnation_ = 0;
   Instant started_{};
   std::vector<PeerRecord> peers_;
-  std::vector<SeatRecord> seats_;  ///< By pool, then by seat.
-  Instant lease_until_{};          ///< Majority of echoes, any seat.
+  std::vector<SeatRecord> seats_;          ///< By pool, then by seat.
+  Instant lease_until_{};                  ///< Majority of echoes, any seat.
+  std::optional<PreviousGroup> previous_;  ///< Set by `ChangeGroup`.
+  std::optional<Instant> adopted_;  ///< First seen adopted by a majority.
 };
 
 /// @brief What the daemon reports about itself in heartbeats.
@@ -61,7 +64,8 @@
                                       Instant now);
 
 /// @brief Applies a heartbeat of the member with index `sender`; returns
-/// whether it belongs to this group and is newer than the sender's last one.
+/// whether it belongs to this group or the previous one and is newer than the
+/// sender's last one.
 ///
 /// `sender` is `IndexOf` the name of the link the heartbeat arrived on.
 bool ReceiveHeartbeat(GroupState& state,
--- a/src/membership/peer_record.h
+++ b/src/membership/peer_record.h
@@ -20,7 +20,8 @@
   uint32_t hears_ = 0;
   uint64_t config_version_ = 0;
   uint32_t advisory_digest_ = 0;
-  bool live_ = false;  ///< By majority; kept while neither side has one.
+  bool in_group_ = false;  ///< Last heartbeat had this group's digest.
+  bool live_ = false;      ///< By majority; kept while neither side has one.
   std::optional<Instant> echoed_;  ///< Latest own send time it has echoed.
   std::vector<std::optional<Instant>> granted_;  ///< The same, per seat.
 };
--- a/src/membership/timing.h
+++ b/src/membership/timing.h
@@ -28,6 +28,28 @@
 /// which holder it named, and that holder may count the echo this long.
 inline constexpr Duration kWitnessWait = std::chrono::seconds(2);
 
+/// @brief Daemons see a new list of members up to about this far apart.
+inline constexpr Duration kListSpread = std::chrono::seconds(1);
+
+/// @brief Time after its own change of the group during which a daemon sends
+/// heartbeats in the terms of the previous group.
+///
+/// Covers `kListSpread` and two heartbeats, so that a change costs no echo. A
+/// member that is further behind is not answered until it catches up.
+inline constexpr Duration kGroupOverlap = kListSpread + 2 * kHeartbeatInterval;
+
+/// @brief Time after which no lease rests on the previous group, once a
+/// majority of the members has adopted a group.
+///
+/// Each majority of the previous group includes one of them. It grants to the
+/// members behind it for `kGroupOverlap`, and each grant lasts `kSelfFence`.
+inline constexpr Duration kGroupSettleTime = kGroupOverlap + kSelfFence;
+
+/// @brief Minimum time between two steps of the members.
+///
+/// All daemons that are not paused have adopted a step after `kListSpread`.
+inline constexpr Duration kMemberStepInterval = kListSpread + kGroupSettleTime;
+
 }  // namespace clementinerill
 
 #endif  // CLEMENTINERILL_MEMBERSHIP_TIMING_H_
--- a/tests/membership/cluster.cc
+++ b/tests/membership/cluster.cc
@@ -10,26 +10,38 @@
 constexpr Duration kStep = milliseconds(20);
 constexpr Duration kDeadline = milliseconds(400);
 
-WitnessGroup TestGroup(int size) {
+std::vector<std::string> TestNames(int count) {
   std::vector<std::string> names;
-  names.reserve(size);
-  for (int i = 0; i < size; ++i) {
+  names.reserve(count);
+  for (int i = 0; i < count; ++i) {
     names.push_back("daemon-" + std::to_string(i));
   }
-  const std::vector<GroupPool> pools = {{"claims", 3, kDeadline},
-                                        {"billing", 2, kDeadline}};
-  return MakeWitnessGroups(names, pools)[0];
+  return names;
 }
 
 }  // namespace
 
 Cluster::Cluster(int size, uint64_t seed)
-    : random_(seed), group_(TestGroup(size)) {
-  links_.assign(size, std::vector<TestLink>(size));
-  sides_.assign(size, 0);
-  last_use_.resize(5);
-  users_.resize(5);
-  members_.resize(size);
+    : Cluster(size,
+              size,
+              seed,
+              {{"claims", 3, kDeadline}, {"billing", 2, kDeadline}}) {}
+
+Cluster::Cluster(int daemons,
+                 int size,
+                 uint64_t seed,
+                 std::vector<GroupPool> pools)
+    : random_(seed), names_(TestNames(daemons)) {
+  group_ = {"all", TestNames(size), std::move(pools)};
+  links_.assign(daemons, std::vector<TestLink>(daemons));
+  sides_.assign(daemons, 0);
+  size_t seats = 0;
+  for (const GroupPool& pool : group_.pools_) {
+    seats += pool.seats_;
+  }
+  last_use_.resize(seats);
+  users_.resize(seats);
+  members_.resize(daemons);
   for (size_t i = 0; i < members_.size(); ++i) {
     Start(members_[i], i);
   }
@@ -39,12 +51,51 @@
   return static_cast<int>(random_() % static_cast<uint64_t>(bound));
 }
 
+void Cluster::Publish(const std::vector<std::string>& members,
+                      Duration spread) {
+  group_.members_ = members;
+  ++step_;
+  for (TestMember& member : members_) {
+    member.sees_list_ =
+        now_ + milliseconds(Random(static_cast<int>(ToMilliseconds(spread))));
+  }
+}
+
+bool Cluster::MayPublish() const {
+  return std::any_of(
+      members_.begin(), members_.end(), [this](const TestMember& member) {
+        const bool runs = member.state_ && now_ >= member.paused_until_;
+        return runs && member.step_ == step_ &&
+               MayTakeNextStep(*member.state_,
+                               Instant(now_ + member.clock_offset_));
+      });
+}
+
+void Cluster::FollowList(TestMember& member, size_t index, Instant local) {
+  if (now_ < member.sees_list_ || member.step_ == step_) {
+    return;
+  }
+  member.step_ = step_;
+  auto changed = ChangeGroup(*member.state_, group_, names_[index],
+                             member.state_->started_, local);
+  if (!changed) {
+    member.state_.reset();
+    return;
+  }
+  member.state_ = *changed;
+}
+
 void Cluster::Start(TestMember& member, size_t index) {
+  // A process reads the newest list when it starts.
+  member.step_ = step_;
+  if (IndexOf(group_, names_[index]) < 0) {
+    return;
+  }
   member.clock_offset_ = milliseconds(1000000 + Random(1000000));
   member.status_.leaving_ = false;
   const Instant local = Instant(now_ + member.clock_offset_);
   member.state_ =
-      *MakeGroupState(group_, group_.members_[index],
+      *MakeGroupState(group_, names_[index],
                       static_cast<uint32_t>(random_()) | 1U, local, local);
   member.next_heartbeat_ = now_ + milliseconds(Random(500));
 }
@@ -122,6 +173,10 @@
   const Instant local = Instant(now_ + member.clock_offset_);
   // Traffic threads may run before the control thread, with the old permits.
   UseSeats(member, index, local);
+  FollowList(member, index, local);
+  if (!member.state_) {
+    return;
+  }
   Deliver(member, local);
   Advance(*member.state_, member.status_, local);
   UseSeats(member, index, local);
@@ -137,8 +192,9 @@
     if (message.arrival_ > now_) {
       later.push_back(message);
     } else {
-      ReceiveHeartbeat(*member.state_, message.sender_, message.heartbeat_,
-                       local);
+      const int sender =
+          IndexOf(member.state_->group_, names_[message.sender_]);
+      ReceiveHeartbeat(*member.state_, sender, message.heartbeat_, local);
     }
   }
   member.inbox_ = std::move(later);
@@ -149,11 +205,12 @@
     const TestLink& link = links_[index][to];
     const bool lost = link.cut_ || sides_[index] != sides_[to] ||
                       Random(100) < link.drop_percent_;
-    if (to == index) {
+    const int receiver = IndexOf(member.state_->group_, names_[to]);
+    if (to == index || receiver < 0) {
       continue;
     }
-    const Heartbeat heartbeat = MakeHeartbeat(*member.state_, member.status_,
-                                              static_cast<int>(to), local);
+    const Heartbeat heartbeat =
+        MakeHeartbeat(*member.state_, member.status_, receiver, local);
     if (!lost) {
       const auto delay = milliseconds(Random(link.max_delay_ms_));
       members_[to].inbox_.push_back(
@@ -164,8 +221,8 @@
 
 void Cluster::UseSeats(const TestMember& member, size_t index, Instant local) {
   const auto peers = std::count(sides_.begin(), sides_.end(), sides_[index]);
-  const bool minority =
-      peers < MajorityOf(group_) && now_ - isolated_since_ >= kSelfFence;
+  const bool minority = peers < MajorityOf(member.state_->group_) &&
+                        now_ - isolated_since_ >= kSelfFence;
   for (size_t seat = 0; seat < last_use_.size(); ++seat) {
     if (!MayUseSeat(member.state_->seats_[seat].permit_, local)) {
       continue;
--- a/tests/membership/cluster.h
+++ b/tests/membership/cluster.h
@@ -29,6 +29,8 @@
   Duration paused_until_{};
   Duration down_until_{};
   std::vector<TestMessage> inbox_;
+  int step_ = 0;  ///< Of the list it has seen.
+  Duration sees_list_{};
 };
 
 /// @brief One direction between two members.
@@ -42,6 +44,13 @@
 /// line. `now_` is real time; each member sees it plus its clock offset.
 struct Cluster {
   Cluster(int size, uint64_t seed);
+  /// The first `size` of `daemons` form the group; the others may join.
+  Cluster(int daemons, int size, uint64_t seed, std::vector<GroupPool> pools);
+
+  /// Publishes a list; each daemon sees it after up to `spread`.
+  void Publish(const std::vector<std::string>& members, Duration spread);
+  /// Whether a member that has seen the list may publish the next one.
+  [[nodiscard]] bool MayPublish() const;
 
   /// Advances by one step; in the fault phase, changes faults at random.
   void Step(bool faults);
@@ -51,7 +60,9 @@
   [[nodiscard]] int Random(int bound);
 
   std::mt19937_64 random_;
+  std::vector<std::string> names_;
   WitnessGroup group_;
+  int step_ = 0;  ///< Counts the published lists.
   Duration now_{};
   std::vector<TestMember> members_;
   std::vector<std::vector<TestLink>> links_;
@@ -65,6 +76,7 @@
   std::string violation_;
 
  private:
+  void FollowList(TestMember& member, size_t index, Instant local);
   void Start(TestMember& member, size_t index);
   void ChangeFaults();
   void ChangePartition();
