Read configuration versions from heartbeats of any group

Without a configuration it knows no pools, so its group has another digest than that of its peers; their heartbeats were not counted, and it never learned that they had a version.

Ruled out: the static peer list (all links were up).

--- a/src/cluster/control_plane.cc
+++ b/src/cluster/control_plane.cc
@@ -149,6 +149,9 @@
                                Message message,
                                Instant now) {
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
+    // Also of another group: a daemon without a configuration knows no pools
+    // and could otherwise learn nothing from its peers.
+    reports_[peer] = {heartbeat->config_version_, heartbeat->advisory_digest_};
     for (GroupState& group : groups_) {
       const int sender = IndexOf(group.group_, peer);
       if (sender >= 0 && ReceiveHeartbeat(group, sender, *heartbeat, now)) {
@@ -312,16 +315,14 @@
     return;
   }
   next_sync_ = now + kAdvisorySyncInterval;
-  for (const GroupState& group : groups_) {
-    for (size_t i = 0; i < group.peers_.size(); ++i) {
-      const PeerRecord& peer = group.peers_[i];
-      if (static_cast<int>(i) == group.self_ || !peer.last_heard_) {
-        continue;
-      }
-      auto missing = AdvisoriesFor(advisories_, peer.advisory_digest_);
-      if (!missing.empty()) {
-        Send(group.group_.members_[i], Advisories{std::move(missing)});
-      }
+  for (const std::string& peer : mesh_->ConnectedPeers()) {
+    const auto report = reports_.find(peer);
+    if (report == reports_.end()) {
+      continue;
+    }
+    auto missing = AdvisoriesFor(advisories_, report->second.advisory_digest_);
+    if (!missing.empty()) {
+      Send(peer, Advisories{std::move(missing)});
     }
   }
 }
@@ -376,13 +377,10 @@
 
 std::vector<PeerVersion> ControlPlane::PeerVersions() const {
   std::vector<PeerVersion> versions;
-  for (const GroupState& group : groups_) {
-    for (size_t i = 0; i < group.peers_.size(); ++i) {
-      const bool other = static_cast<int>(i) != group.self_;
-      if (other && group.peers_[i].last_heard_) {
-        versions.push_back(
-            {group.group_.members_[i], group.peers_[i].config_version_});
-      }
+  for (const std::string& peer : mesh_->ConnectedPeers()) {
+    const auto report = reports_.find(peer);
+    if (report != reports_.end()) {
+      versions.push_back({peer, report->second.config_version_});
     }
   }
   return versions;
--- a/src/cluster/control_plane.h
+++ b/src/cluster/control_plane.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -36,6 +37,12 @@
   std::function<void(const std::string& peer, uint64_t id)> cancel_forward_;
 };
 
+/// @brief What the last heartbeat of a peer said about its state.
+struct PeerReport {
+  uint64_t config_version_ = 0;
+  uint32_t advisory_digest_ = 0;
+};
+
 /// @brief Membership, configuration and advisories of one daemon.
 ///
 /// `Tick` is called from one thread; other members that are documented so may
@@ -108,6 +115,7 @@
   Instant started_;
   Roster roster_;
   uint64_t list_version_ = 0;
+  std::map<std::string, PeerReport> reports_;  ///< By peer.
   std::vector<GroupState> groups_;
   std::vector<Vm> vms_;  ///< Read and not yet applied.
   std::vector<Member> listed_;
