Step through changes of the members; open connections before a seat is used

A daemon that gained a seat accepted queries before it had spoken to any upstream. And every change of the VM list made all seats wait for the handover.

A seat that waits opens its connections. Members change one step at a time through ChangeGroup; a daemon without a majority for 3 s rejoins like a restarted process, since a new VM whose settings name a daemon that has left could not catch up by steps.

Not covered: steps are ordered by each daemon's reading of the same VM list and not by one source.

--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -43,6 +43,7 @@
         "holder": lambda: bench_fleet.killed_and_frozen_holder(result, seconds),
         "stop": lambda: bench_fleet.graceful_stop(result, seconds),
         "outage": lambda: bench_fleet.outage(result, seconds),
+        "replaced": lambda: bench_fleet.replaced_vms(result, seconds),
         "control": lambda: bench_fleet.control_cost(result, seconds),
         "programs": lambda: [run_program(p, result) for p in PROGRAMS],
         "cost": lambda: bench_query.cost_by_fan_out(result, seconds / 2),
--- a/scripts/lib/bench_fleet.py
+++ b/scripts/lib/bench_fleet.py
@@ -180,6 +180,28 @@
         fleet.exchange(f.platform.port, "POST", "/fault", '{"mode": "none"}')
 
 
+def replaced_vms(report, seconds):
+    """A VM without a seat is replaced by one of another name under load."""
+    with fleet.Fleet(daemons=9) as f:
+        holders = set(seats(f, "daemon-0").values())
+        leaving = any_daemon(f, holders)
+        load = f.start_load(ports=ports_without(f, [leaving]), callers=8,
+                            seconds=seconds + 14, rate=80)
+        time.sleep(1)
+        f.daemons[leaving].stop()
+        del f.daemons[leaving]
+        f.daemon_names = [n for n in f.daemon_names if n != leaving] + ["daemon-new"]
+        f.peer_ports["daemon-new"] = fleet.free_ports(1)[0]
+        f.put_vms(f.daemon_names)
+        f.start_daemon("daemon-new")
+        result = fleet.finish_load(load)
+        report.at_least("replaced_vm_complete", complete_share(result), 0.999, "ratio")
+        report.at_most("replaced_vm_slots_exceeded", over_slots(f), 0, "replicas")
+        port = f.daemons["daemon-new"].port
+        ready = fleet.exchange(port, "GET", "/readyz")[0] == 200
+        report.at_least("replaced_vm_ready", int(ready), 1, "daemons")
+
+
 def control_cost(report, seconds):
     """Processor time, memory and peer traffic of idle daemons."""
     with fleet.Fleet(daemons=9) as f:
--- a/src/cluster/control_plane.cc
+++ b/src/cluster/control_plane.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr auto kAdvisorySyncInterval = std::chrono::seconds(1);
+// Longer than a lease: without a majority for this time a daemon holds no seat.
+constexpr auto kRejoinAfter = std::chrono::seconds(3);
 constexpr auto kStatusInterval = std::chrono::milliseconds(200);
 
 template <typename... Handlers>
@@ -65,7 +67,9 @@
 }
 
 Result<uint16_t> ControlPlane::Start(Instant now) {
-  started_ = now;
+  witness_start_ = now;
+  last_majority_ = now;
+  incarnation_ = options_.incarnation_;
   configuration_.daemon_ = options_.name_;
   configuration_.started_ = now;
   std::vector<Member> members = options_.static_peers_;
@@ -125,6 +129,9 @@
   UpdateGroups(now);
   for (GroupState& group : groups_) {
     Advance(group, Status(), now);
+    if (HasMajority(group, now)) {
+      last_majority_ = now;
+    }
   }
   SendHeartbeats(now);
   SyncAdvisories(now);
@@ -177,7 +184,9 @@
   announced.address_ = hello.address_;
   announced.port_ = hello.port_;
   announced.incarnation_ = hello.incarnation_;
-  ApplyAnnouncement(roster_, announced);
+  if (ApplyAnnouncement(roster_, announced)) {
+    ConnectMembers();
+  }
 }
 
 void ControlPlane::TakeStoreRead(const ReadOutcome& outcome, Instant now) {
@@ -239,27 +248,29 @@
 
 void ControlPlane::UpdateGroups(Instant now) {
   ApplyVms();
-  const std::vector<WitnessGroup> wanted =
-      MakeWitnessGroups(ListedNames(roster_), GroupPools());
-  std::vector<GroupState> next;
+  StepMembers(now);
   bool changed = false;
-  for (const WitnessGroup& group : wanted) {
+  std::vector<GroupState> next;
+  for (const WitnessGroup& group : MakeWitnessGroups(members_, GroupPools())) {
     if (IndexOf(group, options_.name_) < 0) {
       continue;
     }
     const auto known = std::find_if(groups_.begin(), groups_.end(),
                                     [&group](const GroupState& state) {
-                                      return state.digest_ == DigestOf(group);
+                                      return state.group_.name_ == group.name_;
                                     });
-    if (known != groups_.end()) {
+    if (known != groups_.end() && known->digest_ == DigestOf(group)) {
       next.push_back(std::move(*known));
       continue;
     }
     changed = true;
-    auto made = MakeGroupState(group, options_.name_, options_.incarnation_,
-                               started_, now);
-    if (made) {
-      next.push_back(std::move(*made));
+    auto state =
+        known == groups_.end()
+            ? MakeGroupState(group, options_.name_, incarnation_,
+                             witness_start_, now)
+            : ChangeGroup(*known, group, options_.name_, witness_start_, now);
+    if (state) {
+      next.push_back(std::move(*state));
     }
   }
   groups_ = std::move(next);
@@ -268,6 +279,38 @@
   }
 }
 
+void ControlPlane::StepMembers(Instant now) {
+  const std::vector<std::string> wanted = ListedNames(roster_);
+  if (members_.empty()) {
+    members_ = wanted;
+    return;
+  }
+  if (wanted == members_) {
+    return;
+  }
+  if (now - last_majority_ >= kRejoinAfter) {
+    Rejoin(wanted, now);
+    return;
+  }
+  const bool settled = std::all_of(
+      groups_.begin(), groups_.end(),
+      [now](const GroupState& state) { return MayTakeNextStep(state, now); });
+  if (now < next_step_ || !settled) {
+    return;
+  }
+  members_ = NextMembers(members_, wanted);
+  next_step_ = now + kMemberStepInterval;
+}
+
+void ControlPlane::Rejoin(const std::vector<std::string>& members,
+                          Instant now) {
+  members_ = members;
+  groups_.clear();
+  ++incarnation_;
+  witness_start_ = now;
+  last_majority_ = now;
+}
+
 void ControlPlane::ApplyVms() {
   if (vms_.empty() || !MayServe(configuration_)) {
     return;
--- a/src/cluster/control_plane.h
+++ b/src/cluster/control_plane.h
@@ -90,6 +90,10 @@
                     const std::string& origin,
                     Instant now);
   void UpdateGroups(Instant now);
+  void StepMembers(Instant now);
+  /// Starts anew with the members, like a restarted process: a daemon that is
+  /// more than one step behind can't catch up by steps.
+  void Rejoin(const std::vector<std::string>& members, Instant now);
   void ApplyVms();
   void ConnectMembers();
   void SendHeartbeats(Instant now);
@@ -112,10 +116,14 @@
   std::atomic<bool> leaving_{false};
 
   // Owned by the thread that calls Tick.
-  Instant started_;
+  Instant witness_start_;  ///< Start of the process or of the last rejoin.
+  Instant last_majority_;
+  uint32_t incarnation_ = 0;
   Roster roster_;
   uint64_t list_version_ = 0;
   std::map<std::string, PeerReport> reports_;  ///< By peer.
+  std::vector<std::string> members_;  ///< One step at a time to the list.
+  Instant next_step_;
   std::vector<GroupState> groups_;
   std::vector<Vm> vms_;  ///< Read and not yet applied.
   std::vector<Member> listed_;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -115,12 +115,14 @@
     for (const RoutingService& service : pool.services_) {
       for (const RoutingTarget& target : service.targets_) {
         const std::string& upstream = target.upstream_.name_;
-        const int slots = UsableSlots(seats, pool.pool_, upstream, now);
+        const SeatConnections plan =
+            PlanConnections(seats, pool.pool_, upstream, now);
         ConnectionPolicy policy;
-        policy.share_ = UsableConnections(seats, pool.pool_, upstream, now);
-        policy.ready_ = slots > 0 && target.open_
-                            ? std::min(policy.share_, slots + kSpareConnections)
-                            : 0;
+        policy.share_ = plan.share_;
+        policy.ready_ =
+            plan.slots_ > 0 && target.open_
+                ? std::min(plan.share_, plan.slots_ + kSpareConnections)
+                : 0;
         upstreams_.at(upstream)->pool_.SetPolicy(policy);
       }
     }
--- a/src/routing/pool_seats.cc
+++ b/src/routing/pool_seats.cc
@@ -26,17 +26,19 @@
   return slots;
 }
 
-int UsableConnections(const PoolSeats& seats,
-                      const Pool& pool,
-                      const std::string& replica,
-                      Instant now) noexcept {
-  int connections = 0;
+SeatConnections PlanConnections(const PoolSeats& seats,
+                                const Pool& pool,
+                                const std::string& replica,
+                                Instant now) noexcept {
+  SeatConnections plan;
   for (const UsableSeat& seat : seats.own_) {
-    if (MayUseSeat(seat.permit_, now)) {
-      connections += ConnectionShare(pool, seat.seat_, replica);
+    const bool waiting = seat.permit_.held_ && now < seat.permit_.valid_from_;
+    if (waiting || MayUseSeat(seat.permit_, now)) {
+      plan.slots_ += SlotShare(pool, seat.seat_, replica);
+      plan.share_ += ConnectionShare(pool, seat.seat_, replica);
     }
   }
-  return connections;
+  return plan;
 }
 
 Instant EarliestEnd(const PoolSeats& seats, Instant now) noexcept {
--- a/src/routing/pool_seats.h
+++ b/src/routing/pool_seats.h
@@ -36,11 +36,20 @@
                               const std::string& replica,
                               Instant now) noexcept;
 
-/// @brief Connections to `replica` that this daemon may keep at `now`.
-[[nodiscard]] int UsableConnections(const PoolSeats& seats,
-                                    const Pool& pool,
-                                    const std::string& replica,
-                                    Instant now) noexcept;
+/// @brief Connections that go with the seats of this daemon.
+struct SeatConnections {
+  int slots_ = 0;  ///< Slots that the connections are for.
+  int share_ = 0;  ///< Connections that may be open.
+};
+
+/// @brief Connections to `replica` for seats in use or waiting.
+///
+/// A seat that waits for its handover already opens connections: without them
+/// the first queries after the wait would know no snapshot of any upstream.
+[[nodiscard]] SeatConnections PlanConnections(const PoolSeats& seats,
+                                              const Pool& pool,
+                                              const std::string& replica,
+                                              Instant now) noexcept;
 
 /// @brief The earliest end of a permit that is valid at `now`.
 ///
--- a/tests/routing/pool_seats_test.cc
+++ b/tests/routing/pool_seats_test.cc
@@ -28,13 +28,23 @@
 TEST_CASE("slots end with the permit", "[seats]") {
   const PoolSeats seats = OneSeat();
   CHECK(UsableSlots(seats, MakePool(), "a", kNow) == 1);
-  CHECK(UsableConnections(seats, MakePool(), "a", kNow) == 10);
+  CHECK(PlanConnections(seats, MakePool(), "a", kNow).share_ == 10);
   CHECK(UsableSlots(seats, MakePool(), "a", kNow + seconds(1)) == 0);
   CHECK(UsableSlots(seats, MakePool(), "a", kNow - seconds(1)) == 0);
   CHECK(UsableSlots({}, MakePool(), "a", kNow) == 0);
   CHECK(EarliestEnd(seats, kNow) == kNow + seconds(1));
 }
 
+// Guards against a holder whose first queries find no snapshot because it has
+// spoken to no upstream.
+TEST_CASE("a waiting seat opens connections and has no slots", "[seats]") {
+  PoolSeats seats = OneSeat();
+  seats.own_[0].permit_.valid_from_ = kNow + seconds(3);
+  seats.own_[0].permit_.valid_until_ = kNow + seconds(1);
+  CHECK(UsableSlots(seats, MakePool(), "a", kNow) == 0);
+  CHECK(PlanConnections(seats, MakePool(), "a", kNow).share_ == 10);
+}
+
 // Guards against a planned move of a seat that cuts off running queries.
 TEST_CASE("a seat that has moved serves running queries only", "[seats]") {
   PoolSeats seats = OneSeat();
