Reject a change of group for another process and test single steps

Cause: ChangeGroup accepted a process start other than the old one, although send times in echoes count from it; and no test fixed the order of steps.

They are now members of Cluster, and protocol_test uses them with unchanged checks.

The pairs of the continuity test are drawn differently.

--- a/src/membership/group_change.cc
+++ b/src/membership/group_change.cc
@@ -111,8 +111,8 @@
                                std::string_view self,
                                Instant process_start,
                                Instant now) {
-  if (old.group_.members_[old.self_] != self) {
-    return Fail("'" + std::string(self) + "' is not the daemon of this state");
+  if (old.group_.members_[old.self_] != self || old.started_ != process_start) {
+    return Fail("'" + std::string(self) + "' is not the process of this state");
   }
   auto made = MakeGroupState(std::move(next), self, old.incarnation_,
                              process_start, now);
--- a/src/membership/group_change.h
+++ b/src/membership/group_change.h
@@ -20,9 +20,9 @@
 /// A pool with another number of seats starts without holders: its shares are
 /// different, and old and new shares together would exceed the limits.
 ///
-/// `process_start` is the one `old` was made with. Errors are those of
-/// `MakeGroupState`, and `self` not being the daemon of `old`. When `self` has
-/// left, the caller discards `old` and uses no seat.
+/// Errors are those of `MakeGroupState`, and `self` or `process_start` being
+/// other than those of `old`: send times count from the process start. When
+/// `self` has left, the caller discards `old` and uses no seat.
 [[nodiscard]] Result<GroupState> ChangeGroup(const GroupState& old,
                                              WitnessGroup next,
                                              std::string_view self,
--- a/tests/membership/cluster.cc
+++ b/tests/membership/cluster.cc
@@ -163,6 +163,17 @@
   }
 }
 
+void Cluster::RunUntil(Duration end, bool faults) {
+  while (now_ < end && violation_.empty()) {
+    Step(faults);
+  }
+}
+
+bool Cluster::EverySeatInUse() const {
+  return std::count(users_.begin(), users_.end(), 1) ==
+         static_cast<std::ptrdiff_t>(users_.size());
+}
+
 void Cluster::Run(TestMember& member, size_t index) {
   if (!member.state_ && now_ >= member.down_until_) {
     Start(member, index);
--- a/tests/membership/cluster.h
+++ b/tests/membership/cluster.h
@@ -54,6 +54,9 @@
 
   /// Advances by one step; in the fault phase, changes faults at random.
   void Step(bool faults);
+  /// Runs until the given time; stops at the first violation.
+  void RunUntil(Duration end, bool faults);
+  [[nodiscard]] bool EverySeatInUse() const;
   /// Ends all faults and restarts what is down.
   void Heal();
 
--- a/tests/membership/group_change_test.cc
+++ b/tests/membership/group_change_test.cc
@@ -18,18 +18,6 @@
 constexpr int kSpares = 3;
 constexpr Duration kDeadline = milliseconds(400);
 
-bool EverySeatInUse(const Cluster& cluster) {
-  const auto& users = cluster.users_;
-  return std::find(users.begin(), users.end(), 0) == users.end();
-}
-
-void RunFor(Cluster& cluster, Duration time, bool faults) {
-  const Duration end = cluster.now_ + time;
-  while (cluster.now_ < end && cluster.violation_.empty()) {
-    cluster.Step(faults);
-  }
-}
-
 Names RandomMembers(Cluster& cluster, int size) {
   Names names = cluster.names_;
   std::shuffle(names.begin(), names.end(), cluster.random_);
@@ -47,25 +35,33 @@
     INFO("size " << size << " seed " << seed);
     Cluster cluster(size + kSpares, size, seed,
                     {{"claims", 3, kDeadline}, {"billing", 2, kDeadline}});
-    RunFor(cluster, seconds(10), false);
+    cluster.RunUntil(seconds(10), false);
     while (cluster.now_ < seconds(150) && cluster.violation_.empty()) {
       const Names wanted = RandomMembers(cluster, size);
       while (cluster.group_.members_ != wanted && cluster.violation_.empty()) {
         cluster.Publish(NextMembers(cluster.group_.members_, wanted),
                         cluster.Random(3) == 0 ? seconds(12) : kListSpread);
-        RunFor(cluster, kMemberStepInterval, true);
+        cluster.RunUntil(cluster.now_ + kMemberStepInterval, true);
         while (!cluster.MayPublish() && cluster.violation_.empty()) {
           cluster.Step(true);
         }
       }
     }
     cluster.Heal();
-    RunFor(cluster, seconds(20), false);
+    cluster.RunUntil(cluster.now_ + seconds(20), false);
     REQUIRE(cluster.violation_ == "");
-    REQUIRE(EverySeatInUse(cluster));
+    REQUIRE(cluster.EverySeatInUse());
   }
 }
 
+// Guards against a step by two members, and against an empty group.
+TEST_CASE("members change by one", "[change]") {
+  CHECK(NextMembers({"a", "b", "c"}, {"c", "d", "e"}) == Names{"b", "c"});
+  CHECK(NextMembers({"b", "c"}, {"c", "d", "e"}) == Names{"b", "c", "d"});
+  CHECK(NextMembers({"b", "a"}, {"a", "b"}) == Names{"a", "b"});
+  CHECK(NextMembers({"a"}, {}) == Names{"a"});
+}
+
 bool RanksFirst(const WitnessGroup& group, const std::string& name) {
   const auto state = MakeGroupState(group, name, 1, {}, {});
   return std::any_of(state->seats_.begin(), state->seats_.end(),
@@ -77,18 +73,17 @@
 // Replaces a member by a daemon, neither of which ranks first for a seat;
 // returns false when the seed has no such pair.
 bool ReplaceNonHolder(Cluster& cluster, Names& wanted) {
-  WitnessGroup group = cluster.group_;
-  const size_t last = group.members_.size() - 1;
-  std::shuffle(group.members_.begin(), group.members_.end(), cluster.random_);
-  const std::string leaves = group.members_[last];
-  std::sort(group.members_.begin(), group.members_.end());
-  if (RanksFirst(group, leaves)) {
+  wanted = cluster.group_.members_;
+  const int size = static_cast<int>(wanted.size());
+  std::string& member = wanted[cluster.Random(size)];
+  if (RanksFirst(cluster.group_, member)) {
     return false;
   }
-  const std::string& joins = cluster.names_[last + 1];
-  std::replace(group.members_.begin(), group.members_.end(), leaves, joins);
-  std::sort(group.members_.begin(), group.members_.end());
-  wanted = group.members_;
+  const std::string joins = cluster.names_[size];
+  member = joins;
+  std::sort(wanted.begin(), wanted.end());
+  WitnessGroup group = cluster.group_;
+  group.members_ = wanted;
   return !RanksFirst(group, joins);
 }
 
@@ -103,7 +98,7 @@
         {"claims-" + std::to_string(seed), 1, kDeadline},
         {"billing-" + std::to_string(seed), 1, kDeadline}};
     Cluster cluster(size + kSpares, size, seed, pools);
-    RunFor(cluster, seconds(15), false);
+    cluster.RunUntil(seconds(15), false);
     Names wanted;
     if (!ReplaceNonHolder(cluster, wanted)) {
       continue;
@@ -116,7 +111,7 @@
       while (cluster.now_ < end) {
         cluster.Step(false);
         REQUIRE(cluster.violation_ == "");
-        REQUIRE(EverySeatInUse(cluster));
+        REQUIRE(cluster.EverySeatInUse());
       }
     }
   }
--- a/tests/membership/protocol_test.cc
+++ b/tests/membership/protocol_test.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include <catch2/catch.hpp>
 
 #include "membership/cluster.h"
@@ -16,19 +14,6 @@
 // the handover wait of 3 s and the deadline of 0.4 s.
 constexpr Duration kRecoveryBound = seconds(8);
 
-bool EverySeatInUse(const Cluster& cluster) {
-  const auto& users = cluster.users_;
-  return std::count(users.begin(), users.end(), 1) ==
-         static_cast<std::ptrdiff_t>(users.size());
-}
-
-// Runs until the given time; stops at the first violation.
-void RunUntil(Cluster& cluster, Duration end, bool faults) {
-  while (cluster.now_ < end && cluster.violation_.empty()) {
-    cluster.Step(faults);
-  }
-}
-
 // Guards against two daemons that send on the same seat, or while the last
 // requests of the previous holder still run; against daemons without a
 // majority that send; and against seats that stay idle after the faults end.
@@ -38,14 +23,14 @@
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     INFO("size " << size << " seed " << seed);
     Cluster cluster(size, seed);
-    RunUntil(cluster, seconds(20), false);
-    RunUntil(cluster, seconds(100), true);
+    cluster.RunUntil(seconds(20), false);
+    cluster.RunUntil(seconds(100), true);
     cluster.Heal();
-    RunUntil(cluster, cluster.now_ + kRecoveryBound, false);
+    cluster.RunUntil(cluster.now_ + kRecoveryBound, false);
     for (int step = 0; step < 250; ++step) {
       cluster.Step(false);
       REQUIRE(cluster.violation_ == "");
-      REQUIRE(EverySeatInUse(cluster));
+      REQUIRE(cluster.EverySeatInUse());
     }
     handovers += cluster.handovers_;
   }
