Start daemons from a settings file and add the check command

Cause: `serve` took flags for a few options and ignored the settings library, so failure domain, token, peers and thread counts could not be set.

`--version` prints the version. Each subcommand has its own file, and main.cc only assembles them.

Ruled out: accepting port 0 in every settings file, because a daemon on a port that nobody knows is a mistake in production. Peer ports are reserved in advance, because peers name each other in their settings.

Conclusion: all daemons of the scripts now run from settings files.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -3,13 +3,17 @@
 import http.client
 import json
 import os
+import shutil
 import signal
+import socket
 import subprocess
+import tempfile
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BUILD = os.environ.get("CLEMENTINERILL_BUILD", os.path.join(ROOT, "build"))
 START_TIMEOUT_S = 20
+ADMIN_TOKEN = "fleet-admin-token-0"
 
 
 class Process:
@@ -67,12 +71,19 @@
     raise RuntimeError(f"not reached within {timeout_s} s: {what}")
 
 
+def free_port():
+    """A port on which nothing listens now; peers must know it in advance."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
 class Fleet:
     """A platform, upstreams of one pool and daemons."""
 
     def __init__(self, services=10, replicas=3, daemons=3, slots=3, seats=3,
                  service_ms=4, connect_ms=6, connections=30, domains=3,
-                 top=10, balancer_delay_ms=300):
+                 top=10, balancer_delay_ms=300, log_level="info"):
         self.services = services
         self.replicas = replicas
         self.slots = slots
@@ -83,7 +94,10 @@
         self.domains = domains
         self.top = top
         self.balancer_delay_ms = balancer_delay_ms
+        self.log_level = log_level
         self.daemon_names = [f"daemon-{i}" for i in range(daemons)]
+        self.folder = None
+        self.peer_ports = {}
         self.platform = None
         self.upstreams = {}
         self.daemons = {}
@@ -102,8 +116,12 @@
             processes.append(self.platform)
         for process in processes:
             process.kill()
+        if self.folder:
+            shutil.rmtree(self.folder)
 
     def start(self):
+        self.folder = tempfile.mkdtemp(prefix="clementinerill-")
+        self.peer_ports = {name: free_port() for name in self.daemon_names}
         self.platform = Process(
             "platform", [f"{BUILD}/fakes/fake_platform", "--port", "0"])
         for service in range(self.services):
@@ -128,12 +146,28 @@
         return self.upstreams[name]
 
     def start_daemon(self, name):
-        command = [f"{BUILD}/src/clementinerill", "serve", "--name", name,
-                   "--platform-port", str(self.platform.port),
-                   "--balancer-delay-ms", str(self.balancer_delay_ms)]
-        for member in self.daemon_names:
-            command += ["--member", member]
-        self.daemons[name] = Process(name, command)
+        path = os.path.join(self.folder, f"{name}.yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            # JSON is a subset of YAML.
+            json.dump(self.settings(name), file, indent=2)
+        self.daemons[name] = Process(name, [
+            f"{BUILD}/src/clementinerill", "serve", "--settings", path,
+            "--any-port"])
+
+    def settings(self, name):
+        """The settings document of one daemon."""
+        peers = [{"name": peer, "address": f"127.0.0.1:{port}"}
+                 for peer, port in self.peer_ports.items() if peer != name]
+        number = self.daemon_names.index(name)
+        return {
+            "name": name, "failure_domain": f"fd-{number % self.domains}",
+            "caller_listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0",
+            "peer_listen": f"127.0.0.1:{self.peer_ports[name]}",
+            "platform": f"127.0.0.1:{self.platform.port}",
+            "admin_token": ADMIN_TOKEN, "peers": peers,
+            "balancer_delay": f"{self.balancer_delay_ms}ms",
+            "exchange_threads": 128, "caller_threads": 200,
+            "max_request_bytes": "1MiB", "log_level": self.log_level}
 
     def wait_ready(self, name):
         port = self.daemons[name].port
--- /dev/null
+++ b/src/cli/check_command.h
@@ -0,0 +1,14 @@
+#ifndef CLEMENTINERILL_CLI_CHECK_COMMAND_H_
+#define CLEMENTINERILL_CLI_CHECK_COMMAND_H_
+
+#include <CLI/CLI.hpp>
+
+namespace clementinerill {
+
+/// @brief Adds `check <file>`, which sets `exit_code` to 1 when the settings
+/// file has errors. `exit_code` must outlive the parsing.
+void AddCheckCommand(CLI::App& app, int& exit_code);
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_CLI_CHECK_COMMAND_H_
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,61 +1,15 @@
-#include <csignal>
-
-#include <iostream>
-#include <string>
-
 #include <CLI/CLI.hpp>
 
-#include "daemon/daemon.h"
-
-namespace {
-
-using clementinerill::Daemon;
-using clementinerill::DaemonOptions;
-
-constexpr int kExitUsage = 1;
-
-// Blocks until SIGTERM or SIGINT, which must be blocked in every thread.
-void WaitForStopSignal(const sigset_t& signals) {
-  int received = 0;
-  sigwait(&signals, &received);
-}
-
-int Serve(const DaemonOptions& options) {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  Daemon daemon(options);
-  const auto port = daemon.Start();
-  if (!port) {
-    std::cerr << "serve: " << Format(port.error()) << "\n";
-    return kExitUsage;
-  }
-  std::cout << "listening " << *port << " admin " << daemon.AdminPort()
-            << std::endl;
-  WaitForStopSignal(signals);
-  daemon.Stop();
-  return 0;
-}
-
-}  // namespace
+#include "cli/check_command.h"
+#include "cli/serve_command.h"
 
 int main(int argc, char** argv) {
   CLI::App app("A query tier over many shards");
+  app.set_version_flag("--version", "clementinerill " CLEMENTINERILL_VERSION);
   app.require_subcommand(1);
-  DaemonOptions options;
-  int balancer_delay_ms = 3000;
-  CLI::App* serve = app.add_subcommand("serve", "Run one daemon");
-  serve->add_option("--name", options.name_, "Name of this daemon")->required();
-  serve->add_option("--port", options.caller_.port_, "Port for callers");
-  serve->add_option("--platform-port", options.platform_port_,
-                    "Port of the platform");
-  serve->add_option("--member", options.members_, "Name of each daemon");
-  serve->add_option("--balancer-delay-ms", balancer_delay_ms,
-                    "Time between not ready and the end of service");
+  int exit_code = 0;
+  clementinerill::AddServeCommand(app, exit_code);
+  clementinerill::AddCheckCommand(app, exit_code);
   CLI11_PARSE(app, argc, argv);
-  options.balancer_delay_ = std::chrono::milliseconds(balancer_delay_ms);
-  return Serve(options);
+  return exit_code;
 }
--- /dev/null
+++ b/src/cli/serve_command.cc
@@ -0,0 +1,80 @@
+#include "cli/serve_command.h"
+
+#include <csignal>
+
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include "cli/daemon_options_from.h"
+#include "cli/load_settings.h"
+#include "daemon/daemon.h"
+
+namespace clementinerill {
+namespace {
+
+struct ServeArguments {
+  std::string path_;
+  bool any_port_ = false;
+};
+
+// Blocks the signals in this thread and in all threads that it starts later.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+void WaitForStopSignal(const sigset_t& signals) {
+  int received = 0;
+  sigwait(&signals, &received);
+}
+
+int RunDaemon(const DaemonOptions& options) {
+  const sigset_t signals = BlockStopSignals();
+  std::signal(SIGPIPE, SIG_IGN);
+  Daemon daemon(options);
+  const auto port = daemon.Start();
+  if (!port) {
+    PrintErrors({port.error()});
+    return 1;
+  }
+  std::cout << "listening " << *port << " admin " << daemon.AdminPort()
+            << std::endl;
+  WaitForStopSignal(signals);
+  daemon.Stop();
+  return 0;
+}
+
+int Serve(const ServeArguments& arguments) {
+  const auto settings =
+      LoadSettings(arguments.path_, arguments.any_port_ ? ListenPorts::kMayBeAny
+                                                        : ListenPorts::kFixed);
+  if (!settings) {
+    PrintErrors(settings.error());
+    return 1;
+  }
+  const auto token = LoadAdminToken(*settings);
+  if (!token) {
+    PrintErrors({token.error()});
+    return 1;
+  }
+  return RunDaemon(DaemonOptionsFrom(*settings, *token));
+}
+
+}  // namespace
+
+void AddServeCommand(CLI::App& app, int& exit_code) {
+  CLI::App* command = app.add_subcommand("serve", "Run one daemon");
+  const auto arguments = std::make_shared<ServeArguments>();
+  command->add_option("--settings", arguments->path_, "Settings file")
+      ->required();
+  command->add_flag("--any-port", arguments->any_port_,
+                    "Accept port 0 in listening endpoints");
+  command->callback([arguments, &exit_code] { exit_code = Serve(*arguments); });
+}
+
+}  // namespace clementinerill
--- a/src/daemon/daemon_options.h
+++ b/src/daemon/daemon_options.h
@@ -6,17 +6,24 @@
 #include <vector>
 
 #include "daemon/caller_server.h"
+#include "settings/endpoint.h"
+#include "settings/secret.h"
+#include "settings/static_peer.h"
 
 namespace clementinerill {
 
 /// @brief What one daemon is started with.
 struct DaemonOptions {
   std::string name_;
+  std::string failure_domain_;
   CallerServerOptions caller_;
   std::string admin_address_ = "127.0.0.1";
   uint16_t admin_port_ = 0;  ///< Zero lets the system choose.
   std::string platform_address_ = "127.0.0.1";
   uint16_t platform_port_ = 0;
+  Secret admin_token_;    ///< Required by changes on the admin address.
+  Endpoint peer_listen_;  ///< Port zero lets the system choose.
+  std::vector<StaticPeer> peers_;     ///< Never contains this daemon.
   std::vector<std::string> members_;  ///< Names of all daemons.
   int exchange_threads_ = 128;
   int control_threads_ = 16;
--- a/src/settings/endpoint.cc
+++ b/src/settings/endpoint.cc
@@ -24,11 +24,12 @@
   return std::string(normal.data());
 }
 
-std::optional<uint16_t> ParsePort(const std::string& text) {
+std::optional<uint16_t> ParsePort(const std::string& text, ListenPorts ports) {
   uint16_t port = 0;
   const char* end = text.data() + text.size();
   const auto [rest, error] = std::from_chars(text.data(), end, port);
-  if (error != std::errc() || rest != end || port == 0) {
+  if (error != std::errc() || rest != end ||
+      (port == 0 && ports == ListenPorts::kFixed)) {
     return std::nullopt;
   }
   return port;
@@ -48,17 +49,22 @@
 }
 
 Result<Endpoint> ParseEndpoint(const std::string& text) {
+  return ParseListenEndpoint(text, ListenPorts::kFixed);
+}
+
+Result<Endpoint> ParseListenEndpoint(const std::string& text,
+                                     ListenPorts ports) {
   const size_t colon = text.rfind(':');
   if (colon != std::string::npos && text.find('\0') == std::string::npos) {
     const auto address = ParseAddress(text.substr(0, colon));
-    const auto port = ParsePort(text.substr(colon + 1));
+    const auto port = ParsePort(text.substr(colon + 1), ports);
     if (address && port) {
       return Endpoint{*address, *port};
     }
   }
-  return Fail(
-      "must be an IP number and a port from 1 to 65535, such as 10.0.0.1:8080 "
-      "or [fd00::1]:8080");
+  const std::string least = ports == ListenPorts::kFixed ? "1" : "0";
+  return Fail("must be an IP number and a port from " + least +
+              " to 65535, such as 10.0.0.1:8080 or [fd00::1]:8080");
 }
 
 std::string ToText(const Endpoint& endpoint) {
--- a/src/settings/endpoint.h
+++ b/src/settings/endpoint.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/result.h"
+#include "settings/listen_ports.h"
 
 namespace clementinerill {
 
@@ -22,6 +23,10 @@
 /// is from 1 to 65535. The error does not repeat the text.
 [[nodiscard]] Result<Endpoint> ParseEndpoint(const std::string& text);
 
+/// @brief As `ParseEndpoint`, for an endpoint on which this process listens.
+[[nodiscard]] Result<Endpoint> ParseListenEndpoint(const std::string& text,
+                                                   ListenPorts ports);
+
 /// @brief Writes the text that `ParseEndpoint` reads.
 [[nodiscard]] std::string ToText(const Endpoint& endpoint);
 
--- a/src/settings/settings_yaml.cc
+++ b/src/settings/settings_yaml.cc
@@ -45,14 +45,17 @@
 }
 
 // An endpoint that other processes connect to.
-Result<Endpoint> ParseRemoteEndpoint(const std::string& text) {
-  Result<Endpoint> endpoint = ParseEndpoint(text);
+Result<Endpoint> RejectWildcard(Result<Endpoint> endpoint) {
   if (endpoint && IsWildcard(*endpoint)) {
     return Fail("must be the IP number of one VM, not a wildcard");
   }
   return endpoint;
 }
 
+Result<Endpoint> ParseRemoteEndpoint(const std::string& text) {
+  return RejectWildcard(ParseEndpoint(text));
+}
+
 Result<Duration> ParseBalancerDelay(const std::string& text) {
   Result<Duration> delay = ParseDuration(text);
   if (delay && *delay > kLongestBalancerDelay) {
@@ -147,8 +150,21 @@
   }
 }
 
+void ReadListeners(YamlReader& reader, ListenPorts ports, Settings& settings) {
+  const auto parse = [ports](const std::string& text) {
+    return ParseListenEndpoint(text, ports);
+  };
+  const auto parse_remote = [ports](const std::string& text) {
+    return RejectWildcard(ParseListenEndpoint(text, ports));
+  };
+  settings.caller_listen_ = reader.Scalar<Endpoint>("caller_listen", parse);
+  settings.admin_listen_ = reader.Scalar<Endpoint>("admin_listen", parse);
+  settings.peer_listen_ = reader.Scalar<Endpoint>("peer_listen", parse_remote);
+}
+
 Settings ReadSettings(const YAML::Node& document,
                       const std::string& file_name,
+                      ListenPorts ports,
                       std::vector<Error>& errors) {
   Settings settings;
   YamlReader reader(document, file_name, errors);
@@ -158,12 +174,7 @@
   settings.name_ = reader.Scalar<std::string>("name", ParseName);
   settings.failure_domain_ =
       reader.Scalar<std::string>("failure_domain", ParseName);
-  settings.caller_listen_ =
-      reader.Scalar<Endpoint>("caller_listen", ParseEndpoint);
-  settings.admin_listen_ =
-      reader.Scalar<Endpoint>("admin_listen", ParseEndpoint);
-  settings.peer_listen_ =
-      reader.Scalar<Endpoint>("peer_listen", ParseRemoteEndpoint);
+  ReadListeners(reader, ports, settings);
   settings.platform_ = reader.Scalar<Endpoint>("platform", ParseRemoteEndpoint);
   ReadAdminToken(reader, settings);
   settings.peers_ = ReadPeers(reader, file_name, errors);
@@ -199,13 +210,14 @@
 
 tl::expected<Settings, std::vector<Error>> ParseSettings(
     const std::string& text,
-    const std::string& file_name) {
+    const std::string& file_name,
+    ListenPorts ports) {
   std::vector<Error> errors;
   Settings settings;
   try {
     const std::vector<YAML::Node> documents = YAML::LoadAll(text);
     if (documents.size() == 1) {
-      settings = ReadSettings(documents.front(), file_name, errors);
+      settings = ReadSettings(documents.front(), file_name, ports, errors);
     } else {
       errors.push_back(Error{"must be one YAML document", {file_name, 1, 1}});
     }
--- a/src/settings/settings_yaml.h
+++ b/src/settings/settings_yaml.h
@@ -7,6 +7,7 @@
 #include <tl/expected.hpp>
 
 #include "base/error.h"
+#include "settings/listen_ports.h"
 #include "settings/process_settings.h"
 
 namespace clementinerill {
@@ -17,9 +18,11 @@
 /// with file, line, column and the expected value. `file_name` is only used in
 /// errors; no file is read. Errors do not repeat values, so they are safe to
 /// log.
+/// `ports` applies to the listening endpoints of this daemon.
 [[nodiscard]] tl::expected<Settings, std::vector<Error>> ParseSettings(
     const std::string& text,
-    const std::string& file_name);
+    const std::string& file_name,
+    ListenPorts ports = ListenPorts::kFixed);
 
 /// @brief Writes the settings as YAML, for people: the token is masked, so the
 /// text is refused by `ParseSettings` when it held a token.
--- a/tests/settings/units_test.cc
+++ b/tests/settings/units_test.cc
@@ -41,6 +41,15 @@
   }
 }
 
+// Guards against a port chosen by the system where others must know it.
+TEST_CASE("port 0 needs permission and a listening endpoint", "[settings]") {
+  const std::string text = "127.0.0.1:0";
+  CHECK(ParseListenEndpoint(text, ListenPorts::kMayBeAny) ==
+        Endpoint{"127.0.0.1", 0});
+  CHECK_FALSE(ParseListenEndpoint(text, ListenPorts::kFixed));
+  CHECK_FALSE(ParseEndpoint(text));
+}
+
 // Guards against a suggestion that is not the closest key.
 TEST_CASE("the nearest key has the smallest edit distance", "[settings]") {
   CHECK(EditDistance("kitten", "sitting") == 3);
