Log the events that operators need

Cause: the daemon wrote nothing, so a restart of an upstream, a refusal or a condemned connection could only be guessed from counters.

`serve` starts Boost.Log at the configured level and writes `serve: started`, `shutting down` and `stopped`, `configuration: in force`, `upstream: process changed`, `upstream: silent connections condemned` and `query: refused`. The last two are limited to five lines a second per call site. Lines are written outside the mutex of the dispatcher.

Ruled out: logging in PollConfiguration, because a new table does not always mean a new configuration; the dispatcher compares the versions.

Before: no output. The line about condemned connections is not covered by a test.

Conclusion: one line for each event, bounded under a flood of refusals.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -150,9 +150,15 @@
         with open(path, "w", encoding="utf-8") as file:
             # JSON is a subset of YAML.
             json.dump(self.settings(name), file, indent=2)
-        self.daemons[name] = Process(name, [
-            f"{BUILD}/src/clementinerill", "serve", "--settings", path,
-            "--any-port"])
+        # Appended to, so that the log of a restarted daemon is kept.
+        with open(self.log_path(name), "a", encoding="utf-8") as log:
+            self.daemons[name] = Process(name, [
+                f"{BUILD}/src/clementinerill", "serve", "--settings", path,
+                "--any-port"], log)
+
+    def log_path(self, name):
+        """The file with the log lines of one daemon, while the fleet runs."""
+        return os.path.join(self.folder, f"{name}.log")
 
     def settings(self, name):
         """The settings document of one daemon."""
--- a/src/cli/serve_command.cc
+++ b/src/cli/serve_command.cc
@@ -9,6 +9,8 @@
 #include "cli/daemon_options_from.h"
 #include "cli/load_settings.h"
 #include "daemon/daemon.h"
+#include "logging/log.h"
+#include "logging/start_logging.h"
 
 namespace clementinerill {
 namespace {
@@ -44,8 +46,17 @@
   }
   std::cout << "listening " << *port << " admin " << daemon.AdminPort()
             << std::endl;
+  Log(LogLevel::kInfo, "serve", "started",
+      {{"name", options.name_},
+       {"failure_domain", options.failure_domain_},
+       {"version", CLEMENTINERILL_VERSION},
+       {"caller_port", *port},
+       {"admin_port", daemon.AdminPort()}});
   WaitForStopSignal(signals);
+  Log(LogLevel::kInfo, "serve", "shutting down",
+      {{"balancer_delay_ms", Duration(options.balancer_delay_)}});
   daemon.Stop();
+  Log(LogLevel::kInfo, "serve", "stopped", {{"name", options.name_}});
   return 0;
 }
 
@@ -62,6 +73,7 @@
     PrintErrors({token.error()});
     return 1;
   }
+  StartLogging(settings->log_level_);
   return RunDaemon(DaemonOptionsFrom(*settings, *token));
 }
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -7,6 +7,7 @@
 
 #include "config/configuration_json.h"
 #include "daemon/fetch_configuration.h"
+#include "daemon/operator_log.h"
 #include "daemon/static_seats.h"
 #include "routing/build_routing_table.h"
 
@@ -92,6 +93,9 @@
   if (answer.outcome_ != Outcome::kComplete) {
     metrics_.reasons_.Increment(answer.reason_);
   }
+  if (answer.outcome_ == Outcome::kRefused) {
+    LogRefusal(Now(), input.route_, answer);
+  }
   metrics_.query_latency_.Record(Now() - started);
   return answer;
 }
@@ -142,6 +146,9 @@
   for (const auto& state : dispatcher_.Upstreams()) {
     const int silent = state->pool_.CondemnSilent(Now());
     metrics_.silent_connections_.Increment(static_cast<uint64_t>(silent));
+    if (silent > 0) {
+      LogConnectionsCondemned(Now(), state->upstream_.name_, silent);
+    }
     const int missing = state->pool_.CountToOpen();
     for (int i = 0; i < missing; ++i) {
       control_pool_.Post([this, state] {
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/invariant.h"
+#include "daemon/operator_log.h"
 #include "routing/choose_candidate.h"
 
 namespace clementinerill {
@@ -65,6 +66,12 @@
 }  // namespace
 
 void Dispatcher::Apply(std::shared_ptr<const RoutingTable> table) {
+  const std::shared_ptr<const RoutingTable> previous = Table();
+  // A change of seats gives a new table with the same configuration.
+  if (!previous ||
+      previous->configuration_version_ != table->configuration_version_) {
+    LogConfigurationInForce(*table);
+  }
   const std::lock_guard lock(mutex_);
   std::set<std::string> kept;
   for (const auto& [name, pool] : table->pools_) {
@@ -205,12 +212,18 @@
 
 void Dispatcher::ObserveSignals(UpstreamState& upstream,
                                 const UpstreamSignals& signals) {
-  const std::lock_guard lock(mutex_);
+  std::unique_lock lock(mutex_);
   if (signals.offers_) {
     upstream.offers_ = signals.offers_;
   }
+  const bool process_changed = !upstream.process_id_.empty() &&
+                               upstream.process_id_ != signals.process_id_;
   upstream.process_id_ = signals.process_id_;
   upstream.cold_limit_ = signals.cold_limit_;
+  lock.unlock();
+  if (process_changed) {
+    LogProcessChanged(upstream.upstream_.name_, signals.process_id_);
+  }
 }
 
 std::optional<Snapshot> Dispatcher::NewestSnapshot(const Route& route) {
