Record every query and explain it on the admin address

Cause: an operator could not find out why one request was slow, partial or refused.

GET /explain/<request id> returns the records, GET /explain?slow summaries of the newest 100 slow or incomplete queries, and `clementinerill explain` prints the records of one id.

Ruled out: collecting attempts in a shared structure while the query runs, which would lock for each attempt; the state of the query holds them already, so they are copied once at the end and before a restart. Requests that the caller server refuses by itself (another path or method, body too large) are not recorded, as they are not counted either.

Before: no record. The cost per query was not measured.

Conclusion: one lookup by request id shows where the time went.

--- a/scripts/lib/test_operators.py
+++ b/scripts/lib/test_operators.py
@@ -1,5 +1,7 @@
-"""Checks what operators read from a daemon: log lines."""
+"""Checks what operators read from a daemon: log lines and explain records."""
 
+import json
+import subprocess
 import sys
 
 import fleet
@@ -40,8 +42,67 @@
     assert fleet.ADMIN_TOKEN not in text
 
 
+def explain(f, request_id):
+    """Runs the subcommand; returns its exit code and the records."""
+    result = subprocess.run(
+        [f"{fleet.BUILD}/src/clementinerill", "explain", request_id, "--admin",
+         f"127.0.0.1:{f.daemons['daemon-0'].admin_port}"],
+        capture_output=True, text=True, timeout=20)
+    return result.returncode, json.loads(result.stdout or "[]")
+
+
+def test_explain(f):
+    f.query("daemon-0", "claims-search", "x", {"X-Request-Id": "plain-1"})
+    code, records = explain(f, "plain-1")
+    # Guards against a record without the attempts of each part.
+    assert code == 0 and len(records) == 1, records
+    record = records[0]
+    assert (record["route"], record["outcome"], record["reason"]) == (
+        "claims-search", "complete", ""), record
+    assert sorted(p["service"] for p in record["parts"]) == [
+        "claims-0", "claims-1"], record
+    for part in record["parts"]:
+        first = part["attempts"][0]
+        assert first["trigger"] == "primary", part
+        assert first["replica"].startswith(part["service"]), part
+        assert 0 <= first["start_us"] <= record["duration_us"], part
+        assert part["attempts"][-1]["result"] == "answered", part
+    # Guards against queries refused before they ran that leave no record.
+    f.query("daemon-0", "no-such-route", "x", {"X-Request-Id": "refused-1"})
+    code, records = explain(f, "refused-1")
+    assert code == 0 and records[0]["reason"] == "unknown_route", records
+    port = f.daemons["daemon-0"].admin_port
+    status, _, text = fleet.exchange(port, "GET", "/explain?slow")
+    assert status == 200, text
+    notable = [r["request_id"] for r in json.loads(text)]
+    assert "refused-1" in notable and "plain-1" not in notable, notable
+    # Guards against success for a request id without a record.
+    assert explain(f, "never-sent")[0] == 1
+    # Guards against ids that are not encoded in the path: `?slow` has records.
+    assert explain(f, "?slow")[0] == 1
+
+
+def test_explain_retry(f):
+    # Guards against a record that lacks the failed attempts. Runs before the
+    # other tests kill an upstream, so that each service has two.
+    f.upstreams["claims-1-0"].kill()
+    for i in range(20):
+        f.query("daemon-0", "claims-search", "x", {"X-Request-Id": f"retry-{i}"})
+        part = [p for p in explain(f, f"retry-{i}")[1][0]["parts"]
+                if p["service"] == "claims-1"][0]
+        triggers = [a["trigger"] for a in part["attempts"]]
+        if "retry" in triggers:
+            failed, retried = part["attempts"][:2]
+            assert retried["reason"] == failed["result"] != "answered", part
+            assert retried["replica"] != failed["replica"], part
+            return
+    raise AssertionError("no query was retried")
+
+
 def main():
     with fleet.Fleet(services=2, replicas=2, daemons=1, seats=1) as f:
+        test_explain(f)
+        test_explain_retry(f)
         test_log(f)
     return 0
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,6 +1,7 @@
 #include <CLI/CLI.hpp>
 
 #include "cli/check_command.h"
+#include "cli/explain_command.h"
 #include "cli/serve_command.h"
 
 int main(int argc, char** argv) {
@@ -10,6 +11,7 @@
   int exit_code = 0;
   clementinerill::AddServeCommand(app, exit_code);
   clementinerill::AddCheckCommand(app, exit_code);
+  clementinerill::AddExplainCommand(app, exit_code);
   CLI11_PARSE(app, argc, argv);
   return exit_code;
 }
--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -39,7 +39,9 @@
                      HTTPServerResponse& response) override {
     AdminRequest admin;
     admin.method_ = request.getMethod();
-    admin.path_ = Poco::URI(request.getURI()).getPath();
+    const Poco::URI uri(request.getURI());
+    admin.path_ = uri.getPath();
+    admin.query_ = uri.getQuery();
     admin.token_ = ReadToken(request);
     admin.body_.resize(kMostBodyBytes);
     request.stream().read(admin.body_.data(),
--- a/src/daemon/admin_server.h
+++ b/src/daemon/admin_server.h
@@ -16,7 +16,8 @@
 /// @brief One request of an operator.
 struct AdminRequest {
   std::string method_;
-  std::string path_;
+  std::string path_;   ///< Decoded.
+  std::string query_;  ///< Decoded, without the question mark.
   std::string token_;  ///< From `Authorization: Bearer <token>`.
   std::string body_;
 };
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "config/configuration_json.h"
+#include "daemon/explain_page.h"
 #include "daemon/fetch_configuration.h"
 #include "daemon/operator_log.h"
 #include "daemon/static_seats.h"
@@ -88,7 +89,9 @@
 QueryAnswer Daemon::Serve(const QueryInput& input,
                           const std::function<bool()>& caller_gone) {
   const Instant started = Now();
-  QueryAnswer answer = Answer(input, caller_gone);
+  QueryTrace trace;
+  trace.entered_ = started;
+  QueryAnswer answer = Answer(input, caller_gone, trace);
   metrics_.outcomes_.Increment(answer.outcome_);
   if (answer.outcome_ != Outcome::kComplete) {
     metrics_.reasons_.Increment(answer.reason_);
@@ -97,11 +100,13 @@
     LogRefusal(Now(), input.route_, answer);
   }
   metrics_.query_latency_.Record(Now() - started);
+  explain_.Add(input.route_, answer, std::move(trace), Now());
   return answer;
 }
 
 QueryAnswer Daemon::Answer(const QueryInput& input,
-                           const std::function<bool()>& caller_gone) {
+                           const std::function<bool()>& caller_gone,
+                           QueryTrace& trace) {
   const std::string generated_id = NextRequestId();
   const auto table = dispatcher_.Table();
   if (!table) {
@@ -112,7 +117,7 @@
     return request.error();
   }
   const QueryContext context{dispatcher_, runner_, admission_, metrics_};
-  return RunQuery(context, *request, caller_gone);
+  return RunQuery(context, *request, caller_gone, trace);
 }
 
 AdminReply Daemon::ServeAdmin(const AdminRequest& request) {
@@ -121,6 +126,9 @@
     return {200, "text/plain; version=0.0.4",
             metrics_.registry_.PrometheusText()};
   }
+  if (auto reply = ServeExplain(explain_, request, Now())) {
+    return *reply;
+  }
   return {kNotFound, "application/json", R"({"error": "unknown path"})"};
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -13,6 +13,7 @@
 #include "daemon/caller_server.h"
 #include "daemon/daemon_options.h"
 #include "daemon/dispatcher.h"
+#include "daemon/explain_recorder.h"
 #include "daemon/query_engine.h"
 #include "upstream/task_pool.h"
 
@@ -40,7 +41,8 @@
   [[nodiscard]] QueryAnswer Serve(const QueryInput& input,
                                   const std::function<bool()>& caller_gone);
   [[nodiscard]] QueryAnswer Answer(const QueryInput& input,
-                                   const std::function<bool()>& caller_gone);
+                                   const std::function<bool()>& caller_gone,
+                                   QueryTrace& trace);
   [[nodiscard]] std::string NextRequestId();
   [[nodiscard]] AdminReply ServeAdmin(const AdminRequest& request);
   void RunControl();
@@ -54,6 +56,7 @@
   AttemptRunner runner_;
   AdmissionControl admission_;
   DaemonMetrics metrics_;
+  ExplainRecorder explain_;
   CallerServer caller_server_;
   AdminServer admin_server_;
   uint16_t admin_port_ = 0;
--- a/src/daemon/query_engine.cc
+++ b/src/daemon/query_engine.cc
@@ -39,7 +39,8 @@
 
 QueryAnswer RunQuery(const QueryContext& context,
                      const QueryRequest& request,
-                     const std::function<bool()>& caller_gone) {
+                     const std::function<bool()>& caller_gone,
+                     QueryTrace& trace) {
   const auto admission = context.admission_.Of(request.route_.pool_);
   const auto entered =
       admission->Enter(request.route_.kind_, request.deadline_, caller_gone);
@@ -49,7 +50,7 @@
   }
   const Instant started = Now();
   QueryRun run(request, context, *admission);
-  QueryAnswer answer = run.Run(caller_gone);
+  QueryAnswer answer = run.Run(caller_gone, trace);
   admission->Leave(EndOf(answer, request.deadline_), Now() - started);
   return answer;
 }
--- a/src/daemon/query_engine.h
+++ b/src/daemon/query_engine.h
@@ -8,6 +8,7 @@
 #include "daemon/daemon_metrics.h"
 #include "daemon/dispatcher.h"
 #include "daemon/query_request.h"
+#include "daemon/query_trace.h"
 #include "sweep/query_answer.h"
 
 namespace clementinerill {
@@ -23,9 +24,11 @@
 /// @brief Admits one query and runs it to its answer on the calling thread.
 ///
 /// @param caller_gone Polled at least every 20 ms; true cancels the query.
+/// @param trace Receives the attempts.
 [[nodiscard]] QueryAnswer RunQuery(const QueryContext& context,
                                    const QueryRequest& request,
-                                   const std::function<bool()>& caller_gone);
+                                   const std::function<bool()>& caller_gone,
+                                   QueryTrace& trace);
 
 }  // namespace clementinerill
 
--- a/src/daemon/query_run.cc
+++ b/src/daemon/query_run.cc
@@ -81,7 +81,8 @@
   return !state_.parts_.empty();
 }
 
-QueryAnswer QueryRun::Run(const std::function<bool()>& caller_gone) {
+QueryAnswer QueryRun::Run(const std::function<bool()>& caller_gone,
+                          QueryTrace& trace) {
   if (!Prepare()) {
     return RefusedAnswer(request_.request_id_, Reason::kNoUpstream);
   }
@@ -96,7 +97,8 @@
       next_check = now + kCallerCheckInterval;
     }
     for (const QueryAction& action : NextActions(state_, policy_, now)) {
-      if (CarryOut(action, now)) {
+      if (CarryOut(action, now, trace)) {
+        TraceAttempts(state_, trace);
         return BuildAnswer(state_);
       }
     }
@@ -107,7 +109,9 @@
   }
 }
 
-bool QueryRun::CarryOut(const QueryAction& action, Instant now) {
+bool QueryRun::CarryOut(const QueryAction& action,
+                        Instant now,
+                        QueryTrace& trace) {
   switch (action.kind_) {
     case QueryActionKind::kStartAttempt:
       StartAttempt(action, now);
@@ -116,7 +120,7 @@
       CancelAttempt(action);
       return false;
     case QueryActionKind::kRestart:
-      RestartQuery();
+      RestartQuery(trace);
       return false;
     case QueryActionKind::kFinish:
       return true;
@@ -209,13 +213,14 @@
   }
 }
 
-void QueryRun::RestartQuery() {
+void QueryRun::RestartQuery(QueryTrace& trace) {
   const auto snapshot = context_.dispatcher_.NewestSnapshot(request_.route_);
   if (!snapshot || *snapshot == *state_.snapshot_) {
     state_.restart_refused_ = true;
     return;
   }
   running_.clear();
+  TraceAttempts(state_, trace);
   Restart(state_, *snapshot);
 }
 
--- a/src/daemon/query_run.h
+++ b/src/daemon/query_run.h
@@ -11,6 +11,7 @@
 #include "daemon/pool_admission.h"
 #include "daemon/query_engine.h"
 #include "daemon/query_request.h"
+#include "daemon/query_trace.h"
 #include "sweep/query_answer.h"
 #include "sweep/query_state.h"
 #include "sweep/query_step.h"
@@ -24,17 +25,20 @@
            const QueryContext& context,
            PoolAdmission& admission);
 
-  /// @brief Runs to the answer. Call once.
-  [[nodiscard]] QueryAnswer Run(const std::function<bool()>& caller_gone);
+  /// @brief Runs to the answer and traces all attempts. Call once.
+  [[nodiscard]] QueryAnswer Run(const std::function<bool()>& caller_gone,
+                                QueryTrace& trace);
 
  private:
   [[nodiscard]] bool Prepare();
-  [[nodiscard]] bool CarryOut(const QueryAction& action, Instant now);
+  [[nodiscard]] bool CarryOut(const QueryAction& action,
+                              Instant now,
+                              QueryTrace& trace);
   void StartAttempt(const QueryAction& action, Instant now);
   void DeclineForBudget(const QueryAction& action, Instant now);
   void Decline(const QueryAction& action, Reason reason, Instant now);
   void CancelAttempt(const QueryAction& action);
-  void RestartQuery();
+  void RestartQuery(QueryTrace& trace);
   void Take(AttemptEvent event, Instant now);
   [[nodiscard]] ExchangeRequest MakeExchange(size_t part, size_t attempt) const;
 
