Serve the status of a daemon and protect changes with the token

Cause: operators could not see which seats a daemon holds, why it is not ready or why it skips an upstream.

GET /status returns name, failure domain, configuration version, ready or the reason, the seats held of each pool and, for each upstream, slots in use, share, connections, latency, failures, skip period, cold limit and offers.

Ruled out: recomputing the seats in the status page, because they change without the configuration; the routing table now carries them.

Before: /status was unknown, no access check. No change request exists yet; the check answers 401 before 404.

Conclusion: status and access rules are in place for later changes.

--- a/scripts/lib/test_operators.py
+++ b/scripts/lib/test_operators.py
@@ -1,4 +1,5 @@
-"""Checks what operators read from a daemon: log lines and explain records."""
+"""Checks what operators read from a daemon: log lines, status and
+explain records."""
 
 import json
 import subprocess
@@ -99,8 +100,35 @@
     raise AssertionError("no query was retried")
 
 
+def test_status(f):
+    port = f.daemons["daemon-0"].admin_port
+    status, _, text = fleet.exchange(port, "GET", "/status")
+    assert status == 200, text
+    # Guards against a token that a read reveals.
+    assert fleet.ADMIN_TOKEN not in text
+    report = json.loads(text)
+    assert (report["name"], report["failure_domain"], report["ready"],
+            report["configuration_version"]) == ("daemon-0", "fd-0", True, 1), report
+    pool = report["pools"][0]
+    assert (pool["name"], pool["seats_held"]) == ("claims", [0]), pool
+    # Guards against upstreams that are missing or shown without their signals.
+    assert len(pool["upstreams"]) == 4, pool
+    for upstream in pool["upstreams"]:
+        assert upstream["slots"] == 3 and upstream["in_use"] == 0, upstream
+        assert upstream["skipped_for_us"] == 0, upstream
+        assert upstream["offers"] == [
+            {"index_version": 1, "partition_map": 1}], upstream
+    # Guards against changes without the token or with another one.
+    for token, expected in ((None, 401), ("fleet-admin-token-1", 401),
+                            (fleet.ADMIN_TOKEN, 404)):
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        status, _, text = fleet.exchange(port, "POST", "/change", "{}", headers)
+        assert status == expected, (token, status, text)
+
+
 def main():
     with fleet.Fleet(services=2, replicas=2, daemons=1, seats=1) as f:
+        test_status(f)
         test_explain(f)
         test_explain_retry(f)
         test_log(f)
--- /dev/null
+++ b/src/daemon/admin_access.h
@@ -0,0 +1,16 @@
+#ifndef CLEMENTINERILL_DAEMON_ADMIN_ACCESS_H_
+#define CLEMENTINERILL_DAEMON_ADMIN_ACCESS_H_
+
+#include "daemon/admin_server.h"
+#include "settings/secret.h"
+
+namespace clementinerill {
+
+/// @brief Whether the request may be served: reads always, all other methods
+/// only with the token. Without a token in the settings no change is allowed.
+[[nodiscard]] bool IsAllowed(const AdminRequest& request,
+                             const Secret& token) noexcept;
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_DAEMON_ADMIN_ACCESS_H_
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -6,10 +6,12 @@
 #include <utility>
 
 #include "config/configuration_json.h"
+#include "daemon/admin_access.h"
 #include "daemon/explain_page.h"
 #include "daemon/fetch_configuration.h"
 #include "daemon/operator_log.h"
 #include "daemon/static_seats.h"
+#include "daemon/status_page.h"
 #include "routing/build_routing_table.h"
 
 namespace clementinerill {
@@ -49,7 +51,7 @@
           {[this](const QueryInput& input, const std::function<bool()>& gone) {
              return Serve(input, gone);
            },
-           [this] { return dispatcher_.Table() != nullptr && !draining_; }}),
+           [this] { return NotReadyReason() == Reason::kNone; }}),
       admin_server_(
           options_.admin_address_,
           options_.admin_port_,
@@ -121,17 +123,44 @@
 }
 
 AdminReply Daemon::ServeAdmin(const AdminRequest& request) {
+  constexpr int kUnauthorized = 401;
   constexpr int kNotFound = 404;
+  if (!IsAllowed(request, options_.admin_token_)) {
+    return {kUnauthorized, "application/json",
+            R"({"error": "changes need the admin token"})"};
+  }
   if (request.path_ == "/metrics") {
     return {200, "text/plain; version=0.0.4",
             metrics_.registry_.PrometheusText()};
   }
+  if (request.path_ == "/status") {
+    return ServeStatus();
+  }
   if (auto reply = ServeExplain(explain_, request, Now())) {
     return *reply;
   }
   return {kNotFound, "application/json", R"({"error": "unknown path"})"};
 }
 
+AdminReply Daemon::ServeStatus() const {
+  const auto table = dispatcher_.Table();
+  const auto upstreams = dispatcher_.Status(Now());
+  const Reason reason = NotReadyReason();
+  const std::string not_ready =
+      reason == Reason::kNone ? "" : std::string(NameOf(kReasonNames, reason));
+  AdminReply reply;
+  reply.body_ = StatusJson({options_, table.get(), upstreams, not_ready});
+  return reply;
+}
+
+Reason Daemon::NotReadyReason() const {
+  if (draining_) {
+    return Reason::kDraining;
+  }
+  return dispatcher_.Table() == nullptr ? Reason::kNoConfiguration
+                                        : Reason::kNone;
+}
+
 std::string Daemon::NextRequestId() {
   return options_.name_ + "-" + std::to_string(++last_request_);
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -45,6 +45,9 @@
                                    QueryTrace& trace);
   [[nodiscard]] std::string NextRequestId();
   [[nodiscard]] AdminReply ServeAdmin(const AdminRequest& request);
+  [[nodiscard]] AdminReply ServeStatus() const;
+  /// @brief Why the daemon is not ready; `kNone` when it is.
+  [[nodiscard]] Reason NotReadyReason() const;
   void RunControl();
   void MaintainConnections();
   void PollConfiguration();
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -55,6 +55,24 @@
   return candidate;
 }
 
+UpstreamStatus StatusOf(const UpstreamState& state, Instant now) {
+  UpstreamStatus status;
+  status.name_ = state.upstream_.name_;
+  status.service_ = state.service_;
+  status.pool_ = state.pool_name_;
+  status.open_ = state.open_;
+  status.in_use_ = static_cast<int>(state.tokens_.size());
+  status.slots_ = state.slots_;
+  status.connections_ = state.pool_.CountOpen();
+  status.latency_ = state.health_.latency_;
+  status.failures_ = state.health_.failures_;
+  status.skipped_for_ =
+      std::max(Duration(0), Duration(state.health_.skip_until_ - now));
+  status.cold_limit_ = state.cold_limit_;
+  status.offers_ = state.offers_;
+  return status;
+}
+
 const RoutingService* FindService(const RoutingPool& pool,
                                   const std::string& name) {
   const auto found = std::find_if(
@@ -291,4 +309,14 @@
   return states;
 }
 
+std::vector<UpstreamStatus> Dispatcher::Status(Instant now) const {
+  const std::lock_guard lock(mutex_);
+  std::vector<UpstreamStatus> statuses;
+  statuses.reserve(upstreams_.size());
+  for (const auto& [name, state] : upstreams_) {
+    statuses.push_back(StatusOf(*state, now));
+  }
+  return statuses;
+}
+
 }  // namespace clementinerill
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -15,6 +15,7 @@
 #include "config/route.h"
 #include "daemon/dispatch_grant.h"
 #include "daemon/mailbox.h"
+#include "daemon/upstream_status.h"
 #include "routing/routing_table.h"
 #include "sweep/query_policy.h"
 #include "sweep/reason.h"
@@ -73,6 +74,9 @@
   /// @brief All upstreams of the table.
   [[nodiscard]] std::vector<std::shared_ptr<UpstreamState>> Upstreams() const;
 
+  /// @brief What is known about each upstream, by name.
+  [[nodiscard]] std::vector<UpstreamStatus> Status(Instant now) const;
+
  private:
   void ApplyPool(const RoutingPool& pool);
   void ReleaseLocked(UpstreamState& upstream, uint64_t token);
--- a/src/routing/routing_pool.h
+++ b/src/routing/routing_pool.h
@@ -12,6 +12,7 @@
 struct RoutingPool {
   Pool pool_;
   bool holds_seat_ = false;  ///< Whether this daemon may send to the pool.
+  std::vector<int> seats_held_;
   std::vector<RoutingService> services_;
 };
 
