Close keep-alive connections while draining and stop under load

Cause: scripts/lib/test_shutdown.py stops three daemons in turn under load of 8 keep-alive callers.

From SIGTERM on each answer carries `Connection: close`, and new connections are served until the balancer delay ends. Stop then waits for accepted connections that have no thread yet, because the server would drop them, and closes connections without aborting a request that is being read.

Ruled out: closing idle connections at the start of the delay; the same request could be lost, only earlier, and callers that honour `Connection: close` would reconnect to a daemon that leaves.

--- a/src/daemon/caller_server.cc
+++ b/src/daemon/caller_server.cc
@@ -28,6 +28,9 @@
 constexpr int kIdleSeconds = 15;
 constexpr int kBacklog = 1024;
 constexpr auto kDrainPoll = std::chrono::milliseconds(5);
+// The longest wait for accepted connections to get a thread; idle connections
+// keep theirs for at most `kIdleSeconds`.
+constexpr auto kQueueWait = std::chrono::seconds(kIdleSeconds + 1);
 
 using InProgress = std::shared_ptr<std::atomic<int>>;
 
@@ -80,10 +83,12 @@
  public:
   CallerHandler(const CallerServerOptions& options,
                 const CallerHandlers& handlers,
-                InProgress in_progress)
+                InProgress in_progress,
+                const std::atomic<bool>& draining)
       : options_(options),
         handlers_(handlers),
-        in_progress_(std::move(in_progress)) {
+        in_progress_(std::move(in_progress)),
+        draining_(draining) {
     ++*in_progress_;
   }
   ~CallerHandler() override { --*in_progress_; }
@@ -91,6 +96,9 @@
   void handleRequest(HTTPServerRequest& request,
                      HTTPServerResponse& response) override {
     const std::string path = Poco::URI(request.getURI()).getPath();
+    if (draining_) {
+      response.setKeepAlive(false);
+    }
     if (path == "/healthz") {
       Send(response, Poco::Net::HTTPResponse::HTTP_OK, "text/plain", "ok\n");
     } else if (path == "/readyz") {
@@ -136,6 +144,9 @@
     input.body_ = std::move(*body);
     const QueryAnswer answer =
         handlers_.query_(input, [&request] { return HasLeft(request); });
+    if (draining_) {
+      response.setKeepAlive(false);
+    }
     SendAnswer(response, answer);
   }
 
@@ -148,27 +159,31 @@
   const CallerServerOptions& options_;
   const CallerHandlers& handlers_;
   InProgress in_progress_;
+  const std::atomic<bool>& draining_;
 };
 
 class CallerHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory {
  public:
   CallerHandlerFactory(const CallerServerOptions& options,
                        const CallerHandlers& handlers,
-                       InProgress in_progress)
+                       InProgress in_progress,
+                       const std::atomic<bool>& draining)
       : options_(options),
         handlers_(handlers),
-        in_progress_(std::move(in_progress)) {}
+        in_progress_(std::move(in_progress)),
+        draining_(draining) {}
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
       const HTTPServerRequest& request) override {
     static_cast<void>(request);
-    return new CallerHandler(options_, handlers_, in_progress_);
+    return new CallerHandler(options_, handlers_, in_progress_, draining_);
   }
 
  private:
   const CallerServerOptions& options_;
   const CallerHandlers& handlers_;
   InProgress in_progress_;
+  const std::atomic<bool>& draining_;
 };
 
 }  // namespace
@@ -196,8 +211,8 @@
     params->setKeepAliveTimeout(Poco::Timespan(kIdleSeconds, 0));
     threads_ = std::make_unique<Poco::ThreadPool>(2, options_.threads_);
     server_ = std::make_unique<Poco::Net::HTTPServer>(
-        new CallerHandlerFactory(options_, handlers_, in_progress_), *threads_,
-        socket, params);
+        new CallerHandlerFactory(options_, handlers_, in_progress_, draining_),
+        *threads_, socket, params);
     server_->start();
     return socket.address().port();
   } catch (const Poco::Exception& exception) {
@@ -211,11 +226,19 @@
   if (!server_) {
     return;
   }
+  BeginDrain();
+  // The server drops accepted connections that wait for a thread.
+  const Instant queue_end = std::chrono::steady_clock::now() + kQueueWait;
+  while (server_->queuedConnections() > 0 &&
+         std::chrono::steady_clock::now() < queue_end) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
   server_->stop();
   while (in_progress_->load() > 0) {
     std::this_thread::sleep_for(kDrainPoll);
   }
-  server_->stopAll(/*abortCurrent=*/true);
+  // Without aborting, a request that is being read is still answered.
+  server_->stopAll(/*abortCurrent=*/false);
   server_.reset();
 }
 
--- a/src/daemon/caller_server.h
+++ b/src/daemon/caller_server.h
@@ -41,6 +41,10 @@
   /// @brief Listens and serves; fails when the address is not available.
   [[nodiscard]] Result<uint16_t> Start();
 
+  /// @brief Ends each connection with its next answer (`Connection: close`);
+  /// new connections are still served.
+  void BeginDrain() noexcept { draining_ = true; }
+
   /// @brief Stops accepting and waits for the requests in progress.
   void Stop();
 
@@ -50,6 +54,7 @@
   std::unique_ptr<Poco::ThreadPool> threads_;
   std::unique_ptr<Poco::Net::HTTPServer> server_;
   std::shared_ptr<std::atomic<int>> in_progress_;
+  std::atomic<bool> draining_{false};
 };
 
 }  // namespace clementinerill
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -77,6 +77,7 @@
     return;
   }
   draining_ = true;
+  caller_server_.BeginDrain();
   std::this_thread::sleep_for(options_.balancer_delay_);
   caller_server_.Stop();
   admin_server_.Stop();
