Add the page for operators

Cause: running, observing and stopping a daemon was not described.

Ruled out: generating the list of metrics; a test compares the names that a running daemon exports with the page instead.

Before: no page.

Conclusion: the page is checked where it would drift soonest.

--- a/scripts/lib/test_operators.py
+++ b/scripts/lib/test_operators.py
@@ -2,6 +2,7 @@
 explain records."""
 
 import json
+import os
 import subprocess
 import sys
 
@@ -126,9 +127,21 @@
         assert status == expected, (token, status, text)
 
 
+def test_documented_metrics(f):
+    # Guards against a metric that docs/operators.md does not list.
+    with open(os.path.join(fleet.ROOT, "docs", "operators.md"), encoding="utf-8") as file:
+        page = file.read()
+    text = fleet.exchange(f.daemons["daemon-0"].admin_port, "GET", "/metrics")[2]
+    names = [line.split()[2] for line in text.splitlines() if line.startswith("# TYPE")]
+    assert names, text
+    for name in names:
+        assert f"`{name}`" in page, name
+
+
 def main():
     with fleet.Fleet(services=2, replicas=2, daemons=1, seats=1) as f:
         test_status(f)
+        test_documented_metrics(f)
         test_explain(f)
         test_explain_retry(f)
         test_log(f)
