--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -3,14 +3,17 @@
 import http.client
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
+import tempfile
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BUILD = os.environ.get("CLEMENTINERILL_BUILD", os.path.join(ROOT, "build"))
 START_TIMEOUT_S = 20
+ADMIN_TOKEN = "fleet-admin-token-0"
 
 
 class Process:
@@ -85,7 +88,7 @@
 
     def __init__(self, services=10, replicas=3, daemons=3, slots=3, seats=3,
                  service_ms=4, connect_ms=6, connections=30, domains=3,
-                 top=10, balancer_delay_ms=300):
+                 top=10, balancer_delay_ms=300, log_level="info"):
         self.services = services
         self.replicas = replicas
         self.slots = slots
@@ -96,7 +99,9 @@
         self.domains = domains
         self.top = top
         self.balancer_delay_ms = balancer_delay_ms
+        self.log_level = log_level
         self.daemon_names = [f"daemon-{i}" for i in range(daemons)]
+        self.folder = None
         self.peer_ports = {}
         self.platform = None
         self.upstreams = {}
@@ -116,17 +121,19 @@
             processes.append(self.platform)
         for process in processes:
             process.kill()
+        if self.folder:
+            shutil.rmtree(self.folder)
 
     def start(self):
+        self.folder = tempfile.mkdtemp(prefix="clementinerill-")
+        self.peer_ports = dict(zip(self.daemon_names,
+                                   free_ports(len(self.daemon_names))))
         self.platform = Process(
             "platform", [f"{BUILD}/fakes/fake_platform", "--port", "0"])
         for service in range(self.services):
             for replica in range(self.replicas):
                 self.start_upstream(service, replica)
         self.put_configuration(self.configuration())
-        for name, port in zip(self.daemon_names,
-                              free_ports(len(self.daemon_names))):
-            self.peer_ports[name] = port
         self.put_vms(self.daemon_names)
         for name in self.daemon_names:
             self.start_daemon(name)
@@ -146,13 +153,34 @@
         return self.upstreams[name]
 
     def start_daemon(self, name):
-        command = [f"{BUILD}/src/clementinerill", "serve", "--name", name,
-                   "--platform-port", str(self.platform.port),
-                   "--peer-port", str(self.peer_ports[name]),
-                   "--balancer-delay-ms", str(self.balancer_delay_ms)]
-        for peer, port in self.peer_ports.items():
-            command += ["--peer", f"{peer}:{port}"]
-        self.daemons[name] = Process(name, command)
+        path = os.path.join(self.folder, f"{name}.yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            # JSON is a subset of YAML.
+            json.dump(self.settings(name), file, indent=2)
+        # Appended to, so that the log of a restarted daemon is kept.
+        with open(self.log_path(name), "a", encoding="utf-8") as log:
+            self.daemons[name] = Process(name, [
+                f"{BUILD}/src/clementinerill", "serve", "--settings", path,
+                "--any-port"], log)
+
+    def log_path(self, name):
+        """The file with the log lines of one daemon, while the fleet runs."""
+        return os.path.join(self.folder, f"{name}.log")
+
+    def settings(self, name):
+        """The settings document of one daemon."""
+        peers = [{"name": peer, "address": f"127.0.0.1:{port}"}
+                 for peer, port in self.peer_ports.items() if peer != name]
+        number = self.daemon_names.index(name)
+        return {
+            "name": name, "failure_domain": f"fd-{number % self.domains}",
+            "caller_listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0",
+            "peer_listen": f"127.0.0.1:{self.peer_ports[name]}",
+            "platform": f"127.0.0.1:{self.platform.port}",
+            "admin_token": ADMIN_TOKEN, "peers": peers,
+            "balancer_delay": f"{self.balancer_delay_ms}ms",
+            "exchange_threads": 128, "caller_threads": 200,
+            "max_request_bytes": "1MiB", "log_level": self.log_level}
 
     def wait_ready(self, name):
         port = self.daemons[name].port
@@ -210,8 +238,9 @@
         exchange(self.platform.port, "PUT", "/vms", json.dumps(rows))
 
     def status(self, daemon):
+        """State of the control plane of one daemon."""
         return json.loads(exchange(self.daemons[daemon].admin_port,
-                                   "GET", "/status")[2])
+                                   "GET", "/status")[2])["control"]
 
     def ports(self):
         return [d.port for d in self.daemons.values()]
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -3,8 +3,12 @@
 #include <chrono>
 #include <utility>
 
+#include "daemon/admin_access.h"
+#include "daemon/explain_page.h"
 #include "daemon/forward_query.h"
+#include "daemon/operator_log.h"
 #include "daemon/query_answer_json.h"
+#include "daemon/status_page.h"
 
 namespace clementinerill {
 namespace {
@@ -13,6 +17,9 @@
 constexpr int kTicksPerUpdate = 5;
 constexpr int kTicksPerCancelRetry = 10;
 
+// Time with a majority after which a started daemon has received its seats.
+constexpr auto kSettleTime = std::chrono::seconds(2);
+
 Instant Now() noexcept {
   return std::chrono::steady_clock::now();
 }
@@ -28,10 +35,7 @@
       control_plane_(
           options_.cluster_,
           {[this](auto table) { ApplyTable(std::move(table)); },
-           [this](auto seats) {
-             has_majority_ = seats->has_majority_;
-             dispatcher_.SetSeats(std::move(seats));
-           },
+           [this](auto seats) { ApplySeats(std::move(seats)); },
            [this](const std::string& peer, Forward forward) {
              forward_pool_.Post([this, peer, forward = std::move(forward)] {
                ServeForward(peer, forward);
@@ -45,7 +49,7 @@
           {[this](const QueryInput& input, const std::function<bool()>& gone) {
              return Serve(input, gone);
            },
-           [this] { return IsReady(); }}),
+           [this] { return NotReadyReason() == Reason::kNone; }}),
       admin_server_(
           options_.admin_address_,
           options_.admin_port_,
@@ -76,6 +80,7 @@
   }
   draining_ = true;
   control_plane_.Leave();
+  caller_server_.BeginDrain();
   std::this_thread::sleep_for(options_.balancer_delay_);
   caller_server_.Stop();
   admin_server_.Stop();
@@ -91,19 +96,35 @@
 
 QueryAnswer Daemon::Serve(const QueryInput& input,
                           const std::function<bool()>& caller_gone) {
+  return Record(input, [this, &input, &caller_gone](QueryTrace& trace) {
+    return Answer(input, NextRequestId(), 0, caller_gone, trace);
+  });
+}
+
+QueryAnswer Daemon::Record(
+    const QueryInput& input,
+    const std::function<QueryAnswer(QueryTrace&)>& answer_query) {
   const Instant started = Now();
-  QueryAnswer answer = Answer(input, caller_gone);
+  QueryTrace trace;
+  trace.entered_ = started;
+  QueryAnswer answer = answer_query(trace);
   metrics_.outcomes_.Increment(answer.outcome_);
   if (answer.outcome_ != Outcome::kComplete) {
     metrics_.reasons_.Increment(answer.reason_);
   }
+  if (answer.outcome_ == Outcome::kRefused) {
+    LogRefusal(Now(), input.route_, answer);
+  }
   metrics_.query_latency_.Record(Now() - started);
+  explain_.Add(input.route_, answer, std::move(trace), Now());
   return answer;
 }
 
 QueryAnswer Daemon::Answer(const QueryInput& input,
-                           const std::function<bool()>& caller_gone) {
-  const std::string generated_id = NextRequestId();
+                           const std::string& generated_id,
+                           int hops,
+                           const std::function<bool()>& caller_gone,
+                           QueryTrace& trace) {
   const auto table = dispatcher_.Table();
   if (!table) {
     return RefusedAnswer(generated_id, Reason::kNoConfiguration);
@@ -112,19 +133,20 @@
   if (!request) {
     return request.error();
   }
-  return Route(*request, input.body_, 0, caller_gone);
+  return Route(*request, input.body_, hops, caller_gone, trace);
 }
 
 QueryAnswer Daemon::Route(const QueryRequest& request,
                           const std::string& body,
                           int hops,
-                          const std::function<bool()>& caller_gone) {
+                          const std::function<bool()>& caller_gone,
+                          QueryTrace& trace) {
   const PoolSeats seats = dispatcher_.SeatsOf(request.route_.pool_);
   const bool has_key = !request.idempotency_key_.empty();
   const bool key_is_here =
       !has_key || KeyHolder(request, seats) == options_.name_;
   if (AcceptsNewQueries(seats, Now()) && key_is_here) {
-    return RunHere(request, caller_gone);
+    return RunHere(request, caller_gone, trace);
   }
   if (hops > 0) {
     return RefusedAnswer(request.request_id_, Reason::kNoSeat);
@@ -135,9 +157,12 @@
 }
 
 QueryAnswer Daemon::RunHere(const QueryRequest& request,
-                            const std::function<bool()>& caller_gone) {
+                            const std::function<bool()>& caller_gone,
+                            QueryTrace& trace) {
   const QueryContext context{dispatcher_, runner_, admission_, metrics_};
-  const auto run = [&] { return RunQuery(context, request, caller_gone); };
+  const auto run = [&] {
+    return RunQuery(context, request, caller_gone, trace);
+  };
   return request.idempotency_key_.empty() ? run()
                                           : idempotency_.RunOnce(request, run);
 }
@@ -151,16 +176,12 @@
   input.deadline_ms_ = std::to_string(forward.deadline_ms_);
   input.idempotency_key_ = forward.idempotency_key_;
   input.body_ = forward.body_;
-  const auto table = dispatcher_.Table();
-  QueryAnswer answer =
-      RefusedAnswer(forward.request_id_, Reason::kNoConfiguration);
-  if (table) {
-    const auto request = ParseQuery(input, *table, forward.request_id_, Now());
-    answer = request
-                 ? Route(*request, input.body_, static_cast<int>(forward.hops_),
-                         [&cancelled] { return cancelled->load(); })
-                 : request.error();
-  }
+  const QueryAnswer answer =
+      Record(input, [this, &input, &forward, &cancelled](QueryTrace& trace) {
+        return Answer(
+            input, forward.request_id_, static_cast<int>(forward.hops_),
+            [&cancelled] { return cancelled->load(); }, trace);
+      });
   active_forwards_.Remove(peer, forward.id_);
   ForwardAnswer reply;
   reply.id_ = forward.id_;
@@ -170,22 +191,54 @@
   control_plane_.Send(peer, reply);
 }
 
-bool Daemon::IsReady() const {
-  return dispatcher_.Table() != nullptr && has_majority_ && !draining_;
-}
-
 AdminReply Daemon::ServeAdmin(const AdminRequest& request) {
+  constexpr int kUnauthorized = 401;
   constexpr int kNotFound = 404;
-  if (request.path_ == "/status") {
-    return {200, "application/json", control_plane_.StatusText()};
+  if (!IsAllowed(request, options_.admin_token_)) {
+    return {kUnauthorized, "application/json",
+            R"({"error": "changes need the admin token"})"};
   }
   if (request.path_ == "/metrics") {
     return {200, "text/plain; version=0.0.4",
             metrics_.registry_.PrometheusText()};
   }
+  if (request.path_ == "/status") {
+    return ServeStatus();
+  }
+  if (auto reply = ServeExplain(explain_, request, Now())) {
+    return *reply;
+  }
   return {kNotFound, "application/json", R"({"error": "unknown path"})"};
 }
 
+AdminReply Daemon::ServeStatus() const {
+  const auto table = dispatcher_.Table();
+  const auto upstreams = dispatcher_.Status(Now());
+  const Reason reason = NotReadyReason();
+  const std::string not_ready =
+      reason == Reason::kNone ? "" : std::string(NameOf(kReasonNames, reason));
+  AdminReply reply;
+  std::map<std::string, PoolSeats> seats;
+  if (table) {
+    for (const auto& [name, pool] : table->pools_) {
+      seats[name] = dispatcher_.SeatsOf(name);
+    }
+  }
+  reply.body_ = StatusJson({options_, table.get(), upstreams, not_ready, seats,
+                            control_plane_.StatusText()});
+  return reply;
+}
+
+Reason Daemon::NotReadyReason() const {
+  if (draining_) {
+    return Reason::kDraining;
+  }
+  if (dispatcher_.Table() == nullptr) {
+    return Reason::kNoConfiguration;
+  }
+  return has_majority_ && seats_settled_ ? Reason::kNone : Reason::kNoSeat;
+}
+
 std::string Daemon::NextRequestId() {
   return options_.name_ + "-" + std::to_string(++last_request_);
 }
@@ -210,6 +263,9 @@
   for (const auto& state : dispatcher_.Upstreams()) {
     const int silent = state->pool_.CondemnSilent(Now());
     metrics_.silent_connections_.Increment(static_cast<uint64_t>(silent));
+    if (silent > 0) {
+      LogConnectionsCondemned(Now(), state->upstream_.name_, silent);
+    }
     const int missing = state->pool_.CountToOpen();
     for (int i = 0; i < missing; ++i) {
       control_pool_.Post([this, state] {
@@ -222,6 +278,17 @@
   }
 }
 
+void Daemon::ApplySeats(std::shared_ptr<const PublishedSeats> seats) {
+  const Instant now = Now();
+  has_majority_ = seats->has_majority_;
+  if (!seats->has_majority_) {
+    settle_at_ = now + kSettleTime;
+  }
+  const bool settled = now >= settle_at_ && !HasWaitingSeat(*seats, now);
+  seats_settled_ = seats_settled_ || settled;
+  dispatcher_.SetSeats(std::move(seats));
+}
+
 void Daemon::ApplyTable(std::shared_ptr<const RoutingTable> table) {
   dispatcher_.Apply(std::move(table));
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -16,6 +16,7 @@
 #include "daemon/caller_server.h"
 #include "daemon/daemon_options.h"
 #include "daemon/dispatcher.h"
+#include "daemon/explain_recorder.h"
 #include "daemon/idempotency_table.h"
 #include "daemon/query_engine.h"
 #include "upstream/task_pool.h"
@@ -43,22 +44,34 @@
  private:
   [[nodiscard]] QueryAnswer Serve(const QueryInput& input,
                                   const std::function<bool()>& caller_gone);
+  /// Counts, logs and records the query that `answer_query` answers.
+  [[nodiscard]] QueryAnswer Record(
+      const QueryInput& input,
+      const std::function<QueryAnswer(QueryTrace&)>& answer_query);
   [[nodiscard]] QueryAnswer Answer(const QueryInput& input,
-                                   const std::function<bool()>& caller_gone);
+                                   const std::string& generated_id,
+                                   int hops,
+                                   const std::function<bool()>& caller_gone,
+                                   QueryTrace& trace);
   [[nodiscard]] std::string NextRequestId();
   [[nodiscard]] AdminReply ServeAdmin(const AdminRequest& request);
+  [[nodiscard]] AdminReply ServeStatus() const;
+  /// @brief Why the daemon is not ready; `kNone` when it is.
+  [[nodiscard]] Reason NotReadyReason() const;
   void RunControl();
   void MaintainConnections();
+  void ApplySeats(std::shared_ptr<const PublishedSeats> seats);
   void ApplyTable(std::shared_ptr<const RoutingTable> table);
   void UpdateCapacities(Instant now);
   void ServeForward(const std::string& peer, const Forward& forward);
   [[nodiscard]] QueryAnswer RunHere(const QueryRequest& request,
-                                    const std::function<bool()>& caller_gone);
+                                    const std::function<bool()>& caller_gone,
+                                    QueryTrace& trace);
   [[nodiscard]] QueryAnswer Route(const QueryRequest& request,
                                   const std::string& body,
                                   int hops,
-                                  const std::function<bool()>& caller_gone);
-  [[nodiscard]] bool IsReady() const;
+                                  const std::function<bool()>& caller_gone,
+                                  QueryTrace& trace);
 
   const DaemonOptions options_;
   Dispatcher dispatcher_;
@@ -71,6 +84,7 @@
   IdempotencyTable idempotency_;
   ActiveForwards active_forwards_;
   ControlPlane control_plane_;
+  ExplainRecorder explain_;
   CallerServer caller_server_;
   AdminServer admin_server_;
   uint16_t admin_port_ = 0;
@@ -79,6 +93,10 @@
   std::atomic<bool> draining_{false};
   std::atomic<uint64_t> last_request_{0};
   std::atomic<bool> has_majority_{false};
+  /// True once the seats gained at the start are in use: a rolling restart
+  /// that waits for readiness then never leaves a pool without a usable seat.
+  std::atomic<bool> seats_settled_{false};
+  Instant settle_at_;  ///< Owned by the control thread.
 };
 
 }  // namespace clementinerill
--- a/src/daemon/daemon_options.h
+++ b/src/daemon/daemon_options.h
@@ -6,16 +6,21 @@
 
 #include "cluster/cluster_options.h"
 #include "daemon/caller_server.h"
+#include "settings/endpoint.h"
+#include "settings/secret.h"
+#include "settings/static_peer.h"
 
 namespace clementinerill {
 
 /// @brief What one daemon is started with.
 struct DaemonOptions {
   std::string name_;
+  std::string failure_domain_;
   CallerServerOptions caller_;
   std::string admin_address_ = "127.0.0.1";
   uint16_t admin_port_ = 0;  ///< Zero lets the system choose.
   ClusterOptions cluster_;
+  Secret admin_token_;  ///< Required by changes on the admin address.
   int exchange_threads_ = 128;
   int control_threads_ = 16;
   int forward_threads_ = 64;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/invariant.h"
+#include "daemon/operator_log.h"
 #include "routing/choose_candidate.h"
 
 namespace clementinerill {
@@ -53,6 +54,24 @@
   return candidate;
 }
 
+UpstreamStatus StatusOf(const UpstreamState& state, int slots, Instant now) {
+  UpstreamStatus status;
+  status.name_ = state.upstream_.name_;
+  status.service_ = state.service_;
+  status.pool_ = state.pool_name_;
+  status.open_ = state.open_;
+  status.in_use_ = static_cast<int>(state.tokens_.size());
+  status.slots_ = slots;
+  status.connections_ = state.pool_.CountOpen();
+  status.latency_ = state.health_.latency_;
+  status.failures_ = state.health_.failures_;
+  status.skipped_for_ =
+      std::max(Duration(0), Duration(state.health_.skip_until_ - now));
+  status.cold_limit_ = state.cold_limit_;
+  status.offers_ = state.offers_;
+  return status;
+}
+
 const RoutingService* FindService(const RoutingPool& pool,
                                   const std::string& name) {
   const auto found = std::find_if(
@@ -64,6 +83,12 @@
 }  // namespace
 
 void Dispatcher::Apply(std::shared_ptr<const RoutingTable> table) {
+  const std::shared_ptr<const RoutingTable> previous = Table();
+  // A change of seats gives a new table with the same configuration.
+  if (!previous ||
+      previous->configuration_version_ != table->configuration_version_) {
+    LogConfigurationInForce(*table);
+  }
   const std::lock_guard lock(mutex_);
   std::set<std::string> kept;
   for (const auto& [name, pool] : table->pools_) {
@@ -263,12 +288,18 @@
 
 void Dispatcher::ObserveSignals(UpstreamState& upstream,
                                 const UpstreamSignals& signals) {
-  const std::lock_guard lock(mutex_);
+  std::unique_lock lock(mutex_);
   if (signals.offers_) {
     upstream.offers_ = signals.offers_;
   }
+  const bool process_changed = !upstream.process_id_.empty() &&
+                               upstream.process_id_ != signals.process_id_;
   upstream.process_id_ = signals.process_id_;
   upstream.cold_limit_ = signals.cold_limit_;
+  lock.unlock();
+  if (process_changed) {
+    LogProcessChanged(upstream.upstream_.name_, signals.process_id_);
+  }
 }
 
 std::optional<Snapshot> Dispatcher::NewestSnapshot(const Route& route) {
@@ -337,4 +368,19 @@
   return states;
 }
 
+std::vector<UpstreamStatus> Dispatcher::Status(Instant now) const {
+  const std::lock_guard lock(mutex_);
+  std::vector<UpstreamStatus> statuses;
+  statuses.reserve(upstreams_.size());
+  for (const auto& [name, state] : upstreams_) {
+    const RoutingPool* pool = FindRoutingPool(*table_, state->pool_name_);
+    const int slots = pool == nullptr
+                          ? 0
+                          : UsableSlots(SeatsOfLocked(state->pool_name_),
+                                        pool->pool_, name, now);
+    statuses.push_back(StatusOf(*state, slots, now));
+  }
+  return statuses;
+}
+
 }  // namespace clementinerill
--- a/src/logging/start_logging.cc
+++ b/src/logging/start_logging.cc
@@ -28,8 +28,9 @@
                   log::formatting_ostream& line) {
   const auto time = log::extract<boost::posix_time::ptime>("TimeStamp", record);
   const auto level = log::extract<LogLevel>("Severity", record);
-  line << TimestampText(*time) << ' ';
-  line << NameOf(kLogLevelNames, *level) << ' ';
+  // A library that logs by itself may set no severity or one of its own.
+  line << (time ? TimestampText(*time) : std::string("-")) << ' ';
+  line << (level ? NameOf(kLogLevelNames, *level) : "-") << ' ';
   line << record[log::expressions::smessage];
 }
 
--- a/src/peer/mesh_core.cc
+++ b/src/peer/mesh_core.cc
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/log/trivial.hpp>
 
+#include "logging/log.h"
 #include "peer/backoff.h"
 #include "peer/codec.h"
 
@@ -204,8 +204,8 @@
 // sends malformed messages is closed without one.
 void MeshCore::Terminate(PeerLink& link, const std::string& reason) {
   const std::string name = link.ready_ ? link.hello_.name_ : link.dialed_;
-  BOOST_LOG_TRIVIAL(info) << "peer: closing link to '" << name
-                          << "': " << reason;
+  Log(LogLevel::kInfo, "peer", "closing link",
+      {{"peer", name}, {"reason", reason}});
   link.connection_->terminate(websocketpp::error::make_error_code(
       websocketpp::error::operation_canceled));
 }
@@ -269,7 +269,7 @@
   }
   const std::string& name = link->hello_.name_;
   if (table_.Remove(name, link.get()) && callbacks_.on_peer_down_) {
-    BOOST_LOG_TRIVIAL(info) << "peer: link to '" << name << "' is down";
+    Log(LogLevel::kInfo, "peer", "link down", {{"peer", name}});
     callbacks_.on_peer_down_(name);
   }
 }
@@ -332,7 +332,7 @@
     CloseEarlierProcess(hello);
   }
   if ((first || restarted) && callbacks_.on_peer_up_) {
-    BOOST_LOG_TRIVIAL(info) << "peer: link to '" << hello.name_ << "' is up";
+    Log(LogLevel::kInfo, "peer", "link up", {{"peer", hello.name_}});
     callbacks_.on_peer_up_(hello);
   }
 }
--- a/src/peer/peer_mesh.cc
+++ b/src/peer/peer_mesh.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/log/trivial.hpp>
 
 #include "peer/codec.h"
 #include "peer/mesh_core.h"
@@ -12,13 +11,11 @@
 namespace clementinerill {
 namespace {
 
-// Creates state that the libraries otherwise create at first use: websocketpp
-// keeps the byte order in an unguarded static, which two meshes of one process
-// would race on, and the thread sanitizer does not see Boost.Log's guard.
+// websocketpp keeps the byte order in an unguarded static that it sets at first
+// use; two meshes of one process would race on it.
 void InitializeLibraries() {
   [[maybe_unused]] static const uint64_t converted =
       websocketpp::lib::net::_htonll(1);
-  (void)boost::log::trivial::logger::get();
 }
 
 }  // namespace
--- a/src/routing/pool_seats.cc
+++ b/src/routing/pool_seats.cc
@@ -13,6 +13,17 @@
       });
 }
 
+bool HasWaitingSeat(const PublishedSeats& seats, Instant now) noexcept {
+  for (const auto& [pool, pool_seats] : seats.pools_) {
+    for (const UsableSeat& seat : pool_seats.own_) {
+      if (seat.accepts_new_ && !MayUseSeat(seat.permit_, now)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 int UsableSlots(const PoolSeats& seats,
                 const Pool& pool,
                 const std::string& replica,
--- a/src/routing/pool_seats.h
+++ b/src/routing/pool_seats.h
@@ -30,6 +30,10 @@
 [[nodiscard]] bool AcceptsNewQueries(const PoolSeats& seats,
                                      Instant now) noexcept;
 
+/// @brief Whether a seat of this daemon still waits for its handover.
+[[nodiscard]] bool HasWaitingSeat(const PublishedSeats& seats,
+                                  Instant now) noexcept;
+
 /// @brief Slots of `replica` that this daemon may use at `now`.
 [[nodiscard]] int UsableSlots(const PoolSeats& seats,
                               const Pool& pool,
