Limit cold replicas in the dispatcher

Cause: the dispatcher only capped its slots by the last X-Cold header. A changed process, sheds and latency steps were not seen, every seat sent to a cold replica, and other daemons learnt nothing of it.

The dispatcher now feeds answers, sheds, latencies and probes into the warm-up state of each replica and takes its limit from there. Only the holder of the warm-up seat sends to a cold replica. TakeColdMarks and ApplyColdMark exchange marks with other daemons. A slot is freed with the signals of its answer, or without signals once the request is known to have stopped.

One in ten first attempts prefers it now.

A change of labels no longer replaces the state of an upstream, which forgot the slots in use.

Conclusion: a daemon keeps to the limit by itself. Until marks are carried by the peer links, a daemon without the warm-up seat does not learn that a replica is warm again.

--- a/src/daemon/attempt_runner.cc
+++ b/src/daemon/attempt_runner.cc
@@ -36,14 +36,11 @@
   ExchangeResult result = Exchange(*attempt);
   const Instant ended = Now();
   const DispatchGrant& grant = attempt->grant_;
-  if (result.signals_) {
-    dispatcher_.ObserveSignals(*grant.upstream_, *result.signals_);
-  }
   dispatcher_.Observe(grant, result, ended - started, ended);
   if (MayStillRun(result)) {
     EndUnanswered(attempt);
   } else {
-    dispatcher_.Release(grant);
+    dispatcher_.Release(grant, ended);
   }
   attempt->mailbox_->Post(AttemptEvent{attempt->generation_, attempt->part_,
                                        attempt->attempt_, std::move(result)});
@@ -86,7 +83,7 @@
     const std::lock_guard lock(attempt->mutex_);
     attempt->ended_ = true;
     if (attempt->cancel_confirmed_) {
-      dispatcher_.Release(attempt->grant_);
+      dispatcher_.Release(attempt->grant_, Now());
       return;
     }
   }
@@ -160,7 +157,7 @@
   const std::lock_guard lock(attempt.mutex_);
   attempt.cancel_confirmed_ = true;
   if (attempt.ended_) {
-    dispatcher_.Release(attempt.grant_);
+    dispatcher_.Release(attempt.grant_, Now());
   } else {
     attempt.grant_.upstream_->pool_.NoteCancelConfirmed(attempt.connection_id_);
   }
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -147,7 +147,7 @@
       control_pool_.Post([this, state] {
         const auto signals = state->pool_.OpenAhead();
         if (signals) {
-          dispatcher_.ObserveSignals(*state, *signals);
+          dispatcher_.ObserveSignals(*state, *signals, Now());
         }
       });
     }
@@ -170,7 +170,7 @@
       StaticSeats(*configuration, options_.members_, options_.name_);
   const auto table = std::make_shared<const RoutingTable>(
       BuildRoutingTable(*configuration, restrictions));
-  dispatcher_.Apply(table);
+  dispatcher_.Apply(table, Now());
   for (const auto& [name, pool] : table->pools_) {
     admission_.Of(name)->SetCapacity(FewestSlots(pool));
   }
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "base/invariant.h"
+#include "daemon/upstream_slots.h"
+#include "daemon/warmup_role.h"
 #include "routing/choose_candidate.h"
 
 namespace clementinerill {
@@ -19,6 +21,13 @@
 constexpr auto kShortestHedgeDelay = std::chrono::milliseconds(2);
 // Connections beyond the slots, for cancellations.
 constexpr int kSpareConnections = 1;
+// One in this many first attempts of a service prefers a cold replica. Without
+// it, a slow replica with a low limit is only used when its siblings are full,
+// and never does the work that ends its ramp.
+constexpr uint64_t kWarmupTurn = 10;
+// Marks of upstreams that no table has declared; above the planned 5,900
+// replicas.
+constexpr size_t kMostPendingMarks = 10'000;
 
 const RoutingPool* FindRoutingPool(const RoutingTable& table,
                                    const std::string& name) {
@@ -26,11 +35,19 @@
   return found == table.pools_.end() ? nullptr : &found->second;
 }
 
-int LimitOf(const UpstreamState& state) noexcept {
-  if (!state.cold_limit_) {
-    return state.slots_;
+// Keeps the stronger mark, as advisories are merged.
+void KeepPending(std::map<std::string, ColdMark>& pending,
+                 const ColdMark& mark) {
+  const auto [found, added] = pending.emplace(mark.upstream_, mark);
+  ColdMark& kept = found->second;
+  const bool wins = mark.generation_ > kept.generation_ ||
+                    (mark.generation_ == kept.generation_ && mark.active_);
+  if (wins) {
+    kept = mark;
+  }
+  if (pending.size() > kMostPendingMarks) {
+    pending.erase(pending.begin());
   }
-  return std::min(state.slots_, *state.cold_limit_);
 }
 
 bool WasTried(const DispatchRequest& request, const std::string& upstream) {
@@ -44,9 +61,9 @@
                         Instant now) {
   Candidate candidate;
   candidate.open_ =
-      state.open_ && Matches(request.route_.selector_, state.upstream_.labels_);
+      state.open_ && Matches(request.route_.selector_, state.labels_);
   candidate.tried_ = WasTried(request, state.upstream_.name_);
-  candidate.limit_ = LimitOf(state);
+  candidate.limit_ = SlotLimitOf(state, now);
   candidate.in_use_ = static_cast<int>(state.tokens_.size());
   candidate.skip_until_ = state.health_.skip_until_;
   candidate.expected_latency_ = ExpectedLatency(state.health_, typical, now);
@@ -64,11 +81,11 @@
 
 }  // namespace
 
-void Dispatcher::Apply(std::shared_ptr<const RoutingTable> table) {
+void Dispatcher::Apply(std::shared_ptr<const RoutingTable> table, Instant now) {
   const std::lock_guard lock(mutex_);
   std::set<std::string> kept;
   for (const auto& [name, pool] : table->pools_) {
-    ApplyPool(pool);
+    ApplyPool(*table, pool, now);
     for (const RoutingService& service : pool.services_) {
       for (const RoutingTarget& target : service.targets_) {
         kept.insert(target.upstream_.name_);
@@ -81,31 +98,205 @@
   table_ = std::move(table);
 }
 
-void Dispatcher::ApplyPool(const RoutingPool& pool) {
+std::shared_ptr<UpstreamState> Dispatcher::StateFor(const RoutingTarget& target,
+                                                    bool is_new_pool,
+                                                    Instant now) {
+  auto& state = upstreams_[target.upstream_.name_];
+  const bool moved =
+      state && (state->upstream_.address_ != target.upstream_.address_ ||
+                state->upstream_.port_ != target.upstream_.port_);
+  if (state && !moved) {
+    return state;
+  }
+  const uint64_t generation = state ? state->warmup_.generation_ : 0;
+  state = std::make_shared<UpstreamState>(target.upstream_);
+  // In a pool that is new to this daemon, other daemons may have warmed the
+  // replica up already; an answer or an advisory tells when they have not.
+  if (!is_new_pool) {
+    state->warmup_ = MakeColdReplica(ColdReason::kNew, now);
+  }
+  state->warmup_.generation_ = generation;
+  return state;
+}
+
+void Dispatcher::ApplyPool(const RoutingTable& table,
+                           const RoutingPool& pool,
+                           Instant now) {
+  const bool is_new_pool =
+      !table_ || FindRoutingPool(*table_, pool.pool_.name_) == nullptr;
+  std::set<std::string> reopened;
   for (const RoutingService& service : pool.services_) {
     for (const RoutingTarget& target : service.targets_) {
-      auto& state = upstreams_[target.upstream_.name_];
-      const bool moved =
-          state && (state->upstream_.address_ != target.upstream_.address_ ||
-                    state->upstream_.port_ != target.upstream_.port_);
-      if (!state || moved ||
-          state->upstream_.labels_ != target.upstream_.labels_) {
-        auto fresh = std::make_shared<UpstreamState>(target.upstream_);
-        state = std::move(fresh);
+      const bool is_known = upstreams_.count(target.upstream_.name_) > 0;
+      const auto state = StateFor(target, is_new_pool, now);
+      if (is_known && target.open_ && !state->open_) {
+        reopened.insert(target.upstream_.name_);
       }
-      state->open_ = target.open_;
-      state->slots_ = target.slots_;
       state->service_ = service.name_;
-      state->pool_name_ = pool.pool_.name_;
-      ConnectionPolicy policy;
-      policy.share_ = target.connections_;
-      policy.ready_ =
-          target.slots_ > 0 && target.open_
-              ? std::min(target.connections_, target.slots_ + kSpareConnections)
-              : 0;
-      state->pool_.SetPolicy(policy);
+      ApplyTarget(WarmupLimitsOf(table, pool, target), pool, target, *state,
+                  now);
+    }
+  }
+  ReturnDomains(pool, reopened, now);
+  for (const RoutingService& service : pool.services_) {
+    AdmitCold(service);
+  }
+}
+
+void Dispatcher::ApplyTarget(const WarmupLimits& limits,
+                             const RoutingPool& pool,
+                             const RoutingTarget& target,
+                             UpstreamState& state,
+                             Instant now) {
+  const bool is_first = state.pool_name_.empty();
+  state.open_ = target.open_;
+  state.labels_ = target.upstream_.labels_;
+  state.pool_name_ = pool.pool_.name_;
+  state.warmup_limits_ = limits;
+  const SeatRole role = SeatRoleAt(pool, target.upstream_.name_);
+  // At first sight, the wait of the seat itself covers the previous holder.
+  if (!is_first && role != state.seat_role_ && role == SeatRole::kWarmup) {
+    TakeOverWarmupSeat(state.warmup_, limits, now);
+  }
+  state.seat_role_ = role;
+  auto& domain =
+      domains_[pool.pool_.name_ + "/" + target.upstream_.failure_domain_];
+  if (!domain) {
+    domain = std::make_shared<DomainRamp>();
+  }
+  state.domain_ = domain;
+  const auto pending = pending_marks_.find(target.upstream_.name_);
+  if (pending != pending_marks_.end()) {
+    ApplyColdAdvisory(state.warmup_, limits, pending->second.generation_,
+                      pending->second.active_, now);
+    pending_marks_.erase(pending);
+  }
+  ConnectionPolicy policy;
+  policy.share_ = target.connections_;
+  policy.ready_ =
+      target.slots_ > 0 && target.open_
+          ? std::min(target.connections_, target.slots_ + kSpareConnections)
+          : 0;
+  state.pool_.SetPolicy(policy);
+}
+
+void Dispatcher::ReturnDomains(const RoutingPool& pool,
+                               const std::set<std::string>& reopened,
+                               Instant now) {
+  std::map<std::shared_ptr<DomainRamp>, int> returned_slots;
+  std::set<std::shared_ptr<DomainRamp>> in_use;
+  for (const RoutingService& service : pool.services_) {
+    for (const RoutingTarget& target : service.targets_) {
+      UpstreamState& state = *upstreams_.at(target.upstream_.name_);
+      if (reopened.count(target.upstream_.name_) > 0) {
+        const uint64_t before = state.warmup_.generation_;
+        state.admitted_ = false;
+        MarkCold(state.warmup_, state.warmup_limits_,
+                 ColdReason::kDomainReturned, now);
+        NoteWarmup(state, before);
+        returned_slots[state.domain_] += target.slots_;
+      } else if (target.open_) {
+        in_use.insert(state.domain_);
+      }
+    }
+  }
+  // A single upstream that returns to a domain in service must not limit the
+  // others.
+  for (const auto& [domain, slots] : returned_slots) {
+    if (in_use.count(domain) == 0) {
+      ReturnDomain(*domain, slots);
+    }
+  }
+}
+
+void Dispatcher::AdmitCold(const RoutingService& service) {
+  std::vector<WarmupCandidate> candidates;
+  for (const RoutingTarget& target : service.targets_) {
+    const UpstreamState& state = *upstreams_.at(target.upstream_.name_);
+    WarmupCandidate candidate;
+    candidate.replica_ = target.upstream_.name_;
+    candidate.in_service_ = state.open_;
+    candidate.cold_ = state.warmup_.phase_ != WarmupPhase::kWarm;
+    candidate.admitted_ = state.admitted_;
+    candidate.by_choice_ = state.warmup_.reason_ == ColdReason::kDomainReturned;
+    candidates.push_back(std::move(candidate));
+  }
+  const auto admitted = AdmitWarming(candidates);
+  for (const RoutingTarget& target : service.targets_) {
+    const std::string& name = target.upstream_.name_;
+    upstreams_.at(name)->admitted_ =
+        std::find(admitted.begin(), admitted.end(), name) != admitted.end();
+  }
+}
+
+const RoutingService* Dispatcher::ServiceOf(const UpstreamState& state) const {
+  const auto found = upstreams_.find(state.upstream_.name_);
+  if (!table_ || found == upstreams_.end() || found->second.get() != &state) {
+    return nullptr;
+  }
+  const RoutingPool* pool = FindRoutingPool(*table_, state.pool_name_);
+  return pool == nullptr ? nullptr : FindService(*pool, state.service_);
+}
+
+std::vector<const LatencyTrack*> Dispatcher::SiblingsOf(
+    const UpstreamState& state) const {
+  std::vector<const LatencyTrack*> siblings;
+  const RoutingService* service = ServiceOf(state);
+  if (service == nullptr) {
+    return siblings;
+  }
+  for (const RoutingTarget& target : service->targets_) {
+    const UpstreamState& sibling = *upstreams_.at(target.upstream_.name_);
+    if (&sibling != &state && sibling.open_ &&
+        sibling.warmup_.phase_ == WarmupPhase::kWarm) {
+      siblings.push_back(&sibling.warmup_.latency_);
+    }
+  }
+  return siblings;
+}
+
+void Dispatcher::NoteWarmup(UpstreamState& state, uint64_t generation_before) {
+  if (state.warmup_.generation_ == generation_before) {
+    return;
+  }
+  changed_marks_.insert(state.upstream_.name_);
+  if (const RoutingService* service = ServiceOf(state)) {
+    AdmitCold(*service);
+  }
+}
+
+std::vector<ColdMark> Dispatcher::TakeColdMarks() {
+  const std::lock_guard lock(mutex_);
+  std::vector<ColdMark> marks;
+  for (const std::string& name : changed_marks_) {
+    const auto found = upstreams_.find(name);
+    if (found != upstreams_.end()) {
+      const ReplicaWarmup& warmup = found->second->warmup_;
+      marks.push_back(
+          {name, warmup.generation_, warmup.phase_ != WarmupPhase::kWarm});
     }
   }
+  changed_marks_.clear();
+  return marks;
+}
+
+void Dispatcher::ApplyColdMark(const ColdMark& mark, Instant now) {
+  const std::lock_guard lock(mutex_);
+  const auto found = upstreams_.find(mark.upstream_);
+  if (found == upstreams_.end()) {
+    KeepPending(pending_marks_, mark);
+    return;
+  }
+  UpstreamState& state = *found->second;
+  const bool changed = ApplyColdAdvisory(state.warmup_, state.warmup_limits_,
+                                         mark.generation_, mark.active_, now);
+  if (!changed) {
+    return;
+  }
+  changed_marks_.erase(mark.upstream_);
+  if (const RoutingService* service = ServiceOf(state)) {
+    AdmitCold(*service);
+  }
 }
 
 std::shared_ptr<const RoutingTable> Dispatcher::Table() const {
@@ -127,11 +318,15 @@
     return tl::make_unexpected(Reason::kNoSeat);
   }
   const Duration typical = policies_[request.route_.pool_].expected_answer_;
+  const bool prefers_cold = IsWarmupTurn(request);
   std::vector<Candidate> candidates;
   std::vector<std::shared_ptr<UpstreamState>> states;
   for (const RoutingTarget& target : service->targets_) {
     const auto& state = upstreams_.at(target.upstream_.name_);
     candidates.push_back(MakeCandidate(request, *state, typical, now));
+    if (prefers_cold && state->warmup_.phase_ != WarmupPhase::kWarm) {
+      candidates.back().expected_latency_ = Duration(0);
+    }
     states.push_back(state);
   }
   const auto chosen = ChooseCandidate(candidates, request.snapshot_, now);
@@ -140,26 +335,39 @@
   }
   UpstreamState& state = *states[*chosen];
   const uint64_t token = ++last_token_;
-  state.tokens_.insert(token);
-  CR_INVARIANT(static_cast<int>(state.tokens_.size()) <= state.slots_);
+  TakeSlot(state, token, now);
+  CR_INVARIANT(static_cast<int>(state.tokens_.size()) <=
+               state.warmup_limits_.slots_);
   return DispatchGrant{states[*chosen], token};
 }
 
+bool Dispatcher::IsWarmupTurn(const DispatchRequest& request) {
+  return request.tried_.empty() &&
+         ++first_attempts_[request.service_] % kWarmupTurn == 0;
+}
+
 void Dispatcher::AddWaiter(const std::string& service,
                            const std::shared_ptr<Mailbox>& waiter) {
   const std::lock_guard lock(mutex_);
   waiters_[service].push_back(waiter);
 }
 
-void Dispatcher::Release(const DispatchGrant& grant) {
+void Dispatcher::Release(const DispatchGrant& grant, Instant now) {
   const std::lock_guard lock(mutex_);
-  ReleaseLocked(*grant.upstream_, grant.token_);
+  FreeSlotLocked(grant, AnswerSignals{}, now);
 }
 
-void Dispatcher::ReleaseLocked(UpstreamState& upstream, uint64_t token) {
-  if (upstream.tokens_.erase(token) > 0) {
-    WakeWaiter(upstream.service_);
+void Dispatcher::FreeSlotLocked(const DispatchGrant& grant,
+                                const AnswerSignals& signals,
+                                Instant now) {
+  UpstreamState& state = *grant.upstream_;
+  const uint64_t before = state.warmup_.generation_;
+  const auto siblings = SiblingsOf(state);
+  if (!FreeSlot(state, grant.token_, signals, siblings, now)) {
+    return;
   }
+  NoteWarmup(state, before);
+  WakeWaiter(state.service_);
 }
 
 void Dispatcher::WakeWaiter(const std::string& service) {
@@ -180,6 +388,12 @@
                          Instant now) {
   const std::lock_guard lock(mutex_);
   UpstreamState& state = *grant.upstream_;
+  if (result.signals_) {
+    if (result.signals_->offers_) {
+      state.offers_ = result.signals_->offers_;
+    }
+    FreeSlotLocked(grant, WarmupSignalsOf(result, elapsed), now);
+  }
   switch (result.result_) {
     case AttemptResult::kAnswered:
       AddSample(state.latencies_, elapsed);
@@ -204,13 +418,16 @@
 }
 
 void Dispatcher::ObserveSignals(UpstreamState& upstream,
-                                const UpstreamSignals& signals) {
+                                const UpstreamSignals& signals,
+                                Instant now) {
   const std::lock_guard lock(mutex_);
   if (signals.offers_) {
     upstream.offers_ = signals.offers_;
   }
-  upstream.process_id_ = signals.process_id_;
-  upstream.cold_limit_ = signals.cold_limit_;
+  const uint64_t before = upstream.warmup_.generation_;
+  ObserveProbe(upstream.warmup_, upstream.warmup_limits_, signals.process_id_,
+               signals.cold_limit_, now);
+  NoteWarmup(upstream, before);
 }
 
 std::optional<Snapshot> Dispatcher::NewestSnapshot(const Route& route) {
@@ -225,7 +442,7 @@
     for (const RoutingTarget& target : service.targets_) {
       const UpstreamState& state = *upstreams_.at(target.upstream_.name_);
       const bool usable = state.open_ && state.offers_ &&
-                          Matches(route.selector_, state.upstream_.labels_);
+                          Matches(route.selector_, state.labels_);
       if (usable) {
         offered.insert(offered.end(), state.offers_->begin(),
                        state.offers_->end());
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 
 #include "base/time.h"
 #include "config/route.h"
+#include "daemon/cold_mark.h"
 #include "daemon/dispatch_grant.h"
 #include "daemon/mailbox.h"
 #include "routing/routing_table.h"
@@ -34,7 +36,10 @@
 class Dispatcher {
  public:
   /// @brief Takes over a new routing table.
-  void Apply(std::shared_ptr<const RoutingTable> table);
+  ///
+  /// An upstream that was closed and is open again is treated as cold, and so
+  /// is one that is added to a known pool or has moved to another address.
+  void Apply(std::shared_ptr<const RoutingTable> table, Instant now);
 
   /// @brief The table in force, or null before the first one.
   [[nodiscard]] std::shared_ptr<const RoutingTable> Table() const;
@@ -50,16 +55,29 @@
                  const std::shared_ptr<Mailbox>& waiter);
 
   /// @brief Gives a slot back; a second call for a grant has no effect.
-  void Release(const DispatchGrant& grant);
+  void Release(const DispatchGrant& grant, Instant now);
 
   /// @brief Learns from the end of an attempt.
+  ///
+  /// Gives the slot back when the upstream has answered.
   void Observe(const DispatchGrant& grant,
                const ExchangeResult& result,
                Duration elapsed,
                Instant now);
 
-  /// @brief Learns from the headers of any answer.
-  void ObserveSignals(UpstreamState& upstream, const UpstreamSignals& signals);
+  /// @brief Learns from the headers of the answer to a probe.
+  void ObserveSignals(UpstreamState& upstream,
+                      const UpstreamSignals& signals,
+                      Instant now);
+
+  /// @brief Replicas that this daemon has seen turn cold or warm since the
+  /// last call, to be sent to the other daemons.
+  [[nodiscard]] std::vector<ColdMark> TakeColdMarks();
+
+  /// @brief Applies a mark of another daemon; older ones have no effect.
+  ///
+  /// A mark of an upstream that is not in the table is kept until it is.
+  void ApplyColdMark(const ColdMark& mark, Instant now);
 
   /// @brief The newest snapshot that every service of the route offers.
   [[nodiscard]] std::optional<Snapshot> NewestSnapshot(const Route& route);
@@ -74,8 +92,29 @@
   [[nodiscard]] std::vector<std::shared_ptr<UpstreamState>> Upstreams() const;
 
  private:
-  void ApplyPool(const RoutingPool& pool);
-  void ReleaseLocked(UpstreamState& upstream, uint64_t token);
+  [[nodiscard]] std::shared_ptr<UpstreamState>
+  StateFor(const RoutingTarget& target, bool is_new_pool, Instant now);
+  void ApplyPool(const RoutingTable& table,
+                 const RoutingPool& pool,
+                 Instant now);
+  void ApplyTarget(const WarmupLimits& limits,
+                   const RoutingPool& pool,
+                   const RoutingTarget& target,
+                   UpstreamState& state,
+                   Instant now);
+  void ReturnDomains(const RoutingPool& pool,
+                     const std::set<std::string>& reopened,
+                     Instant now);
+  [[nodiscard]] bool IsWarmupTurn(const DispatchRequest& request);
+  void AdmitCold(const RoutingService& service);
+  [[nodiscard]] const RoutingService* ServiceOf(
+      const UpstreamState& state) const;
+  [[nodiscard]] std::vector<const LatencyTrack*> SiblingsOf(
+      const UpstreamState& state) const;
+  void NoteWarmup(UpstreamState& state, uint64_t generation_before);
+  void FreeSlotLocked(const DispatchGrant& grant,
+                      const AnswerSignals& signals,
+                      Instant now);
   void WakeWaiter(const std::string& service);
   void UpdatePolicies();
 
@@ -84,6 +123,10 @@
   std::map<std::string, std::shared_ptr<UpstreamState>> upstreams_;
   std::map<std::string, std::deque<std::weak_ptr<Mailbox>>> waiters_;
   std::map<std::string, QueryPolicy> policies_;
+  std::map<std::string, std::shared_ptr<DomainRamp>> domains_;
+  std::map<std::string, uint64_t> first_attempts_;  ///< Of each service.
+  std::set<std::string> changed_marks_;  ///< Upstreams not yet reported.
+  std::map<std::string, ColdMark> pending_marks_;
   uint64_t last_token_ = 0;
 };
 
--- /dev/null
+++ b/src/daemon/upstream_slots.h
@@ -0,0 +1,38 @@
+#ifndef CLEMENTINERILL_DAEMON_UPSTREAM_SLOTS_H_
+#define CLEMENTINERILL_DAEMON_UPSTREAM_SLOTS_H_
+
+#include <vector>
+
+#include "base/time.h"
+#include "daemon/upstream_state.h"
+#include "upstream/exchange_result.h"
+
+namespace clementinerill {
+
+/// @brief Requests that this daemon may run at the upstream now.
+///
+/// Zero while a cold replica waits for its turn or is left to the holder of
+/// its warm-up seat, and while its returned failure domain is at its limit.
+[[nodiscard]] int SlotLimitOf(const UpstreamState& state, Instant now) noexcept;
+
+/// @brief Occupies a slot under `token`. `SlotLimitOf` must allow it.
+void TakeSlot(UpstreamState& state, uint64_t token, Instant now);
+
+/// @brief The warm-up signals of a finished exchange.
+[[nodiscard]] AnswerSignals WarmupSignalsOf(const ExchangeResult& result,
+                                            Duration elapsed);
+
+/// @brief Frees the slot of `token` and evaluates the signals of its answer.
+///
+/// No effect when the slot is free already. `siblings` lists the latencies of
+/// the warm replicas of the same service.
+/// @return whether the slot was in use.
+bool FreeSlot(UpstreamState& state,
+              uint64_t token,
+              const AnswerSignals& signals,
+              const std::vector<const LatencyTrack*>& siblings,
+              Instant now);
+
+}  // namespace clementinerill
+
+#endif  // CLEMENTINERILL_DAEMON_UPSTREAM_SLOTS_H_
--- a/src/daemon/upstream_state.h
+++ b/src/daemon/upstream_state.h
@@ -1,39 +1,48 @@
 #ifndef CLEMENTINERILL_DAEMON_UPSTREAM_STATE_H_
 #define CLEMENTINERILL_DAEMON_UPSTREAM_STATE_H_
 
+#include <cstdint>
+#include <map>
+#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
 #include "config/upstream.h"
+#include "daemon/held_slot.h"
 #include "routing/latency_window.h"
 #include "routing/upstream_health.h"
 #include "sweep/snapshot.h"
 #include "upstream/connection_pool.h"
+#include "warmup/warmup.h"
 
 namespace clementinerill {
 
 /// @brief What this daemon knows about one upstream.
 ///
-/// All members but `pool_` are guarded by the mutex of the dispatcher.
+/// All members but `upstream_` and `pool_` are guarded by the mutex of the
+/// dispatcher.
 struct UpstreamState {
   explicit UpstreamState(const Upstream& upstream)
       : upstream_(upstream), pool_(upstream.address_, upstream.port_) {}
 
-  const Upstream upstream_;
+  const Upstream upstream_;  ///< As first declared; labels are in `labels_`.
   ConnectionPool pool_;
+  Labels labels_;
   bool open_ = true;
-  int slots_ = 0;
   std::string service_;
   std::string pool_name_;
-  std::set<uint64_t> tokens_;  ///< Slots in use.
+  std::map<uint64_t, HeldSlot> tokens_;  ///< Slots in use.
   UpstreamHealth health_;
   LatencyWindow latencies_;
   std::optional<std::vector<Snapshot>> offers_;
-  std::optional<int> cold_limit_;
-  std::string process_id_;
+  ReplicaWarmup warmup_;
+  WarmupLimits warmup_limits_;
+  SeatRole seat_role_ = SeatRole::kOther;
+  bool admitted_ = true;  ///< Whether it may receive requests while cold.
+  /// Limit of its failure domain within the pool; never null.
+  std::shared_ptr<DomainRamp> domain_ = std::make_shared<DomainRamp>();
 };
 
 }  // namespace clementinerill
--- a/src/routing/build_routing_table.cc
+++ b/src/routing/build_routing_table.cc
@@ -28,6 +28,7 @@
   const std::vector<int> held =
       found == restrictions.seats_.end() ? std::vector<int>() : found->second;
   built.holds_seat_ = !held.empty();
+  built.held_seats_ = held;
   for (const Service* service : ServicesOfPool(configuration, pool.name_)) {
     RoutingService routed;
     routed.name_ = service->name_;
--- a/src/routing/routing_pool.h
+++ b/src/routing/routing_pool.h
@@ -11,7 +11,8 @@
 /// @brief One pool as this daemon sees it.
 struct RoutingPool {
   Pool pool_;
-  bool holds_seat_ = false;  ///< Whether this daemon may send to the pool.
+  bool holds_seat_ = false;      ///< Whether this daemon may send to the pool.
+  std::vector<int> held_seats_;  ///< Seats that this daemon may use.
   std::vector<RoutingService> services_;
 };
 
--- a/src/warmup/replica_warmup.cc
+++ b/src/warmup/replica_warmup.cc
@@ -65,19 +65,6 @@
   return false;
 }
 
-bool IsFast(const ReplicaWarmup& replica,
-            const WarmupLimits& limits,
-            const std::vector<const LatencyTrack*>& siblings,
-            Duration latency,
-            Instant now) {
-  const auto recent = SiblingLatency(siblings, now - kSiblingWindowAge);
-  const Duration own = replica.latency_.baseline_.value_or(Duration::zero());
-  const Duration others = recent.value_or(Duration::zero());
-  const Duration fast = kFastMultiple * std::max(own, others);
-  return latency <= fast ||
-         (!recent && latency <= limits.default_fast_latency_);
-}
-
 // The sign of coldness in this answer, or kNone.
 ColdReason FindColdSign(ReplicaWarmup& replica,
                         const AnswerSignals& signals,
@@ -119,6 +106,19 @@
   }
 }
 
+void EvaluateSigns(ReplicaWarmup& replica,
+                   const WarmupLimits& limits,
+                   const AnswerSignals& signals,
+                   const std::vector<const LatencyTrack*>& siblings,
+                   Instant now) {
+  const ColdReason sign = FindColdSign(replica, signals, siblings, now);
+  AdoptAnnouncedLimit(replica, signals);
+  if (sign != ColdReason::kNone) {
+    MarkCold(replica, limits, sign, now);
+  }
+  BoundRamp(replica.ramp_, RampCeiling(replica, limits, now));
+}
+
 void CountWork(ReplicaWarmup& replica,
                const WarmupLimits& limits,
                const DispatchTicket& ticket,
@@ -130,7 +130,8 @@
       ticket.level_ != replica.ramp_.level_) {
     return;
   }
-  const bool fast = IsFast(replica, limits, siblings, signals.latency_, now);
+  const bool fast =
+      IsFastAnswer(replica, limits, siblings, signals.latency_, now);
   const bool done =
       CountAnswer(replica.ramp_, fast, RampCeiling(replica, limits, now));
   if (done && !replica.announced_limit_ && now >= replica.exclusive_from_) {
@@ -167,6 +168,19 @@
   return replica;
 }
 
+bool IsFastAnswer(const ReplicaWarmup& replica,
+                  const WarmupLimits& limits,
+                  const std::vector<const LatencyTrack*>& siblings,
+                  Duration latency,
+                  Instant now) {
+  const auto recent = SiblingLatency(siblings, now - kSiblingWindowAge);
+  const Duration own = replica.latency_.baseline_.value_or(Duration::zero());
+  const Duration others = recent.value_or(Duration::zero());
+  const Duration fast = kFastMultiple * std::max(own, others);
+  return latency <= fast ||
+         (!recent && latency <= limits.default_fast_latency_);
+}
+
 int CurrentLimit(const ReplicaWarmup& replica,
                  const WarmupLimits& limits,
                  SeatRole role,
@@ -204,18 +218,28 @@
   --replica.in_flight_;
   const uint64_t generation = replica.generation_;
   if (!IsLate(replica, signals)) {
-    const ColdReason sign = FindColdSign(replica, signals, siblings, now);
-    AdoptAnnouncedLimit(replica, signals);
-    if (sign != ColdReason::kNone) {
-      MarkCold(replica, limits, sign, now);
-    }
-    BoundRamp(replica.ramp_, RampCeiling(replica, limits, now));
+    EvaluateSigns(replica, limits, signals, siblings, now);
     CountWork(replica, limits, ticket, signals, siblings, now);
   }
   Settle(replica, limits);
   return replica.generation_ != generation;
 }
 
+bool ObserveProbe(ReplicaWarmup& replica,
+                  const WarmupLimits& limits,
+                  const std::string& process_id,
+                  std::optional<int> cold_limit,
+                  Instant now) {
+  AnswerSignals signals;
+  signals.process_id_ = process_id;
+  signals.cold_limit_ = cold_limit;
+  const uint64_t generation = replica.generation_;
+  if (!IsLate(replica, signals)) {
+    EvaluateSigns(replica, limits, signals, {}, now);
+  }
+  return replica.generation_ != generation;
+}
+
 bool MarkCold(ReplicaWarmup& replica,
               const WarmupLimits& limits,
               ColdReason reason,
--- a/src/warmup/replica_warmup.h
+++ b/src/warmup/replica_warmup.h
@@ -87,6 +87,23 @@
                    const std::vector<const LatencyTrack*>& siblings,
                    Instant now);
 
+/// @brief Evaluates what an exchange outside of `StartRequest` and
+/// `FinishRequest`, such as a probe, says about process and cold limit.
+/// @return whether `generation_` rose, so that an advisory must be sent.
+bool ObserveProbe(ReplicaWarmup& replica,
+                  const WarmupLimits& limits,
+                  const std::string& process_id,
+                  std::optional<int> cold_limit,
+                  Instant now);
+
+/// @brief Whether an answer with this latency counts as fast.
+[[nodiscard]] bool IsFastAnswer(
+    const ReplicaWarmup& replica,
+    const WarmupLimits& limits,
+    const std::vector<const LatencyTrack*>& siblings,
+    Duration latency,
+    Instant now);
+
 /// @brief Marks the replica cold with limit 1, or restarts its ramp.
 ///
 /// A changed process also drops the latency known of the previous one.
