Prove the limit of cold replicas under load

Cause: no test or benchmark showed that a replica which turns cold under load keeps its limit, and the upstream stand-in could only announce a fixed limit.

--- a/fakes/fake_upstream/upstream_model.cc
+++ b/fakes/fake_upstream/upstream_model.cc
@@ -82,10 +82,13 @@
     return Refusal(kConflict, true);
   }
   stats_.most_running_ = std::max(stats_.most_running_, running_ + 1);
-  if (faults_.cold_limit_ > 0 && running_ >= faults_.cold_limit_) {
+  const bool above_cold_limit =
+      faults_.cold_limit_ > 0 && running_ >= faults_.cold_limit_;
+  if (above_cold_limit) {
     ++stats_.cold_over_;
   }
-  if (faults_.shed_all_ || running_ >= options_.slots_) {
+  if (faults_.shed_all_ || running_ >= options_.slots_ ||
+      (above_cold_limit && faults_.cold_silent_)) {
     ++stats_.shed_;
     return Refusal(kUnavailable, true);
   }
@@ -109,6 +112,7 @@
   const bool fail = faults_.fail_all_;
   const bool lose = faults_.lose_answers_;
   ++stats_.finished_;
+  CountColdAnswer();
   lock.unlock();
   if (fail) {
     return Refusal(kError, false);
@@ -126,6 +130,7 @@
   std::exponential_distribution<double> variable(1.0);
   const double milliseconds =
       options_.service_ms_ * faults_.slow_factor_ *
+      (faults_.cold_limit_ > 0 ? faults_.cold_slow_factor_ : 1) *
       (kFixedShare + (1 - kFixedShare) * variable(random_));
   const auto end =
       steady_clock::now() +
@@ -182,6 +187,11 @@
   faults_.shed_all_ = document.value("shed_all", faults_.shed_all_);
   faults_.lose_answers_ = document.value("lose_answers", faults_.lose_answers_);
   faults_.cold_limit_ = document.value("cold_limit", faults_.cold_limit_);
+  faults_.cold_answers_ = document.value("cold_answers", faults_.cold_answers_);
+  faults_.cold_slow_factor_ =
+      document.value("cold_slow_factor", faults_.cold_slow_factor_);
+  faults_.cold_silent_ = document.value("cold_silent", faults_.cold_silent_);
+  cold_answered_ = 0;
   if (document.value("mute_open_connections", false)) {
     faults_.mute_peers_ = peers_;
   }
@@ -231,9 +241,29 @@
   return running_;
 }
 
-int UpstreamModel::ColdLimit() const {
+int UpstreamModel::AnnouncedColdLimit() const {
   const Lock lock(mutex_);
-  return faults_.cold_limit_;
+  return faults_.cold_silent_ ? 0 : faults_.cold_limit_;
+}
+
+UpstreamStats UpstreamModel::Stats() const {
+  const Lock lock(mutex_);
+  return stats_;
+}
+
+void UpstreamModel::CountColdAnswer() {
+  if (faults_.cold_limit_ == 0 || faults_.cold_answers_ == 0) {
+    return;
+  }
+  ++cold_answered_;
+  if (cold_answered_ < faults_.cold_answers_) {
+    return;
+  }
+  cold_answered_ = 0;
+  faults_.cold_limit_ *= 2;
+  if (faults_.cold_limit_ >= options_.slots_) {
+    faults_.cold_limit_ = 0;
+  }
 }
 
 }  // namespace clementinerill
--- a/fakes/fake_upstream/upstream_model.h
+++ b/fakes/fake_upstream/upstream_model.h
@@ -65,7 +65,9 @@
   [[nodiscard]] std::string Offers() const;
   [[nodiscard]] std::string ProcessId() const { return process_id_; }
   [[nodiscard]] int Running() const;
-  [[nodiscard]] int ColdLimit() const;
+  [[nodiscard]] UpstreamStats Stats() const;
+  /// @brief The limit for `X-Cold`; zero when there is nothing to announce.
+  [[nodiscard]] int AnnouncedColdLimit() const;
 
  private:
   using Lock = std::unique_lock<std::mutex>;
@@ -78,6 +80,7 @@
       Lock& lock,
       const UpstreamQuery& query,
       const std::function<bool()>& caller_gone);
+  void CountColdAnswer();
   [[nodiscard]] UpstreamReply Search(const UpstreamQuery& query,
                                      const Snapshot& snapshot) const;
 
@@ -94,6 +97,7 @@
   std::set<std::string> running_ids_;
   std::set<std::string> peers_;
   int running_ = 0;
+  int cold_answered_ = 0;  ///< Answers at the present cold limit.
   std::mt19937_64 random_;
 };
 
--- a/fakes/fake_upstream/upstream_server.cc
+++ b/fakes/fake_upstream/upstream_server.cc
@@ -121,8 +121,9 @@
     response.set("X-Process-Id", model_.ProcessId());
     response.set("X-Load", std::to_string(model_.Running()));
     response.set("X-Offers", model_.Offers());
-    if (model_.ColdLimit() > 0) {
-      response.set("X-Cold", std::to_string(model_.ColdLimit()));
+    const int cold_limit = model_.AnnouncedColdLimit();
+    if (cold_limit > 0) {
+      response.set("X-Cold", std::to_string(cold_limit));
     }
     if (reply.not_run_) {
       response.set("X-Not-Run", "1");
--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 
+import bench_cold
 import bench_query
 import fleet
 import report
@@ -37,6 +38,7 @@
         "failing": lambda: bench_query.failing_service(result, seconds),
         "overload": lambda: bench_query.overload(result, seconds),
         "holds": lambda: bench_query.holds(result, arguments.holds),
+        "cold": lambda: bench_cold.cold_starts(result, seconds),
         "cost": lambda: bench_query.cost_by_fan_out(result, seconds / 2),
     }
     for name, run in benchmarks.items():
--- a/tests/daemon/dispatcher_warmup_test.cc
+++ b/tests/daemon/dispatcher_warmup_test.cc
@@ -11,15 +11,14 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+const TestTable kSingle{1, 1, 3, 1, {0}, {}, {}, {}};
 const Instant kStart = Instant() + seconds(100);
 
 std::optional<DispatchGrant> GrantIn(Dispatcher& dispatcher,
-                                     const std::string& service,
-                                     Instant now) {
+                                     Instant now,
+                                     const std::string& service = "s0") {
   const Route route = TestTable::SweepRoute();
-  const std::vector<std::string> tried;
-  const std::optional<Snapshot> snapshot;
-  auto grant = dispatcher.Grant({route, service, tried, snapshot}, now);
+  auto grant = dispatcher.Grant({route, service, {}, std::nullopt}, now);
   return grant ? std::optional(*grant) : std::nullopt;
 }
 
@@ -33,12 +32,10 @@
   dispatcher.Observe(grant, result, milliseconds(4), now);
 }
 
-// Requests that the dispatcher grants at once in a service.
-int CountGrants(Dispatcher& dispatcher,
-                const std::string& service,
-                Instant now) {
+// Requests that the dispatcher grants at once in service "s0".
+int CountGrants(Dispatcher& dispatcher, Instant now) {
   std::vector<DispatchGrant> grants;
-  while (const auto grant = GrantIn(dispatcher, service, now)) {
+  while (const auto grant = GrantIn(dispatcher, now)) {
     grants.push_back(*grant);
   }
   for (const DispatchGrant& grant : grants) {
@@ -53,9 +50,9 @@
   for (int seat = 0; seat < 3; ++seat) {
     Dispatcher dispatcher;
     dispatcher.Apply(TestTable{1, 1, 3, 3, {seat}, {}, {}, {}}.Make(), kStart);
-    CHECK(CountGrants(dispatcher, "s0", kStart) == 1);
+    CHECK(CountGrants(dispatcher, kStart) == 1);
     dispatcher.ApplyColdMark({"s0-r0", 1, true}, kStart);
-    granted.push_back(CountGrants(dispatcher, "s0", kStart));
+    granted.push_back(CountGrants(dispatcher, kStart));
   }
   std::sort(granted.begin(), granted.end());
   CHECK(granted == std::vector<int>{0, 0, 1});
@@ -65,14 +62,14 @@
 // start, and against a ramp that counts time in place of answers.
 TEST_CASE("an announced cold start limits the replica to one", "[daemon]") {
   Dispatcher dispatcher;
-  dispatcher.Apply(TestTable{1, 1, 3, 1, {0}, {}, {}, {}}.Make(), kStart);
-  const auto first = GrantIn(dispatcher, "s0", kStart);
-  const auto second = GrantIn(dispatcher, "s0", kStart);
+  dispatcher.Apply(kSingle.Make(), kStart);
+  const auto first = GrantIn(dispatcher, kStart);
+  const auto second = GrantIn(dispatcher, kStart);
   REQUIRE((first && second));
   Answer(dispatcher, *first, 1, kStart);
-  CHECK(CountGrants(dispatcher, "s0", kStart) == 0);
+  CHECK(CountGrants(dispatcher, kStart) == 0);
   Answer(dispatcher, *second, 1, kStart);
-  CHECK(CountGrants(dispatcher, "s0", kStart + seconds(60)) == 1);
+  CHECK(CountGrants(dispatcher, kStart + seconds(60)) == 1);
 }
 
 // Guards against a mark that other daemons never see, that is echoed, or that
@@ -80,21 +77,20 @@
 TEST_CASE("cold marks reach another daemon and are withdrawn", "[daemon]") {
   Dispatcher holder;
   Dispatcher other;
-  holder.Apply(TestTable{1, 1, 3, 1, {0}, {}, {}, {}}.Make(), kStart);
-  other.Apply(TestTable{1, 1, 3, 1, {0}, {}, {}, {}}.Make(), kStart);
-  Answer(holder, *GrantIn(holder, "s0", kStart), 1, kStart);
+  holder.Apply(kSingle.Make(), kStart);
+  other.Apply(kSingle.Make(), kStart);
+  Answer(holder, *GrantIn(holder, kStart), 1, kStart);
   auto marks = holder.TakeColdMarks();
   REQUIRE(marks.size() == 1);
-  CHECK(marks[0].upstream_ == "s0-r0");
-  CHECK(marks[0].active_);
+  CHECK((marks[0].upstream_ == "s0-r0" && marks[0].active_));
   CHECK(holder.TakeColdMarks().empty());
   other.ApplyColdMark(marks[0], kStart);
-  CHECK(CountGrants(other, "s0", kStart) == 1);
+  CHECK(CountGrants(other, kStart) == 1);
   CHECK(other.TakeColdMarks().empty());
 
   const Instant later = kStart + seconds(20);
   for (int i = 0; i < 100; ++i) {
-    if (const auto grant = GrantIn(holder, "s0", later)) {
+    if (const auto grant = GrantIn(holder, later)) {
       Answer(holder, *grant, std::nullopt, later);
     }
   }
@@ -102,7 +98,7 @@
   REQUIRE(marks.size() == 1);
   CHECK_FALSE(marks[0].active_);
   other.ApplyColdMark(marks[0], later);
-  CHECK(CountGrants(other, "s0", later) == 3);
+  CHECK(CountGrants(other, later) == 3);
 }
 
 // Guards against an advisory that is lost because it arrives before the
@@ -111,8 +107,8 @@
   Dispatcher dispatcher;
   dispatcher.ApplyColdMark({"s0-r0", 2, true}, kStart);
   dispatcher.ApplyColdMark({"s0-r0", 1, false}, kStart);
-  dispatcher.Apply(TestTable{1, 1, 3, 1, {0}, {}, {}, {}}.Make(), kStart);
-  CHECK(CountGrants(dispatcher, "s0", kStart) == 1);
+  dispatcher.Apply(kSingle.Make(), kStart);
+  CHECK(CountGrants(dispatcher, kStart) == 1);
 }
 
 // Guards against a returned failure domain that gets its full load at once,
@@ -123,15 +119,15 @@
   dispatcher.Apply(table.Make(), kStart);
   table.domains_out_ = {"fd-0", "fd-1"};
   dispatcher.Apply(table.Make(), kStart);
-  CHECK(CountGrants(dispatcher, "s0", kStart) == 3);
+  CHECK(CountGrants(dispatcher, kStart) == 3);
   table.domains_out_ = {};
   dispatcher.Apply(table.Make(), kStart);
   CHECK(dispatcher.TakeColdMarks().size() == 20);
-  CHECK(CountGrants(dispatcher, "s0", kStart) == 3 + 1);
+  CHECK(CountGrants(dispatcher, kStart) == 3 + 1);
   int in_returned = 0;
   for (int s = 0; s < 10; ++s) {
-    const std::string service = "s" + std::to_string(s);
-    while (const auto grant = GrantIn(dispatcher, service, kStart)) {
+    while (const auto grant =
+               GrantIn(dispatcher, kStart, "s" + std::to_string(s))) {
       const auto& domain = grant->upstream_->upstream_.failure_domain_;
       in_returned += domain == "fd-2" ? 0 : 1;
     }
@@ -143,29 +139,29 @@
 // use.
 TEST_CASE("new labels keep the warm-up state", "[daemon]") {
   Dispatcher dispatcher;
-  TestTable table{1, 1, 3, 1, {0}, {}, {}, {}};
+  TestTable table = kSingle;
   dispatcher.Apply(table.Make(), kStart);
-  Answer(dispatcher, *GrantIn(dispatcher, "s0", kStart), 1, kStart);
-  const auto running = GrantIn(dispatcher, "s0", kStart);
+  Answer(dispatcher, *GrantIn(dispatcher, kStart), 1, kStart);
+  const auto running = GrantIn(dispatcher, kStart);
   REQUIRE(running);
   table.labels_ = {{"tier", "gold"}};
   dispatcher.Apply(table.Make(), kStart);
-  CHECK(CountGrants(dispatcher, "s0", kStart) == 0);
+  CHECK(CountGrants(dispatcher, kStart) == 0);
   dispatcher.Release(*running, kStart);
-  CHECK(CountGrants(dispatcher, "s0", kStart) == 1);
+  CHECK(CountGrants(dispatcher, kStart) == 1);
 }
 
 // Guards against a changed process or a cold flag that only a probe shows.
 TEST_CASE("a probe reveals a cold start", "[daemon]") {
   Dispatcher dispatcher;
-  dispatcher.Apply(TestTable{1, 1, 3, 1, {0}, {}, {}, {}}.Make(), kStart);
+  dispatcher.Apply(kSingle.Make(), kStart);
   UpstreamState& state = *dispatcher.Upstreams().at(0);
   dispatcher.ObserveSignals(state, {"p1", 0, std::nullopt, std::nullopt},
                             kStart);
-  CHECK(CountGrants(dispatcher, "s0", kStart) == 3);
+  CHECK(CountGrants(dispatcher, kStart) == 3);
   dispatcher.ObserveSignals(state, {"p2", 0, std::nullopt, std::nullopt},
                             kStart);
-  CHECK(CountGrants(dispatcher, "s0", kStart) == 1);
+  CHECK(CountGrants(dispatcher, kStart) == 1);
 }
 
 }  // namespace
--- a/tests/daemon/test_table.h
+++ b/tests/daemon/test_table.h
@@ -23,7 +23,7 @@
   Labels labels_;
   std::set<std::string> domains_out_;
 
-  [[nodiscard]] Configuration MakeConfiguration() const {
+  [[nodiscard]] std::shared_ptr<const RoutingTable> Make() const {
     Configuration configuration;
     Pool pool;
     pool.name_ = "claims";
@@ -49,15 +49,8 @@
           {"fd-" + std::to_string(r), true, 0});
     }
     configuration.routes_ = {SweepRoute()};
-    return configuration;
-  }
-
-  [[nodiscard]] std::shared_ptr<const RoutingTable> Make() const {
-    RoutingRestrictions restrictions;
-    restrictions.seats_["claims"] = held_;
-    restrictions.failure_domains_out_ = domains_out_;
-    return std::make_shared<const RoutingTable>(
-        BuildRoutingTable(MakeConfiguration(), restrictions));
+    return std::make_shared<const RoutingTable>(BuildRoutingTable(
+        configuration, {{{"claims", held_}}, domains_out_, {}}));
   }
 
   [[nodiscard]] static Route SweepRoute() {
