Cover cold starts with three daemons and free siblings

Cause: the cold benchmark ran one daemon only, and no test failed without the one in ten attempts that prefer a cold replica, because nine callers keep its siblings full.

Conclusion: only the holder of the warm-up seat sends to the cold replica.

--- a/scripts/lib/bench_cold.py
+++ b/scripts/lib/bench_cold.py
@@ -8,9 +8,9 @@
 COLD = "claims-4-1"
 
 
-def loaded_fleet():
+def loaded_fleet(daemons=1):
     # Slow upstreams, so that the cold replica is needed at every moment.
-    return fleet.Fleet(daemons=1, seats=1, service_ms=20)
+    return fleet.Fleet(daemons=daemons, seats=daemons, service_ms=20)
 
 
 def siblings(f):
@@ -72,6 +72,21 @@
         report.at_most("cold_silent_domain_overloaded", overloaded(f, same_domain(f)), 0, "replicas")
 
 
+def several_daemons(report, seconds):
+    with loaded_fleet(daemons=3) as f:
+        f.load(seconds=1.5, callers=3, rate=60, prefix="warm")
+        result, cold = cold_phase(f, seconds, "d", cold_limit=1, cold_slow_factor=2)
+        report.at_most("cold_three_daemons_over_limit", cold["cold_over"], f.slots, "requests")
+        report.at_least("cold_three_daemons_complete", complete_share(result), 0.999, "ratio")
+        report.at_most("cold_three_daemons_overloaded",
+                       overloaded(f, siblings(f) + same_domain(f)), 0, "replicas")
+
+        result, steady = cold_phase(f, seconds, "e", cold_limit=1)
+        report.at_most("cold_three_daemons_steady_over_limit", steady["cold_over"], 0, "requests")
+        report.at_least("cold_three_daemons_steady_received", steady["received"], 1, "requests")
+
+
 def cold_starts(report, seconds):
     announced(report, seconds)
     silent(report, seconds)
+    several_daemons(report, seconds)
--- a/tests/daemon/cold_start_test.cc
+++ b/tests/daemon/cold_start_test.cc
@@ -52,6 +52,10 @@
   CHECK(after.cold_over_ == before.cold_over_);
   CHECK(after.finished_ > before.finished_);
   CheckSiblings(pool);
+
+  // Its siblings have free slots now, and it still gets work to warm up by.
+  CHECK(pool.Sweep(1, kSweeps) == kSweeps);
+  CHECK(pool.Model(1, 1).Stats().finished_ > after.finished_);
 }
 
 // Guards against a replica that is never used again after its cold start.
