--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 
+import bench_cold
 import bench_fleet
 import bench_query
 import fleet
@@ -38,6 +39,7 @@
         "failing": lambda: bench_query.failing_service(result, seconds),
         "overload": lambda: bench_query.overload(result, seconds),
         "holds": lambda: bench_query.holds(result, arguments.holds),
+        "cold": lambda: bench_cold.cold_starts(result, seconds),
         "configuration": lambda: bench_fleet.configuration(result),
         "domain": lambda: bench_fleet.failure_domain(result, seconds),
         "holder": lambda: bench_fleet.killed_and_frozen_holder(result, seconds),
--- a/src/cluster/control_plane.cc
+++ b/src/cluster/control_plane.cc
@@ -243,6 +243,9 @@
       Send(peer, Advisories{changed});
     }
   }
+  for (const Advisory& advisory : changed) {
+    outputs_.take_advisory_(advisory);
+  }
   PublishTable();
 }
 
--- a/src/cluster/control_plane.h
+++ b/src/cluster/control_plane.h
@@ -31,6 +31,9 @@
 struct ControlOutputs {
   std::function<void(std::shared_ptr<const RoutingTable>)> apply_table_;
   std::function<void(std::shared_ptr<const PublishedSeats>)> apply_seats_;
+  /// An advisory that has replaced an earlier one; called on the thread of
+  /// `Tick`.
+  std::function<void(const Advisory&)> take_advisory_;
   /// A query forwarded by a peer; must not block.
   std::function<void(const std::string& peer, Forward forward)> serve_forward_;
   /// A peer no longer waits for the answer to its forward.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -36,6 +36,7 @@
           options_.cluster_,
           {[this](auto table) { ApplyTable(std::move(table)); },
            [this](auto seats) { ApplySeats(std::move(seats)); },
+           [this](const Advisory& advisory) { TakeAdvisory(advisory); },
            [this](const std::string& peer, Forward forward) {
              forward_pool_.Post([this, peer, forward = std::move(forward)] {
                ServeForward(peer, forward);
@@ -246,6 +247,7 @@
 void Daemon::RunControl() {
   for (int tick = 0; !stopping_; ++tick) {
     const Instant now = Now();
+    ExchangeColdMarks();
     control_plane_.Tick(now);
     if (tick % kTicksPerUpdate == 0) {
       dispatcher_.Maintain(now);
@@ -271,7 +273,7 @@
       control_pool_.Post([this, state] {
         const auto signals = state->pool_.OpenAhead();
         if (signals) {
-          dispatcher_.ObserveSignals(*state, *signals);
+          dispatcher_.ObserveSignals(*state, *signals, Now());
         }
       });
     }
@@ -290,7 +292,21 @@
 }
 
 void Daemon::ApplyTable(std::shared_ptr<const RoutingTable> table) {
-  dispatcher_.Apply(std::move(table));
+  dispatcher_.Apply(std::move(table), Now());
+}
+
+void Daemon::ExchangeColdMarks() {
+  for (const ColdMark& mark : dispatcher_.TakeColdMarks()) {
+    control_plane_.Raise({AdvisoryKind::kReplicaCold, mark.upstream_,
+                          mark.generation_, mark.active_, options_.name_});
+  }
+}
+
+void Daemon::TakeAdvisory(const Advisory& advisory) {
+  if (advisory.kind_ == AdvisoryKind::kReplicaCold) {
+    dispatcher_.ApplyColdMark(
+        {advisory.subject_, advisory.generation_, advisory.active_}, Now());
+  }
 }
 
 void Daemon::UpdateCapacities(Instant now) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -60,6 +60,8 @@
   [[nodiscard]] Reason NotReadyReason() const;
   void RunControl();
   void MaintainConnections();
+  void ExchangeColdMarks();
+  void TakeAdvisory(const Advisory& advisory);
   void ApplySeats(std::shared_ptr<const PublishedSeats> seats);
   void ApplyTable(std::shared_ptr<const RoutingTable> table);
   void UpdateCapacities(Instant now);
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -1,13 +1,15 @@
 #include "daemon/dispatcher.h"
 
 #include <algorithm>
-#include <limits>
 #include <set>
 #include <utility>
 
 #include "base/invariant.h"
 #include "daemon/operator_log.h"
+#include "daemon/upstream_slots.h"
+#include "daemon/warmup_role.h"
 #include "routing/choose_candidate.h"
+#include "routing/pool_seats.h"
 
 namespace clementinerill {
 namespace {
@@ -21,6 +23,13 @@
 constexpr auto kShortestHedgeDelay = std::chrono::milliseconds(2);
 // Connections beyond the slots, for cancellations.
 constexpr int kSpareConnections = 1;
+// One in this many first attempts of a service prefers a cold replica. Without
+// it, a slow replica with a low limit is only used when its siblings are full,
+// and never does the work that ends its ramp.
+constexpr uint64_t kWarmupTurn = 10;
+// Marks of upstreams that no table has declared; above the planned 5,900
+// replicas.
+constexpr size_t kMostPendingMarks = 10'000;
 
 const RoutingPool* FindRoutingPool(const RoutingTable& table,
                                    const std::string& name) {
@@ -28,8 +37,19 @@
   return found == table.pools_.end() ? nullptr : &found->second;
 }
 
-int LimitOf(const UpstreamState& state, int slots) noexcept {
-  return state.cold_limit_ ? std::min(slots, *state.cold_limit_) : slots;
+// Keeps the stronger mark, as advisories are merged.
+void KeepPending(std::map<std::string, ColdMark>& pending,
+                 const ColdMark& mark) {
+  const auto [found, added] = pending.emplace(mark.upstream_, mark);
+  ColdMark& kept = found->second;
+  const bool wins = mark.generation_ > kept.generation_ ||
+                    (mark.generation_ == kept.generation_ && mark.active_);
+  if (wins) {
+    kept = mark;
+  }
+  if (pending.size() > kMostPendingMarks) {
+    pending.erase(pending.begin());
+  }
 }
 
 bool WasTried(const DispatchRequest& request, const std::string& upstream) {
@@ -39,14 +59,13 @@
 
 UpstreamCandidate MakeUpstreamCandidate(const DispatchRequest& request,
                                         const UpstreamState& state,
-                                        int slots,
                                         Duration typical,
                                         Instant now) {
   UpstreamCandidate candidate;
   candidate.open_ =
-      state.open_ && Matches(request.route_.selector_, state.upstream_.labels_);
+      state.open_ && Matches(request.route_.selector_, state.labels_);
   candidate.tried_ = WasTried(request, state.upstream_.name_);
-  candidate.limit_ = LimitOf(state, slots);
+  candidate.limit_ = SlotLimitOf(state, now);
   candidate.in_use_ = static_cast<int>(state.tokens_.size());
   candidate.skip_until_ = state.health_.skip_until_;
   candidate.expected_latency_ = ExpectedLatency(state.health_, typical, now);
@@ -67,7 +86,9 @@
   status.failures_ = state.health_.failures_;
   status.skipped_for_ =
       std::max(Duration(0), Duration(state.health_.skip_until_ - now));
-  status.cold_limit_ = state.cold_limit_;
+  if (state.warmup_.phase_ != WarmupPhase::kWarm) {
+    status.cold_limit_ = SlotLimitOf(state, now);
+  }
   status.offers_ = state.offers_;
   return status;
 }
@@ -82,9 +103,9 @@
 
 }  // namespace
 
-void Dispatcher::Apply(std::shared_ptr<const RoutingTable> table) {
+void Dispatcher::Apply(std::shared_ptr<const RoutingTable> table, Instant now) {
   const std::shared_ptr<const RoutingTable> previous = Table();
-  // A change of seats gives a new table with the same configuration.
+  // A change of advisories gives a new table with the same configuration.
   if (!previous ||
       previous->configuration_version_ != table->configuration_version_) {
     LogConfigurationInForce(*table);
@@ -92,7 +113,7 @@
   const std::lock_guard lock(mutex_);
   std::set<std::string> kept;
   for (const auto& [name, pool] : table->pools_) {
-    ApplyPool(pool);
+    ApplyPool(*table, pool, now);
     for (const RoutingService& service : pool.services_) {
       for (const RoutingTarget& target : service.targets_) {
         kept.insert(target.upstream_.name_);
@@ -105,25 +126,192 @@
   table_ = std::move(table);
 }
 
-void Dispatcher::ApplyPool(const RoutingPool& pool) {
+std::shared_ptr<UpstreamState> Dispatcher::StateFor(const RoutingTarget& target,
+                                                    bool is_new_pool,
+                                                    Instant now) {
+  auto& state = upstreams_[target.upstream_.name_];
+  const bool moved =
+      state && (state->upstream_.address_ != target.upstream_.address_ ||
+                state->upstream_.port_ != target.upstream_.port_);
+  if (state && !moved) {
+    return state;
+  }
+  const uint64_t generation = state ? state->warmup_.generation_ : 0;
+  state = std::make_shared<UpstreamState>(target.upstream_);
+  // In a pool that is new to this daemon, other daemons may have warmed the
+  // replica up already; an answer or an advisory tells when they have not.
+  if (!is_new_pool) {
+    state->warmup_ = MakeColdReplica(ColdReason::kNew, now);
+  }
+  state->warmup_.generation_ = generation;
+  return state;
+}
+
+void Dispatcher::ApplyPool(const RoutingTable& table,
+                           const RoutingPool& pool,
+                           Instant now) {
+  const bool is_new_pool =
+      !table_ || FindRoutingPool(*table_, pool.pool_.name_) == nullptr;
+  std::set<std::string> reopened;
   for (const RoutingService& service : pool.services_) {
     for (const RoutingTarget& target : service.targets_) {
-      auto& state = upstreams_[target.upstream_.name_];
-      const bool moved =
-          state && (state->upstream_.address_ != target.upstream_.address_ ||
-                    state->upstream_.port_ != target.upstream_.port_);
-      if (!state || moved) {
-        state = std::make_shared<UpstreamState>(target.upstream_);
+      const bool is_known = upstreams_.count(target.upstream_.name_) > 0;
+      const auto state = StateFor(target, is_new_pool, now);
+      if (is_known && target.open_ && !state->open_) {
+        reopened.insert(target.upstream_.name_);
       }
-      // A change of labels must keep the slots in use.
-      state->upstream_.labels_ = target.upstream_.labels_;
-      state->upstream_.failure_domain_ = target.upstream_.failure_domain_;
-      state->upstream_.version_ = target.upstream_.version_;
-      state->open_ = target.open_;
       state->service_ = service.name_;
-      state->pool_name_ = pool.pool_.name_;
+      ApplyTarget(WarmupLimitsOf(table, pool), pool, target, *state, now);
+    }
+  }
+  ReturnDomains(pool, reopened, now);
+  for (const RoutingService& service : pool.services_) {
+    AdmitCold(service);
+  }
+}
+
+void Dispatcher::ApplyTarget(const WarmupLimits& limits,
+                             const RoutingPool& pool,
+                             const RoutingTarget& target,
+                             UpstreamState& state,
+                             Instant now) {
+  state.open_ = target.open_;
+  state.labels_ = target.upstream_.labels_;
+  state.pool_name_ = pool.pool_.name_;
+  state.warmup_limits_ = limits;
+  auto& domain =
+      domains_[pool.pool_.name_ + "/" + target.upstream_.failure_domain_];
+  if (!domain) {
+    domain = std::make_shared<DomainRamp>();
+  }
+  state.domain_ = domain;
+  const auto pending = pending_marks_.find(target.upstream_.name_);
+  if (pending != pending_marks_.end()) {
+    ApplyColdAdvisory(state.warmup_, limits, pending->second.generation_,
+                      pending->second.active_, now);
+    pending_marks_.erase(pending);
+  }
+}
+
+void Dispatcher::ReturnDomains(const RoutingPool& pool,
+                               const std::set<std::string>& reopened,
+                               Instant now) {
+  std::map<std::shared_ptr<DomainRamp>, int> returned_slots;
+  std::set<std::shared_ptr<DomainRamp>> in_use;
+  for (const RoutingService& service : pool.services_) {
+    for (const RoutingTarget& target : service.targets_) {
+      UpstreamState& state = *upstreams_.at(target.upstream_.name_);
+      if (reopened.count(target.upstream_.name_) > 0) {
+        const uint64_t before = state.warmup_.generation_;
+        state.admitted_ = false;
+        MarkCold(state.warmup_, state.warmup_limits_,
+                 ColdReason::kDomainReturned, now);
+        NoteWarmup(state, before);
+        returned_slots[state.domain_] +=
+            UsableSlots(SeatsOfLocked(pool.pool_.name_), pool.pool_,
+                        target.upstream_.name_, now);
+      } else if (target.open_) {
+        in_use.insert(state.domain_);
+      }
+    }
+  }
+  // A single upstream that returns to a domain in service must not limit the
+  // others.
+  for (const auto& [domain, slots] : returned_slots) {
+    if (in_use.count(domain) == 0) {
+      ReturnDomain(*domain, slots);
+    }
+  }
+}
+
+void Dispatcher::AdmitCold(const RoutingService& service) {
+  std::vector<WarmupCandidate> candidates;
+  for (const RoutingTarget& target : service.targets_) {
+    const UpstreamState& state = *upstreams_.at(target.upstream_.name_);
+    WarmupCandidate candidate;
+    candidate.replica_ = target.upstream_.name_;
+    candidate.in_service_ = state.open_;
+    candidate.cold_ = state.warmup_.phase_ != WarmupPhase::kWarm;
+    candidate.admitted_ = state.admitted_;
+    candidate.by_choice_ = state.warmup_.reason_ == ColdReason::kDomainReturned;
+    candidates.push_back(std::move(candidate));
+  }
+  const auto admitted = AdmitWarming(candidates);
+  for (const RoutingTarget& target : service.targets_) {
+    const std::string& name = target.upstream_.name_;
+    upstreams_.at(name)->admitted_ =
+        std::find(admitted.begin(), admitted.end(), name) != admitted.end();
+  }
+}
+
+const RoutingService* Dispatcher::ServiceOf(const UpstreamState& state) const {
+  const auto found = upstreams_.find(state.upstream_.name_);
+  if (!table_ || found == upstreams_.end() || found->second.get() != &state) {
+    return nullptr;
+  }
+  const RoutingPool* pool = FindRoutingPool(*table_, state.pool_name_);
+  return pool == nullptr ? nullptr : FindService(*pool, state.service_);
+}
+
+std::vector<const LatencyTrack*> Dispatcher::SiblingsOf(
+    const UpstreamState& state) const {
+  std::vector<const LatencyTrack*> siblings;
+  const RoutingService* service = ServiceOf(state);
+  if (service == nullptr) {
+    return siblings;
+  }
+  for (const RoutingTarget& target : service->targets_) {
+    const UpstreamState& sibling = *upstreams_.at(target.upstream_.name_);
+    if (&sibling != &state && sibling.open_ &&
+        sibling.warmup_.phase_ == WarmupPhase::kWarm) {
+      siblings.push_back(&sibling.warmup_.latency_);
     }
   }
+  return siblings;
+}
+
+void Dispatcher::NoteWarmup(UpstreamState& state, uint64_t generation_before) {
+  if (state.warmup_.generation_ == generation_before) {
+    return;
+  }
+  changed_marks_.insert(state.upstream_.name_);
+  if (const RoutingService* service = ServiceOf(state)) {
+    AdmitCold(*service);
+  }
+}
+
+std::vector<ColdMark> Dispatcher::TakeColdMarks() {
+  const std::lock_guard lock(mutex_);
+  std::vector<ColdMark> marks;
+  for (const std::string& name : changed_marks_) {
+    const auto found = upstreams_.find(name);
+    if (found != upstreams_.end()) {
+      const ReplicaWarmup& warmup = found->second->warmup_;
+      marks.push_back(
+          {name, warmup.generation_, warmup.phase_ != WarmupPhase::kWarm});
+    }
+  }
+  changed_marks_.clear();
+  return marks;
+}
+
+void Dispatcher::ApplyColdMark(const ColdMark& mark, Instant now) {
+  const std::lock_guard lock(mutex_);
+  const auto found = upstreams_.find(mark.upstream_);
+  if (found == upstreams_.end()) {
+    KeepPending(pending_marks_, mark);
+    return;
+  }
+  UpstreamState& state = *found->second;
+  const bool changed = ApplyColdAdvisory(state.warmup_, state.warmup_limits_,
+                                         mark.generation_, mark.active_, now);
+  if (!changed) {
+    return;
+  }
+  changed_marks_.erase(mark.upstream_);
+  if (const RoutingService* service = ServiceOf(state)) {
+    AdmitCold(*service);
+  }
 }
 
 void Dispatcher::SetSeats(std::shared_ptr<const PublishedSeats> seats) {
@@ -206,14 +394,16 @@
     return tl::make_unexpected(Reason::kNoSeat);
   }
   const Duration typical = policies_[request.route_.pool_].expected_answer_;
+  const bool prefers_cold = IsWarmupTurn(request);
   std::vector<UpstreamCandidate> candidates;
   std::vector<std::shared_ptr<UpstreamState>> states;
   for (const RoutingTarget& target : service->targets_) {
     const auto& state = upstreams_.at(target.upstream_.name_);
-    const int slots =
-        UsableSlots(seats, pool->pool_, target.upstream_.name_, now);
-    candidates.push_back(
-        MakeUpstreamCandidate(request, *state, slots, typical, now));
+    FollowSeats(*pool, seats, *state, now);
+    candidates.push_back(MakeUpstreamCandidate(request, *state, typical, now));
+    if (prefers_cold && state->warmup_.phase_ != WarmupPhase::kWarm) {
+      candidates.back().expected_latency_ = Duration(0);
+    }
     states.push_back(state);
   }
   const auto chosen = ChooseCandidate(candidates, request.snapshot_, now);
@@ -222,27 +412,56 @@
   }
   UpstreamState& state = *states[*chosen];
   const uint64_t token = ++last_token_;
-  state.tokens_.insert(token);
+  TakeSlot(state, token, now);
   CR_INVARIANT(static_cast<int>(state.tokens_.size()) <=
-               candidates[*chosen].limit_);
+               state.warmup_limits_.slots_);
   return DispatchGrant{states[*chosen], token, fence};
 }
 
+void Dispatcher::FollowSeats(const RoutingPool& pool,
+                             const PoolSeats& seats,
+                             UpstreamState& state,
+                             Instant now) {
+  const std::string& replica = state.upstream_.name_;
+  state.warmup_limits_.seat_slots_ =
+      UsableSlots(seats, pool.pool_, replica, now);
+  const SeatRole role = SeatRoleAt(pool.pool_, seats, replica, now);
+  // At first sight, the wait of the seat itself covers the previous holder.
+  if (state.had_seat_ && role != state.seat_role_ &&
+      role == SeatRole::kWarmup) {
+    TakeOverWarmupSeat(state.warmup_, state.warmup_limits_, now);
+  }
+  state.had_seat_ = true;
+  state.seat_role_ = role;
+}
+
+bool Dispatcher::IsWarmupTurn(const DispatchRequest& request) {
+  return request.tried_.empty() &&
+         ++first_attempts_[request.service_] % kWarmupTurn == 0;
+}
+
 void Dispatcher::AddWaiter(const std::string& service,
                            const std::shared_ptr<Mailbox>& waiter) {
   const std::lock_guard lock(mutex_);
   waiters_[service].push_back(waiter);
 }
 
-void Dispatcher::Release(const DispatchGrant& grant) {
+void Dispatcher::Release(const DispatchGrant& grant, Instant now) {
   const std::lock_guard lock(mutex_);
-  ReleaseLocked(*grant.upstream_, grant.token_);
+  FreeSlotLocked(grant, AnswerSignals{}, now);
 }
 
-void Dispatcher::ReleaseLocked(UpstreamState& upstream, uint64_t token) {
-  if (upstream.tokens_.erase(token) > 0) {
-    WakeWaiter(upstream.service_);
+void Dispatcher::FreeSlotLocked(const DispatchGrant& grant,
+                                const AnswerSignals& signals,
+                                Instant now) {
+  UpstreamState& state = *grant.upstream_;
+  const uint64_t before = state.warmup_.generation_;
+  const auto siblings = SiblingsOf(state);
+  if (!FreeSlot(state, grant.token_, signals, siblings, now)) {
+    return;
   }
+  NoteWarmup(state, before);
+  WakeWaiter(state.service_);
 }
 
 void Dispatcher::WakeWaiter(const std::string& service) {
@@ -263,6 +482,12 @@
                          Instant now) {
   const std::lock_guard lock(mutex_);
   UpstreamState& state = *grant.upstream_;
+  if (result.signals_) {
+    if (result.signals_->offers_) {
+      state.offers_ = result.signals_->offers_;
+    }
+    FreeSlotLocked(grant, WarmupSignalsOf(result, elapsed), now);
+  }
   switch (result.result_) {
     case AttemptResult::kAnswered:
       AddSample(state.latencies_, elapsed);
@@ -287,19 +512,16 @@
 }
 
 void Dispatcher::ObserveSignals(UpstreamState& upstream,
-                                const UpstreamSignals& signals) {
-  std::unique_lock lock(mutex_);
+                                const UpstreamSignals& signals,
+                                Instant now) {
+  const std::lock_guard lock(mutex_);
   if (signals.offers_) {
     upstream.offers_ = signals.offers_;
   }
-  const bool process_changed = !upstream.process_id_.empty() &&
-                               upstream.process_id_ != signals.process_id_;
-  upstream.process_id_ = signals.process_id_;
-  upstream.cold_limit_ = signals.cold_limit_;
-  lock.unlock();
-  if (process_changed) {
-    LogProcessChanged(upstream.upstream_.name_, signals.process_id_);
-  }
+  const uint64_t before = upstream.warmup_.generation_;
+  ObserveProbe(upstream.warmup_, upstream.warmup_limits_, signals.process_id_,
+               signals.cold_limit_, now);
+  NoteWarmup(upstream, before);
 }
 
 std::optional<Snapshot> Dispatcher::NewestSnapshot(const Route& route) {
@@ -314,7 +536,7 @@
     for (const RoutingTarget& target : service.targets_) {
       const UpstreamState& state = *upstreams_.at(target.upstream_.name_);
       const bool usable = state.open_ && state.offers_ &&
-                          Matches(route.selector_, state.upstream_.labels_);
+                          Matches(route.selector_, state.labels_);
       if (usable) {
         offered.insert(offered.end(), state.offers_->begin(),
                        state.offers_->end());
