--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -93,6 +93,20 @@
   return status;
 }
 
+// Takes over what the process behind an upstream offers.
+void NoteProcess(UpstreamState& state, const UpstreamSignals& signals) {
+  if (signals.offers_) {
+    state.offers_ = signals.offers_;
+  }
+  if (signals.process_id_.empty() || signals.process_id_ == state.process_id_) {
+    return;
+  }
+  if (!state.process_id_.empty()) {
+    LogProcessChanged(state.upstream_.name_, signals.process_id_);
+  }
+  state.process_id_ = signals.process_id_;
+}
+
 const RoutingService* FindService(const RoutingPool& pool,
                                   const std::string& name) {
   const auto found = std::find_if(
@@ -483,9 +497,7 @@
   const std::lock_guard lock(mutex_);
   UpstreamState& state = *grant.upstream_;
   if (result.signals_) {
-    if (result.signals_->offers_) {
-      state.offers_ = result.signals_->offers_;
-    }
+    NoteProcess(state, *result.signals_);
     FreeSlotLocked(grant, WarmupSignalsOf(result, elapsed), now);
   }
   switch (result.result_) {
@@ -515,9 +527,7 @@
                                 const UpstreamSignals& signals,
                                 Instant now) {
   const std::lock_guard lock(mutex_);
-  if (signals.offers_) {
-    upstream.offers_ = signals.offers_;
-  }
+  NoteProcess(upstream, signals);
   const uint64_t before = upstream.warmup_.generation_;
   ObserveProbe(upstream.warmup_, upstream.warmup_limits_, signals.process_id_,
                signals.cold_limit_, now);
--- a/src/daemon/upstream_state.h
+++ b/src/daemon/upstream_state.h
@@ -37,6 +37,7 @@
   UpstreamHealth health_;
   LatencyWindow latencies_;
   std::optional<std::vector<Snapshot>> offers_;
+  std::string process_id_;  ///< Of the last answer.
   ReplicaWarmup warmup_;
   WarmupLimits warmup_limits_;
   SeatRole seat_role_ = SeatRole::kOther;
