--- /dev/null
+++ b/src/gateway/forward_declarations.h
@@ -0,0 +1,19 @@
+#ifndef CLEMENTINERILL_GATEWAY_FORWARD_DECLARATIONS_H_
+#define CLEMENTINERILL_GATEWAY_FORWARD_DECLARATIONS_H_
+
+namespace clementinerill::gateway {
+
+class ConnectionPool;
+class ControlLoop;
+class KindWatch;
+class QuerySession;
+class StoreCaller;
+class TrafficServer;
+struct GatewayMetrics;
+struct GatewayOptions;
+struct StorePort;
+struct WireNames;
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_GATEWAY_FORWARD_DECLARATIONS_H_
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,52 @@
+#ifndef CLEMENTINERILL_GATEWAY_GATEWAY_METRICS_H_
+#define CLEMENTINERILL_GATEWAY_GATEWAY_METRICS_H_
+
+#include "metrics/registry.h"
+#include "traffic/attempt_outcome.h"
+#include "traffic/query_outcome.h"
+
+namespace clementinerill::gateway {
+
+/// @brief The metrics of one gateway daemon; docs/OPERATIONS.md lists them.
+struct GatewayMetrics {
+  GatewayMetrics()
+      : queries_(registry_.AddReasonCounters("gateway_queries_total",
+                                             "Queries by outcome.",
+                                             traffic::kQueryOutcomeNames)),
+        attempts_(registry_.AddReasonCounters("gateway_attempts_total",
+                                              "Attempts by outcome.",
+                                              traffic::kAttemptOutcomeNames)),
+        hedges_(registry_.AddCounter("gateway_hedges_total",
+                                     "Second attempts sent while the first "
+                                     "one was open.")),
+        retries_(registry_.AddCounter("gateway_retries_total",
+                                      "Attempts sent after a failed one.")),
+        unrouted_(registry_.AddCounter("gateway_unrouted_total",
+                                       "Requests that match no route.")),
+        unconfigured_(registry_.AddCounter(
+            "gateway_unconfigured_total",
+            "Requests refused before a configuration was known.")),
+        store_failures_(registry_.AddCounter("gateway_store_failures_total",
+                                             "Failed calls of the store.")),
+        version_(registry_.AddGauge("gateway_configuration_version",
+                                    "Version of the configuration in force.")),
+        replicas_(registry_.AddGauge("gateway_replicas", "Known replicas.")),
+        latency_(registry_.AddLatency("gateway_query_seconds",
+                                      "Time from a request to its answer.")) {}
+
+  MetricsRegistry registry_;
+  ReasonCounters<traffic::QueryOutcome, 7> queries_;
+  ReasonCounters<traffic::AttemptOutcome, 9> attempts_;
+  Counter& hedges_;
+  Counter& retries_;
+  Counter& unrouted_;
+  Counter& unconfigured_;
+  Counter& store_failures_;
+  Gauge& version_;
+  Gauge& replicas_;
+  LatencyRecorder& latency_;
+};
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_GATEWAY_GATEWAY_METRICS_H_
--- /dev/null
+++ b/src/gateway/gateway_options.h
@@ -0,0 +1,35 @@
+#ifndef CLEMENTINERILL_GATEWAY_GATEWAY_OPTIONS_H_
+#define CLEMENTINERILL_GATEWAY_GATEWAY_OPTIONS_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "gateway/store_port.h"
+#include "gateway/wire_names.h"
+#include "settings/endpoint.h"
+#include "traffic/fleet_state.h"
+
+namespace clementinerill::gateway {
+
+/// @brief Everything that one gateway daemon needs to know at its start.
+struct GatewayOptions {
+  std::string name_;  ///< Unique among the daemons.
+  std::string failure_domain_;
+  Endpoint caller_listen_;
+  Endpoint ready_listen_;
+  std::optional<Endpoint> metrics_listen_;
+  Endpoint store_;
+  Duration stop_grace_ = std::chrono::seconds(6);  ///< From SIGTERM to SIGKILL.
+  traffic::FleetLimits limits_;
+  WireNames names_;
+  StorePort port_;
+  /// Reads the settings again; logged when they are wrong.
+  std::function<Result<GatewayOptions>()> reload_;
+};
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_GATEWAY_GATEWAY_OPTIONS_H_
--- /dev/null
+++ b/src/gateway/query_log.cc
@@ -0,0 +1,97 @@
+#include "gateway/query_log.h"
+
+#include <string>
+
+#include "logging/log.h"
+
+namespace clementinerill::gateway {
+namespace {
+
+using traffic::Attempt;
+using traffic::PartState;
+using traffic::Query;
+using traffic::QueryOutcome;
+using traffic::QueryPart;
+
+// Lines a second. A complete query on time needs none to be explained; a few
+// show what is usual. The bound of the others holds the cost of logging below
+// about 1% of a core.
+constexpr LogRateLimit kCompleteLines{20, std::chrono::seconds(1)};
+constexpr LogRateLimit kOtherLines{200, std::chrono::seconds(1)};
+
+bool IsLate(const Query& query, Instant now) {
+  return now - query.started_ > query.route_->objective_;
+}
+
+std::string AttemptText(const Attempt& attempt, Instant now) {
+  std::string text = attempt.replica_->entry_.id_;
+  text += attempt.is_hedge_ ? "+" : ":";
+  if (attempt.is_open_) {
+    text += "open:" + std::to_string(ToMilliseconds(now - attempt.sent_));
+    return text;
+  }
+  text += NameOf(traffic::kAttemptOutcomeNames, attempt.outcome_);
+  text += ":" + std::to_string(ToMilliseconds(attempt.took_));
+  return text;
+}
+
+// The parts that had trouble: service[replica:outcome:ms,...].
+std::string PartsText(const Query& query, Instant now) {
+  std::string text;
+  for (const QueryPart& part : query.parts_) {
+    if (part.state_ == PartState::kAnswered && part.attempts_.size() == 1 &&
+        part.attempts_.front().took_ < query.route_->objective_) {
+      continue;
+    }
+    text += text.empty() ? "" : " ";
+    text += part.service_ ? part.service_->name_ : "unknown-service";
+    text += "[";
+    for (const Attempt& attempt : part.attempts_) {
+      text += (&attempt == &part.attempts_.front()) ? "" : ",";
+      text += AttemptText(attempt, now);
+    }
+    text += "]";
+    if (part.state_ == PartState::kFailed && part.attempts_.empty()) {
+      text += "no_replica";
+    }
+  }
+  return text;
+}
+
+int CountExtras(const Query& query) {
+  int extras = 0;
+  for (const QueryPart& part : query.parts_) {
+    extras += part.attempts_.empty()
+                  ? 0
+                  : static_cast<int>(part.attempts_.size()) - 1;
+  }
+  return extras;
+}
+
+}  // namespace
+
+void LogQueryEnd(const Query& query, int status, Instant now) {
+  static LogSite complete_lines(kCompleteLines);
+  static LogSite other_lines(kOtherLines);
+  const bool usual =
+      query.outcome_ == QueryOutcome::kComplete && !IsLate(query, now);
+  LogFields fields = {
+      {"id", query.id_},
+      {"route", query.route_->name_},
+      {"outcome", NameOf(traffic::kQueryOutcomeNames, query.outcome_)},
+      {"status", status},
+      {"took_ms", now - query.started_},
+      {"answered", CountParts(query, PartState::kAnswered)},
+      {"parts", query.parts_.size()},
+      {"extra", CountExtras(query)},
+      {"version", query.view_->configuration_->version_}};
+  if (!usual) {
+    fields.emplace_back("late", IsLate(query, now));
+    fields.emplace_back("attempts", PartsText(query, now));
+  }
+  (usual ? complete_lines : other_lines)
+      .Log(now, usual ? LogLevel::kInfo : LogLevel::kWarning, "query", "ended",
+           fields);
+}
+
+}  // namespace clementinerill::gateway
--- /dev/null
+++ b/src/gateway/store_port.h
@@ -0,0 +1,80 @@
+#ifndef CLEMENTINERILL_GATEWAY_STORE_PORT_H_
+#define CLEMENTINERILL_GATEWAY_STORE_PORT_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "traffic/replica_entry.h"
+#include "traffic/traffic_configuration.h"
+
+namespace clementinerill::gateway {
+
+/// @brief One object of the store.
+struct StoredObject {
+  std::string name_;
+  nlohmann::json content_;
+};
+
+/// @brief A page of the objects of one kind.
+struct StorePage {
+  std::vector<StoredObject> objects_;
+  bool has_more_ = false;  ///< Continue after the last name.
+  int64_t revision_ = 0;   ///< Of the store, for a watch.
+};
+
+/// @brief A change of one object.
+struct StoreEvent {
+  StoredObject object_;
+  bool deleted_ = false;
+};
+
+struct StoreEvents {
+  std::vector<StoreEvent> events_;
+  int64_t revision_ = 0;  ///< To watch from next.
+};
+
+/// @brief Names of the kinds of objects.
+struct StoreKinds {
+  std::string configuration_;
+  std::string configuration_name_;  ///< The one object of that kind.
+  std::string replicas_;
+  std::string evacuations_;  ///< Named by failure domain.
+  std::string daemons_;      ///< Written by the daemons themselves.
+};
+
+/// @brief How a platform's store is spoken to; filled in by its adapter.
+///
+/// Decoding errors are values that say what is wrong; they concern one object
+/// or answer and leave the others usable.
+struct StorePort {
+  StoreKinds kinds_;
+  std::function<std::string(const std::string& kind,
+                            const std::string& after,
+                            bool may_be_stale)>
+      list_target_;
+  std::function<std::string(const std::string& kind,
+                            int64_t revision,
+                            std::chrono::milliseconds wait)>
+      watch_target_;
+  std::function<std::string(const std::string& kind, const std::string& name)>
+      object_target_;
+  std::function<std::string(const std::string& name,
+                            const nlohmann::json& content)>
+      encode_object_;
+  std::function<Result<StorePage>(const std::string& body)> decode_page_;
+  std::function<Result<StoreEvents>(const std::string& body)> decode_events_;
+  std::function<Result<traffic::TrafficConfiguration>(const nlohmann::json&)>
+      decode_configuration_;
+  std::function<Result<traffic::ReplicaEntry>(const StoredObject&, Instant now)>
+      decode_replica_;
+};
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_GATEWAY_STORE_PORT_H_
--- /dev/null
+++ b/src/gateway/traffic_server.h
@@ -0,0 +1,74 @@
+#ifndef CLEMENTINERILL_GATEWAY_TRAFFIC_SERVER_H_
+#define CLEMENTINERILL_GATEWAY_TRAFFIC_SERVER_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gateway/connection_pool.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/gateway_options.h"
+#include "gateway/query_session.h"
+#include "http/event_loop.h"
+#include "http/listener.h"
+#include "traffic/fleet_state.h"
+
+namespace clementinerill::gateway {
+
+/// @brief The traffic thread: callers, the balancer's checks and replicas.
+class TrafficServer {
+ public:
+  TrafficServer(http::EventLoop& loop,
+                const GatewayOptions& options,
+                GatewayMetrics& metrics);
+
+  [[nodiscard]] Result<void> Listen();
+
+  /// @brief Takes a newer view of configuration and replicas.
+  void SetView(std::shared_ptr<const traffic::TrafficView> view);
+
+  /// @brief Begins a graceful shutdown; `stopped` is called at its end.
+  ///
+  /// Reports not ready at once and keeps serving until the balancer has
+  /// noticed. Requests in flight are answered.
+  void Drain(std::function<void()> stopped);
+
+ private:
+  using Caller = std::shared_ptr<http::CallerConnection>;
+
+  void OnRequest(const Caller& caller, http::HttpRequest request);
+  void OnReadyCheck(const Caller& caller, const http::HttpRequest& request);
+  void OnMetrics(const Caller& caller, const http::HttpRequest& request);
+  void Refuse(const Caller& caller, const http::HttpRequest& request);
+  void RejectUnrouted(const Caller& caller, const http::HttpRequest& request);
+  void Serve(const Caller& caller,
+             http::HttpRequest request,
+             const traffic::RouteRule& route);
+  [[nodiscard]] Duration Patience(const http::HttpRequest& request,
+                                  const traffic::RouteRule& route) const;
+  [[nodiscard]] bool IsReady() const;
+  void Tick();
+  void CheckDrain(Instant now);
+  void Forget();
+
+  http::EventLoop& loop_;
+  const GatewayOptions& options_;
+  GatewayMetrics& metrics_;
+  traffic::FleetState fleet_;
+  ConnectionPool pool_;
+  bool draining_ = false;
+  SessionContext context_;
+  http::Listener callers_;
+  http::Listener balancer_;
+  http::Listener operators_;
+  std::list<std::weak_ptr<QuerySession>> sessions_;
+  std::optional<Instant> drain_began_;
+  std::function<void()> stopped_;
+  bool was_ready_ = false;
+};
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_GATEWAY_TRAFFIC_SERVER_H_
--- /dev/null
+++ b/src/http/caller_connection.cc
@@ -0,0 +1,233 @@
+#include "http/caller_connection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+
+#include "http/parsed_headers.h"
+#include "http/socket_options.h"
+
+namespace clementinerill::http {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// Bytes of later requests that are read while one is served; reading stops
+// beyond them, and then a caller that leaves is noticed only at the answer.
+constexpr size_t kMostReadAhead = 64 * 1024;
+
+// A body may take this multiple of the time for headers.
+constexpr int kBodyTimeoutFactor = 3;
+
+}  // namespace
+
+CallerConnection::CallerConnection(EventLoop& loop,
+                                   asio::ip::tcp::socket socket,
+                                   const ServerLimits& limits,
+                                   Handler handler)
+    : loop_(loop),
+      socket_(std::move(socket)),
+      limits_(limits),
+      handler_(std::move(handler)),
+      last_use_(EventLoop::Now()),
+      began_(last_use_) {}
+
+void CallerConnection::Start() {
+  SetNoDelay(socket_);
+  SetKeepAlive(socket_, {});
+  error_code ignored;
+  socket_.non_blocking(true, ignored);
+  StartParser();
+  Read();
+}
+
+void CallerConnection::StartParser() {
+  parser_.emplace();
+  parser_->header_limit(limits_.max_header_bytes_);
+  parser_->body_limit(limits_.max_body_bytes_);
+  parser_->eager(true);
+  continued_ = false;
+}
+
+void CallerConnection::Read() {
+  if (reading_ || closed_ || in_.size() >= kMostReadAhead) {
+    return;
+  }
+  reading_ = true;
+  const auto self = shared_from_this();
+  socket_.async_read_some(asio::buffer(chunk_),
+                          [self](const error_code& error, size_t bytes) {
+                            self->reading_ = false;
+                            if (!self->closed_) {
+                              self->OnRead(error, bytes);
+                            }
+                          });
+}
+
+void CallerConnection::OnRead(const error_code& error, size_t bytes) {
+  if (error) {
+    const auto left = std::move(on_left_);
+    on_left_ = nullptr;
+    Close();
+    if (left) {
+      left();
+    }
+    return;
+  }
+  if (in_.empty() && !serving_) {
+    began_ = EventLoop::Now();
+  }
+  in_.append(chunk_.data(), bytes);
+  if (!serving_ && !writing_) {
+    Parse();
+  }
+  Read();
+}
+
+void CallerConnection::Parse() {
+  while (!closed_ && !serving_ && !writing_ && !in_.empty()) {
+    error_code error;
+    const size_t used = parser_->put(asio::buffer(in_), error);
+    in_.erase(0, used);
+    if (error && error != boost::beast::http::error::need_more) {
+      const bool too_large = error == boost::beast::http::error::body_limit;
+      const bool long_header = error == boost::beast::http::error::header_limit;
+      Reject(too_large ? 413 : long_header ? 431 : 400);
+      return;
+    }
+    if (parser_->is_done()) {
+      TakeRequest();
+      continue;
+    }
+    if (parser_->is_header_done() && !continued_ &&
+        IsSameName(
+            std::string(parser_->get()[boost::beast::http::field::expect]),
+            "100-continue")) {
+      continued_ = true;
+      error_code ignored;
+      // Sent at once: 25 bytes fit into any socket buffer.
+      socket_.write_some(
+          asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+    }
+    if (error == boost::beast::http::error::need_more || used == 0) {
+      return;
+    }
+  }
+}
+
+void CallerConnection::TakeRequest() {
+  auto message = parser_->release();
+  HttpRequest request;
+  request.keep_alive_ = message.keep_alive();
+  request.method_ = std::string(message.method_string());
+  request.target_ = std::string(message.target());
+  request.headers_ = HeadersOf(message);
+  request.body_ = std::move(message.body());
+  keep_alive_ = request.keep_alive_;
+  is_head_ = request.method_ == "HEAD";
+  serving_ = true;
+  StartParser();
+  handler_(shared_from_this(), std::move(request));
+}
+
+void CallerConnection::Reject(int status) {
+  HttpAnswer answer;
+  answer.status_ = status;
+  serving_ = true;
+  is_head_ = false;
+  Respond(answer, true);
+}
+
+void CallerConnection::Respond(const HttpAnswer& answer, bool close) {
+  if (closed_ || !serving_) {
+    return;
+  }
+  serving_ = false;
+  on_left_ = nullptr;
+  const bool ends = close || !keep_alive_;
+  Write(ToBytes(answer, ends, is_head_), ends);
+}
+
+void CallerConnection::Write(std::string bytes, bool close) {
+  writing_ = true;
+  out_ = std::move(bytes);
+  const auto self = shared_from_this();
+  error_code error;
+  const size_t sent = socket_.write_some(asio::buffer(out_), error);
+  if (!error && sent == out_.size()) {
+    // Posted, so that the sender of the answer sees no nested request.
+    loop_.Post([self, close] { self->Written(close); });
+    return;
+  }
+  if (error && error != asio::error::would_block) {
+    Close();
+    return;
+  }
+  const size_t begin = error ? 0 : sent;
+  asio::async_write(socket_,
+                    asio::buffer(out_.data() + begin, out_.size() - begin),
+                    [self, close](const error_code& failed, size_t /*bytes*/) {
+                      if (failed) {
+                        self->Close();
+                      } else {
+                        self->Written(close);
+                      }
+                    });
+}
+
+void CallerConnection::Written(bool close) {
+  if (closed_) {
+    return;
+  }
+  writing_ = false;
+  out_.clear();
+  last_use_ = EventLoop::Now();
+  began_ = last_use_;
+  if (close) {
+    Close();
+    return;
+  }
+  Parse();
+  Read();
+}
+
+void CallerConnection::Close() {
+  if (closed_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  closed_ = true;
+  on_left_ = nullptr;
+  handler_ = nullptr;
+  error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  socket_.close(ignored);
+}
+
+bool CallerConnection::IsIdle() const noexcept {
+  return !serving_ && !writing_ && in_.empty() &&
+         (!parser_ || !parser_->got_some());
+}
+
+void CallerConnection::CheckTimeouts(const ServerLimits& limits,
+                                     bool draining,
+                                     Instant now) {
+  limits_ = limits;
+  if (closed_ || serving_ || writing_) {
+    return;
+  }
+  if (IsIdle()) {
+    if (draining || now - last_use_ > limits.idle_timeout_) {
+      Close();
+    }
+    return;
+  }
+  if (now - began_ > limits.header_timeout_ * kBodyTimeoutFactor) {
+    Reject(408);
+  }
+}
+
+}  // namespace clementinerill::http
--- /dev/null
+++ b/src/http/event_loop.h
@@ -0,0 +1,47 @@
+#ifndef CLEMENTINERILL_HTTP_EVENT_LOOP_H_
+#define CLEMENTINERILL_HTTP_EVENT_LOOP_H_
+
+#include <functional>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "base/time.h"
+#include "http/timer_queue.h"
+
+namespace clementinerill::http {
+
+/// @brief The sockets and timers of one thread.
+class EventLoop {
+ public:
+  EventLoop() : context_(1), timers_(context_) {}
+
+  [[nodiscard]] boost::asio::io_context& Context() noexcept { return context_; }
+  [[nodiscard]] TimerQueue& Timers() noexcept { return timers_; }
+
+  /// @brief The present time, for decisions that take it as an argument.
+  [[nodiscard]] static Instant Now() noexcept { return Instant::clock::now(); }
+
+  /// @brief Runs `task` on the thread of the loop; safe from any thread.
+  void Post(std::function<void()> task) {
+    boost::asio::post(context_, std::move(task));
+  }
+
+  /// @brief Serves until `Stop`.
+  void Run() {
+    const auto work = boost::asio::make_work_guard(context_);
+    context_.run();
+  }
+
+  /// @brief Ends `Run`; safe from any thread.
+  void Stop() { context_.stop(); }
+
+ private:
+  boost::asio::io_context context_;
+  TimerQueue timers_;
+};
+
+}  // namespace clementinerill::http
+
+#endif  // CLEMENTINERILL_HTTP_EVENT_LOOP_H_
--- /dev/null
+++ b/src/http/forward_declarations.h
@@ -0,0 +1,16 @@
+#ifndef CLEMENTINERILL_HTTP_FORWARD_DECLARATIONS_H_
+#define CLEMENTINERILL_HTTP_FORWARD_DECLARATIONS_H_
+
+namespace clementinerill::http {
+
+class CallerConnection;
+class ClientConnection;
+class EventLoop;
+class Listener;
+class TimerQueue;
+struct HttpAnswer;
+struct HttpRequest;
+
+}  // namespace clementinerill::http
+
+#endif  // CLEMENTINERILL_HTTP_FORWARD_DECLARATIONS_H_
--- /dev/null
+++ b/src/http/http.h
@@ -0,0 +1,16 @@
+#ifndef CLEMENTINERILL_HTTP_HTTP_H_
+#define CLEMENTINERILL_HTTP_HTTP_H_
+
+// Includes the whole http library.
+
+#include "http/caller_connection.h"
+#include "http/client_connection.h"
+#include "http/event_loop.h"
+#include "http/forward_declarations.h"
+#include "http/http_message.h"
+#include "http/listener.h"
+#include "http/parsed_headers.h"
+#include "http/socket_options.h"
+#include "http/timer_queue.h"
+
+#endif  // CLEMENTINERILL_HTTP_HTTP_H_
--- /dev/null
+++ b/src/http/http_message.cc
@@ -0,0 +1,124 @@
+#include "http/http_message.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace clementinerill::http {
+namespace {
+
+constexpr std::array<std::string_view, 10> kHopByHop = {
+    "connection", "keep-alive",         "proxy-connection", "te",
+    "trailer",    "transfer-encoding",  "upgrade",          "content-length",
+    "expect",     "proxy-authorization"};
+
+// Whether the comma-separated `list` holds `name`.
+bool ListHolds(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const size_t comma = std::min(list.find(','), list.size());
+    std::string token(list.substr(0, comma));
+    boost::algorithm::trim(token);
+    if (IsSameName(token, name)) {
+      return true;
+    }
+    list.remove_prefix(std::min(comma + 1, list.size()));
+  }
+  return false;
+}
+
+bool IsHopByHop(std::string_view name) {
+  return std::any_of(
+      kHopByHop.begin(), kHopByHop.end(),
+      [name](std::string_view other) { return IsSameName(name, other); });
+}
+
+void AppendHeaders(std::string& bytes, const Headers& headers) {
+  for (const auto& [name, value] : headers) {
+    bytes.append(name).append(": ").append(value).append("\r\n");
+  }
+}
+
+void AppendLength(std::string& bytes, size_t length) {
+  bytes.append("Content-Length: ").append(std::to_string(length));
+  bytes.append("\r\n");
+}
+
+bool MayHaveBody(int status) {
+  return status >= 200 && status != 204 && status != 304;
+}
+
+bool TakesBody(const std::string& method) {
+  return method != "GET" && method != "HEAD" && method != "DELETE" &&
+         method != "OPTIONS" && method != "TRACE";
+}
+
+}  // namespace
+
+bool IsSameName(std::string_view a, std::string_view b) noexcept {
+  return a.size() == b.size() && boost::algorithm::iequals(a, b);
+}
+
+std::string_view FindHeader(const Headers& headers,
+                            std::string_view name) noexcept {
+  for (const auto& [key, value] : headers) {
+    if (IsSameName(key, name)) {
+      return value;
+    }
+  }
+  return {};
+}
+
+Headers EndToEndHeaders(const Headers& headers) {
+  const std::string_view connection = FindHeader(headers, "Connection");
+  Headers kept;
+  kept.reserve(headers.size());
+  for (const auto& header : headers) {
+    if (!IsHopByHop(header.first) && !ListHolds(connection, header.first)) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+std::string ToBytes(const HttpRequest& request) {
+  std::string bytes;
+  bytes.reserve(256 + request.body_.size());
+  bytes.append(request.method_).append(" ").append(request.target_);
+  bytes.append(" HTTP/1.1\r\n");
+  AppendHeaders(bytes, request.headers_);
+  if (!request.body_.empty() || TakesBody(request.method_)) {
+    AppendLength(bytes, request.body_.size());
+  }
+  bytes.append("\r\n").append(request.body_);
+  return bytes;
+}
+
+std::string ToBytes(const HttpAnswer& answer, bool close, bool is_head) {
+  std::string bytes;
+  bytes.reserve(256 + answer.body_.size());
+  bytes.append("HTTP/1.1 ").append(std::to_string(answer.status_));
+  bytes.append(" ").append(ReasonPhrase(answer.status_)).append("\r\n");
+  AppendHeaders(bytes, answer.headers_);
+  if (MayHaveBody(answer.status_)) {
+    AppendLength(bytes, answer.body_.size());
+  }
+  if (close) {
+    bytes.append("Connection: close\r\n");
+  }
+  bytes.append("\r\n");
+  if (MayHaveBody(answer.status_) && !is_head) {
+    bytes.append(answer.body_);
+  }
+  return bytes;
+}
+
+std::string_view ReasonPhrase(int status) {
+  const auto phrase = boost::beast::http::obsolete_reason(
+      boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+  return {phrase.data(), phrase.size()};
+}
+
+}  // namespace clementinerill::http
--- /dev/null
+++ b/src/http/listener.cc
@@ -0,0 +1,104 @@
+#include "http/listener.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "logging/log.h"
+
+namespace clementinerill::http {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// Connections that wait to be accepted; a full queue costs callers seconds.
+constexpr int kBacklog = 1024;
+
+// Pause after a failure to accept, such as no free descriptor.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+
+LogSite& AcceptFailures() {
+  static LogSite site;
+  return site;
+}
+
+}  // namespace
+
+Listener::Listener(EventLoop& loop, CallerConnection::Handler handler)
+    : loop_(loop), acceptor_(loop.Context()), handler_(std::move(handler)) {}
+
+Result<uint16_t> Listener::Listen(const std::string& address, uint16_t port) {
+  error_code error;
+  const auto ip = asio::ip::make_address(address, error);
+  if (error) {
+    return Fail("listen address must be an IP number");
+  }
+  const asio::ip::tcp::endpoint endpoint(ip, port);
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor_.listen(kBacklog, error);
+  }
+  if (error) {
+    return Fail("cannot listen on " + address + ":" + std::to_string(port) +
+                ": " + error.message());
+  }
+  Accept();
+  return acceptor_.local_endpoint().port();
+}
+
+void Listener::Accept() {
+  acceptor_.async_accept([this](const error_code& error,
+                                asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+      return;
+    }
+    if (error) {
+      AcceptFailures().Log(EventLoop::Now(), LogLevel::kWarning, "listener",
+                           "accept failed", {{"error", error.message()}});
+      loop_.Timers().Add(EventLoop::Now() + kAcceptPause, [this] { Accept(); });
+      return;
+    }
+    const auto connection = std::make_shared<CallerConnection>(
+        loop_, std::move(socket), limits_, handler_);
+    connections_.push_back(connection);
+    connection->Start();
+    Accept();
+  });
+}
+
+void Listener::StopAccepting() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void Listener::CheckTimeouts(bool draining, Instant now) {
+  for (const auto& connection : connections_) {
+    connection->CheckTimeouts(limits_, draining, now);
+  }
+  connections_.remove_if(
+      [](const auto& connection) { return connection->IsClosed(); });
+}
+
+void Listener::CloseAll() {
+  for (const auto& connection : connections_) {
+    connection->Close();
+  }
+  connections_.clear();
+}
+
+size_t Listener::CountServing() const {
+  return static_cast<size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const auto& connection) { return connection->IsServing(); }));
+}
+
+}  // namespace clementinerill::http
--- /dev/null
+++ b/src/http/listener.h
@@ -0,0 +1,53 @@
+#ifndef CLEMENTINERILL_HTTP_LISTENER_H_
+#define CLEMENTINERILL_HTTP_LISTENER_H_
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "base/result.h"
+#include "http/caller_connection.h"
+#include "http/event_loop.h"
+
+namespace clementinerill::http {
+
+/// @brief Accepts connections on one address and keeps the open ones.
+class Listener {
+ public:
+  Listener(EventLoop& loop, CallerConnection::Handler handler);
+
+  /// @brief Listens; returns the port.
+  [[nodiscard]] Result<uint16_t> Listen(const std::string& address,
+                                        uint16_t port);
+
+  /// @brief Accepts no more connections; open ones stay.
+  void StopAccepting();
+
+  /// @brief Ends connections that are past their timeouts and forgets closed
+  /// ones; for a periodic call. With `draining`, ends all idle ones.
+  void CheckTimeouts(bool draining, Instant now);
+
+  void SetLimits(const ServerLimits& limits) { limits_ = limits; }
+
+  /// @brief Closes all connections at once.
+  void CloseAll();
+
+  [[nodiscard]] size_t CountServing() const;
+  [[nodiscard]] size_t CountOpen() const { return connections_.size(); }
+
+ private:
+  void Accept();
+
+  EventLoop& loop_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  CallerConnection::Handler handler_;
+  ServerLimits limits_;
+  std::list<std::shared_ptr<CallerConnection>> connections_;
+};
+
+}  // namespace clementinerill::http
+
+#endif  // CLEMENTINERILL_HTTP_LISTENER_H_
--- /dev/null
+++ b/src/traffic/advance_query.cc
@@ -0,0 +1,362 @@
+#include "traffic/advance_query.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace clementinerill::traffic {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A part is hedged after this multiple of the 90th percentile of its route,
+// which a healthy part rarely exceeds and a pausing replica always does.
+constexpr double kHedgeFactor = 1.8;
+// Bounds of the hedge delay: scheduling noise below, and above the share of
+// the objective that leaves a second attempt time to answer.
+constexpr Duration kLeastHedgeDelay = milliseconds(4);
+constexpr double kMostHedgeDelayOfObjective = 0.45;
+// An incomplete sweep is answered this long before its objective: the way to
+// the caller and back, a new connection, and the turn of the processor.
+constexpr Duration kAnswerMargin = milliseconds(7);
+constexpr double kAnswerMarginOfObjective = 0.05;
+// The final answer leaves this long before the deadline.
+constexpr Duration kDeadlineMargin = milliseconds(5);
+// Pause before a part looks for a free connection again.
+constexpr Duration kConnectionPause = milliseconds(3);
+// Sends beyond `max_attempts_` that a part may make after refusals that prove
+// that nothing ran.
+constexpr int kRefusedSends = 1;
+
+size_t RequiredParts(const Query& query) {
+  const double share =
+      IsSweep(*query.route_) ? query.route_->min_coverage_ : 1.0;
+  const auto total = static_cast<double>(query.parts_.size());
+  return std::max<size_t>(1,
+                          static_cast<size_t>(std::ceil(share * total - 1e-9)));
+}
+
+bool IsIdempotent(const Query& query) {
+  return query.route_->kind_ == RequestKind::kIdempotent;
+}
+
+bool HasOpenAttempt(const QueryPart& part) {
+  return std::any_of(part.attempts_.begin(), part.attempts_.end(),
+                     [](const Attempt& attempt) { return attempt.is_open_; });
+}
+
+int CountMayHaveRun(const QueryPart& part) {
+  return static_cast<int>(std::count_if(
+      part.attempts_.begin(), part.attempts_.end(), [](const Attempt& attempt) {
+        return attempt.is_open_ || !IsNotRun(attempt.outcome_);
+      }));
+}
+
+int CountSent(const QueryPart& part) {
+  return static_cast<int>(std::count_if(
+      part.attempts_.begin(), part.attempts_.end(), [](const Attempt& attempt) {
+        return attempt.is_open_ || attempt.outcome_ != AttemptOutcome::kNotSent;
+      }));
+}
+
+bool MayAttempt(const Query& query, const QueryPart& part) {
+  const int most = query.route_->max_attempts_;
+  const int ran = CountMayHaveRun(part);
+  if (!IsIdempotent(query) && ran > 0) {
+    return false;
+  }
+  return ran < most && CountSent(part) < most + kRefusedSends;
+}
+
+const LatencyEstimate& LatencyOf(const FleetState& fleet,
+                                 const RouteRule& route) {
+  static const LatencyEstimate initial{kInitialLatency};
+  const auto found = fleet.routes_.find(route.name_);
+  return found == fleet.routes_.end() ? initial : found->second.latency_;
+}
+
+ReplicaChoice Choose(FleetState& fleet,
+                     const Query& query,
+                     const QueryPart& part,
+                     Instant now) {
+  ReplicaRequest request;
+  request.route_ = query.route_;
+  request.usual_ = LatencyOf(fleet, *query.route_).Median();
+  for (const Attempt& attempt : part.attempts_) {
+    request.tried_.push_back(attempt.replica_.get());
+  }
+  return ChooseReplica(fleet, *part.service_, request, now);
+}
+
+void NoteColdSend(ReplicaState& replica, Instant now) {
+  if (!IsCold(replica, now)) {
+    replica.cold_sends_.clear();
+    return;
+  }
+  auto& sends = replica.cold_sends_;
+  const auto is_old = [now](Instant t) {
+    return now - t >= std::chrono::seconds(1);
+  };
+  sends.erase(std::remove_if(sends.begin(), sends.end(), is_old), sends.end());
+  sends.push_back(now);
+}
+
+void AddAttempt(QueryPart& part,
+                std::shared_ptr<ReplicaState> replica,
+                bool is_hedge,
+                Instant now) {
+  RecordSend(*replica, now);
+  NoteColdSend(*replica, now);
+  Attempt attempt;
+  attempt.replica_ = std::move(replica);
+  attempt.sent_ = now;
+  attempt.is_hedge_ = is_hedge;
+  part.attempts_.push_back(std::move(attempt));
+}
+
+bool SpendExtra(FleetState& fleet,
+                QueryPart& part,
+                ExtraAttemptUse use,
+                Instant now) {
+  return part.service_->extras_.TrySpend(fleet.limits_.extra_attempts_,
+                                         fleet.view_->daemons_, use, now);
+}
+
+// Sends the first attempt of a part, or the next one after a failure; whether
+// an attempt was added.
+bool TryAttempt(FleetState& fleet, Query& query, QueryPart& part, Instant now) {
+  if (!MayAttempt(query, part)) {
+    part.state_ = PartState::kFailed;
+    return false;
+  }
+  const ReplicaChoice choice = Choose(fleet, query, part, now);
+  part.no_replica_ = choice.reason_;
+  if (choice.reason_ == NoReplicaReason::kNoConnection) {
+    return false;
+  }
+  if (choice.reason_ == NoReplicaReason::kUnavailable ||
+      (CountSent(part) > 0 &&
+       !SpendExtra(fleet, part, ExtraAttemptUse::kRetry, now))) {
+    part.state_ = PartState::kFailed;
+    return false;
+  }
+  AddAttempt(part, choice.replica_, false, now);
+  return true;
+}
+
+bool MayHedge(const Query& query, const QueryPart& part) {
+  return IsIdempotent(query) && !part.hedge_refused_ && MayAttempt(query, part);
+}
+
+bool TryHedge(FleetState& fleet, Query& query, QueryPart& part, Instant now) {
+  const ReplicaChoice choice = Choose(fleet, query, part, now);
+  if (choice.reason_ == NoReplicaReason::kNoConnection) {
+    return false;
+  }
+  if (choice.reason_ == NoReplicaReason::kUnavailable ||
+      !SpendExtra(fleet, part, ExtraAttemptUse::kHedge, now)) {
+    part.hedge_refused_ = true;
+    return false;
+  }
+  AddAttempt(part, choice.replica_, true, now);
+  return true;
+}
+
+Instant HedgeAt(const FleetState& fleet,
+                const Query& query,
+                const QueryPart& part) {
+  return part.attempts_.back().sent_ + HedgeDelay(fleet, *query.route_);
+}
+
+void AdvancePart(FleetState& fleet,
+                 Query& query,
+                 size_t index,
+                 Instant now,
+                 std::vector<SendAction>& sends) {
+  QueryPart& part = query.parts_[index];
+  if (part.state_ != PartState::kPending) {
+    return;
+  }
+  bool added = false;
+  if (!HasOpenAttempt(part)) {
+    added = TryAttempt(fleet, query, part, now);
+    if (!added && part.state_ == PartState::kPending) {
+      query.wake_at_ = std::min(query.wake_at_, now + kConnectionPause);
+    }
+  } else if (MayHedge(query, part) && HedgeAt(fleet, query, part) <= now) {
+    added = TryHedge(fleet, query, part, now);
+    if (!added && !part.hedge_refused_) {
+      query.wake_at_ = std::min(query.wake_at_, now + kConnectionPause);
+    }
+  }
+  if (added) {
+    sends.push_back({index, part.attempts_.size() - 1});
+  }
+  if (HasOpenAttempt(part) && MayHedge(query, part)) {
+    const Instant hedge_at = HedgeAt(fleet, query, part);
+    if (hedge_at > now) {
+      query.wake_at_ = std::min(query.wake_at_, hedge_at);
+    }
+  }
+}
+
+// Takes back attempts that were planned in the step that ended the query.
+void CancelSends(Query& query, std::vector<SendAction>& sends) {
+  for (const SendAction& send : sends) {
+    Attempt& attempt = query.parts_[send.part_].attempts_[send.attempt_];
+    CancelSend(*attempt.replica_, attempt.sent_);
+    attempt.is_open_ = false;
+    attempt.outcome_ = AttemptOutcome::kNotSent;
+  }
+  sends.clear();
+}
+
+QueryOutcome OutcomeWithout(const Query& query) {
+  return MayHaveRun(query) ? QueryOutcome::kFailed : QueryOutcome::kRefused;
+}
+
+QueryOutcome Decide(const Query& query, Instant now) {
+  const size_t answered = CountParts(query, PartState::kAnswered);
+  const size_t pending = CountParts(query, PartState::kPending);
+  const size_t required = RequiredParts(query);
+  if (answered == query.parts_.size()) {
+    return QueryOutcome::kComplete;
+  }
+  if (answered + pending < required) {
+    return OutcomeWithout(query);
+  }
+  const bool is_late = now >= query.deadline_ - kDeadlineMargin;
+  if (answered >= required &&
+      (pending == 0 || now >= query.answer_by_ || is_late)) {
+    return QueryOutcome::kPartial;
+  }
+  if (is_late) {
+    return MayHaveRun(query) ? QueryOutcome::kTimedOut : QueryOutcome::kRefused;
+  }
+  return QueryOutcome::kOpen;
+}
+
+std::shared_ptr<ServiceState> ChooseDestination(FleetState& fleet,
+                                                const RouteRule& route) {
+  if (route.destinations_.empty()) {
+    return nullptr;
+  }
+  // Smooth weighted round robin: each destination gains its weight, and the
+  // one that is owed most pays for the request.
+  auto& owed = fleet.routes_[route.name_].owed_;
+  double total = 0;
+  const WeightedService* best = nullptr;
+  for (const WeightedService& destination : route.destinations_) {
+    total += destination.weight_;
+    owed[destination.service_] += destination.weight_;
+    if (!best || owed[destination.service_] > owed[best->service_]) {
+      best = &destination;
+    }
+  }
+  owed[best->service_] -= total;
+  return FindService(fleet, best->service_);
+}
+
+void AddPart(Query& query, std::shared_ptr<ServiceState> service, Instant now) {
+  QueryPart part;
+  if (service) {
+    service->extras_.RecordRequest(now);
+  } else {
+    part.state_ = PartState::kFailed;
+  }
+  part.service_ = std::move(service);
+  query.parts_.push_back(std::move(part));
+}
+
+Duration AnswerMargin(const RouteRule& route) {
+  return kAnswerMargin + std::chrono::duration_cast<Duration>(
+                             route.objective_ * kAnswerMarginOfObjective);
+}
+
+}  // namespace
+
+Duration HedgeDelay(const FleetState& fleet, const RouteRule& route) {
+  const Duration most = std::chrono::duration_cast<Duration>(
+      route.objective_ * kMostHedgeDelayOfObjective);
+  const Duration usual = std::chrono::duration_cast<Duration>(
+      LatencyOf(fleet, route).P90() * kHedgeFactor);
+  return std::max(kLeastHedgeDelay, std::min(usual, most));
+}
+
+Query StartQuery(FleetState& fleet,
+                 const RouteRule& route,
+                 std::string id,
+                 Duration patience,
+                 Instant now) {
+  Query query;
+  query.id_ = std::move(id);
+  query.view_ = fleet.view_;
+  query.route_ = &route;
+  query.started_ = now;
+  query.deadline_ = now + std::min(patience, route.timeout_);
+  query.answer_by_ = now + route.objective_ - AnswerMargin(route);
+  if (IsSweep(route)) {
+    for (const std::string& shard : route.shards_) {
+      AddPart(query, FindService(fleet, shard), now);
+    }
+  } else {
+    AddPart(query, ChooseDestination(fleet, route), now);
+  }
+  return query;
+}
+
+void RecordAttempt(FleetState& fleet,
+                   Query& query,
+                   SendAction action,
+                   AttemptOutcome outcome,
+                   ReplicaAnswer answer,
+                   Instant now) {
+  QueryPart& part = query.parts_[action.part_];
+  Attempt& attempt = part.attempts_[action.attempt_];
+  if (!attempt.is_open_) {
+    return;
+  }
+  attempt.is_open_ = false;
+  attempt.outcome_ = outcome;
+  attempt.took_ = now - attempt.sent_;
+  RouteState& route = fleet.routes_[query.route_->name_];
+  RecordOutcome(*attempt.replica_, outcome, attempt.sent_,
+                route.latency_.Median(), now);
+  if (outcome == AttemptOutcome::kAnswered) {
+    route.latency_.Add(attempt.took_);
+    part.service_->latency_.Add(attempt.took_);
+    if (part.state_ != PartState::kAnswered) {
+      part.state_ = PartState::kAnswered;
+      part.answer_ = std::move(answer);
+    }
+  } else if (outcome == AttemptOutcome::kFailed) {
+    part.failure_ = std::move(answer);
+  }
+}
+
+std::vector<SendAction> Advance(FleetState& fleet, Query& query, Instant now) {
+  std::vector<SendAction> sends;
+  if (query.outcome_ != QueryOutcome::kOpen) {
+    return sends;
+  }
+  query.wake_at_ = query.deadline_ - kDeadlineMargin;
+  if (now < query.wake_at_) {
+    for (size_t i = 0; i < query.parts_.size(); ++i) {
+      AdvancePart(fleet, query, i, now, sends);
+    }
+  }
+  query.outcome_ = Decide(query, now);
+  if (query.outcome_ != QueryOutcome::kOpen) {
+    CancelSends(query, sends);
+  }
+  if (query.answer_by_ > now) {
+    query.wake_at_ = std::min(query.wake_at_, query.answer_by_);
+  }
+  return sends;
+}
+
+Duration TimeLeft(const Query& query, Instant now) {
+  return std::max(query.deadline_ - now, Duration::zero());
+}
+
+}  // namespace clementinerill::traffic
--- /dev/null
+++ b/src/traffic/advance_query.h
@@ -0,0 +1,48 @@
+#ifndef CLEMENTINERILL_TRAFFIC_ADVANCE_QUERY_H_
+#define CLEMENTINERILL_TRAFFIC_ADVANCE_QUERY_H_
+
+#include <string>
+#include <vector>
+
+#include "traffic/query.h"
+
+namespace clementinerill::traffic {
+
+/// @brief Begins a query on `route` of the fleet's present view.
+///
+/// `patience` is how long the caller waits. Parts without a service have
+/// failed already. `Advance` sends the first attempts.
+[[nodiscard]] Query StartQuery(FleetState& fleet,
+                               const RouteRule& route,
+                               std::string id,
+                               Duration patience,
+                               Instant now);
+
+/// @brief Takes the outcome of an attempt; a repeated outcome is ignored.
+///
+/// `answer` is used for `kAnswered` and `kFailed`.
+void RecordAttempt(FleetState& fleet,
+                   Query& query,
+                   SendAction attempt,
+                   AttemptOutcome outcome,
+                   ReplicaAnswer answer,
+                   Instant now);
+
+/// @brief Decides what to do next: attempts to send, and the outcome when the
+/// query can be answered or has to be given up.
+///
+/// Sets `outcome_` and `wake_at_`.
+[[nodiscard]] std::vector<SendAction> Advance(FleetState& fleet,
+                                              Query& query,
+                                              Instant now);
+
+/// @brief The time that an attempt of the query may take at a replica.
+[[nodiscard]] Duration TimeLeft(const Query& query, Instant now);
+
+/// @brief How long a part waits for its first attempt before a second one.
+[[nodiscard]] Duration HedgeDelay(const FleetState& fleet,
+                                  const RouteRule& route);
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_ADVANCE_QUERY_H_
--- /dev/null
+++ b/src/traffic/attempt_outcome.h
@@ -0,0 +1,45 @@
+#ifndef CLEMENTINERILL_TRAFFIC_ATTEMPT_OUTCOME_H_
+#define CLEMENTINERILL_TRAFFIC_ATTEMPT_OUTCOME_H_
+
+#include <array>
+
+#include "base/name_table.h"
+
+namespace clementinerill::traffic {
+
+/// @brief How one request to one replica ended.
+enum class AttemptOutcome {
+  kAnswered,     ///< A complete answer that is not a failure.
+  kFailed,       ///< The replica ran the request and answered with a failure.
+  kShed,         ///< The replica refused the request before running it.
+  kMisdirected,  ///< Another process has the address; not run.
+  kNotSent,      ///< No byte of the request left; not run.
+  kBroken,       ///< The connection ended without an answer; may have run.
+  kGarbled,      ///< Bytes that are no answer to the request; may have run.
+  kAbandoned,    ///< The deadline passed without an answer; may have run.
+  kCancelled,    ///< The caller left before an answer; may have run.
+};
+
+inline constexpr std::array<NameEntry<AttemptOutcome>, 9> kAttemptOutcomeNames =
+    {{
+        {AttemptOutcome::kAnswered, "answered"},
+        {AttemptOutcome::kFailed, "failed"},
+        {AttemptOutcome::kShed, "shed"},
+        {AttemptOutcome::kMisdirected, "misdirected"},
+        {AttemptOutcome::kNotSent, "not_sent"},
+        {AttemptOutcome::kBroken, "broken"},
+        {AttemptOutcome::kGarbled, "garbled"},
+        {AttemptOutcome::kAbandoned, "abandoned"},
+        {AttemptOutcome::kCancelled, "cancelled"},
+    }};
+
+/// @brief Whether the outcome proves that the replica did not run the request.
+[[nodiscard]] constexpr bool IsNotRun(AttemptOutcome outcome) noexcept {
+  return outcome == AttemptOutcome::kShed ||
+         outcome == AttemptOutcome::kMisdirected ||
+         outcome == AttemptOutcome::kNotSent;
+}
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_ATTEMPT_OUTCOME_H_
--- /dev/null
+++ b/src/traffic/choose_replica.cc
@@ -0,0 +1,153 @@
+#include "traffic/choose_replica.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "traffic/replica_directory.h"
+
+namespace clementinerill::traffic {
+namespace {
+
+// A part that crosses failure domains costs as much as this share of the
+// latency objective: bytes between failure domains are priced at about a
+// seventh of what a part earns.
+constexpr double kCrossingShareOfObjective = 0.2;
+// A failed attempt costs a second one, which comes late for this share of the
+// latency objective.
+constexpr double kFailureShareOfObjective = 0.6;
+// A replica without an answer for this multiple of the 90th percentile of the
+// service is taken to be pausing.
+constexpr double kStallFactor = 1.5;
+// Shortest time without an answer that counts as a stall.
+constexpr Duration kLeastStall = std::chrono::milliseconds(8);
+// Slowdown of a replica per busy slot, relative to its usual latency: some
+// replicas slow down when they are nearly full.
+constexpr double kSlowdownWhenBusy = 0.3;
+// Part of the rate of a cold replica that daemons use, since the bound covers
+// any second and arrivals bunch on the way.
+constexpr double kColdRateInUse = 0.6;
+
+enum class Tier { kNormal, kImpaired, kLeaving };
+
+struct Candidate {
+  Tier tier_ = Tier::kNormal;
+  double cost_ms_ = 0;
+};
+
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+bool IsStalled(const ServiceState& service,
+               const ReplicaState& replica,
+               Instant now) {
+  const Duration limit =
+      std::max(kLeastStall, std::chrono::duration_cast<Duration>(
+                                service.latency_.P90() * kStallFactor));
+  return StalledFor(replica, now) > limit;
+}
+
+bool MayUse(const FleetState& fleet,
+            const ReplicaState& replica,
+            const ReplicaRequest& request,
+            Instant now) {
+  const auto& leaving = replica.entry_.leaving_since_;
+  if (replica.misdirected_ || IsAvoided(replica, now) ||
+      (leaving && now - *leaving >= kLeavingGrace)) {
+    return false;
+  }
+  if (fleet.view_->evacuated_.count(replica.entry_.failure_domain_) > 0) {
+    return false;
+  }
+  return std::find(request.tried_.begin(), request.tried_.end(), &replica) ==
+         request.tried_.end();
+}
+
+// Whether a cold replica may take one more request of this daemon now.
+bool HasColdRoom(const FleetState& fleet,
+                 const ServiceState& service,
+                 const ReplicaState& replica,
+                 Instant now) {
+  const double rate = service.rule_.cold_requests_per_s_;
+  if (!IsCold(replica, now) || rate <= 0) {
+    return true;
+  }
+  const FleetLimits& limits = fleet.limits_;
+  const double total =
+      (rate * limits.cold_overage_ + limits.cold_slack_) * kColdRateInUse;
+  const int share =
+      std::max(1, static_cast<int>(total / std::max(fleet.view_->daemons_, 1)));
+  const auto recent = std::count_if(
+      replica.cold_sends_.begin(), replica.cold_sends_.end(),
+      [now](Instant sent) { return now - sent < std::chrono::seconds(1); });
+  return recent < share;
+}
+
+bool HasConnection(const ReplicaState& replica, int limit) {
+  return replica.idle_connections_ > 0 || replica.open_connections_ < limit;
+}
+
+Candidate Rate(const FleetState& fleet,
+               const ServiceState& service,
+               const ReplicaState& replica,
+               const ReplicaRequest& request,
+               Instant now) {
+  Candidate candidate;
+  if (replica.entry_.leaving_since_) {
+    candidate.tier_ = Tier::kLeaving;
+  } else if (IsStalled(service, replica, now) || IsCold(replica, now)) {
+    candidate.tier_ = Tier::kImpaired;
+  }
+  const double work = Milliseconds(request.usual_) * Slowness(replica, now);
+  const double objective = Milliseconds(request.route_->objective_);
+  const double busy = EstimatedBusy(replica, now);
+  const double slots = std::max(replica.entry_.slots_, 1);
+  const double wait = std::max(0.0, busy + 1 - slots) / slots * work;
+  candidate.cost_ms_ = work * (1 + kSlowdownWhenBusy * busy / slots) + wait;
+  if (replica.entry_.failure_domain_ != fleet.failure_domain_) {
+    candidate.cost_ms_ += kCrossingShareOfObjective * objective;
+  }
+  candidate.cost_ms_ +=
+      FailureShare(replica, now) * kFailureShareOfObjective * objective;
+  return candidate;
+}
+
+bool IsBetter(const Candidate& a, const Candidate& b) {
+  return a.tier_ != b.tier_ ? a.tier_ < b.tier_ : a.cost_ms_ < b.cost_ms_;
+}
+
+}  // namespace
+
+ReplicaChoice ChooseReplica(FleetState& fleet,
+                            const ServiceState& service,
+                            const ReplicaRequest& request,
+                            Instant now) {
+  const int limit = ConnectionLimit(service, fleet.view_->daemons_);
+  const size_t count = service.replicas_.size();
+  const size_t first = count == 0 ? 0 : fleet.turn_++ % count;
+  ReplicaChoice choice;
+  std::optional<Candidate> best;
+  // Starting at another replica each time spreads requests over equal ones.
+  for (size_t i = 0; i < count; ++i) {
+    const auto& replica = service.replicas_[(first + i) % count];
+    if (!MayUse(fleet, *replica, request, now)) {
+      continue;
+    }
+    if (!HasConnection(*replica, limit) ||
+        !HasColdRoom(fleet, service, *replica, now)) {
+      if (!choice.replica_) {
+        choice.reason_ = NoReplicaReason::kNoConnection;
+      }
+      continue;
+    }
+    const Candidate candidate = Rate(fleet, service, *replica, request, now);
+    if (!best || IsBetter(candidate, *best)) {
+      best = candidate;
+      choice = {replica, NoReplicaReason::kNone};
+    }
+  }
+  return choice;
+}
+
+}  // namespace clementinerill::traffic
--- /dev/null
+++ b/src/traffic/forward_declarations.h
@@ -0,0 +1,25 @@
+#ifndef CLEMENTINERILL_TRAFFIC_FORWARD_DECLARATIONS_H_
+#define CLEMENTINERILL_TRAFFIC_FORWARD_DECLARATIONS_H_
+
+namespace clementinerill::traffic {
+
+class ExtraAttemptWindow;
+class LatencyEstimate;
+struct Attempt;
+struct CallerLimits;
+struct FleetState;
+struct Query;
+struct QueryPart;
+struct ReplicaDirectory;
+struct ReplicaEntry;
+struct ReplicaState;
+struct RouteRule;
+struct ServiceRule;
+struct ServiceState;
+struct TrafficConfiguration;
+struct TrafficView;
+struct WeightedService;
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_FORWARD_DECLARATIONS_H_
--- /dev/null
+++ b/src/traffic/query.h
@@ -0,0 +1,77 @@
+#ifndef CLEMENTINERILL_TRAFFIC_QUERY_H_
+#define CLEMENTINERILL_TRAFFIC_QUERY_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "traffic/attempt_outcome.h"
+#include "traffic/choose_replica.h"
+#include "traffic/fleet_state.h"
+#include "traffic/query_outcome.h"
+#include "traffic/replica_answer.h"
+
+namespace clementinerill::traffic {
+
+/// @brief One request to one replica on behalf of a part.
+struct Attempt {
+  std::shared_ptr<ReplicaState> replica_;
+  Instant sent_{};
+  bool is_hedge_ = false;
+  bool is_open_ = true;  ///< Still waiting for an outcome.
+  AttemptOutcome outcome_ = AttemptOutcome::kAbandoned;  ///< Once not open.
+  Duration took_{};                                      ///< Once not open.
+};
+
+/// @brief State of what one service contributes.
+enum class PartState {
+  kPending,   ///< Waits for an attempt or its outcome.
+  kAnswered,  ///< `answer_` holds the contribution.
+  kFailed,    ///< Nothing can be had from the service any more.
+};
+
+/// @brief What one service contributes to a query.
+struct QueryPart {
+  std::shared_ptr<ServiceState> service_;
+  PartState state_ = PartState::kPending;
+  std::vector<Attempt> attempts_;
+  ReplicaAnswer answer_;
+  /// An answer of a replica that ran the request and failed; passed on when
+  /// nothing better comes.
+  ReplicaAnswer failure_;
+  bool hedge_refused_ = false;  ///< The budget allowed no hedge.
+  NoReplicaReason no_replica_ = NoReplicaReason::kNone;
+};
+
+/// @brief One request of a caller while it is served.
+struct Query {
+  std::string id_;
+  std::shared_ptr<const TrafficView> view_;  ///< Keeps `route_` alive.
+  const RouteRule* route_ = nullptr;
+  Instant started_{};
+  Instant deadline_{};   ///< The caller's or the route's, whichever is first.
+  Instant answer_by_{};  ///< An incomplete sweep is answered then.
+  std::vector<QueryPart> parts_;
+  QueryOutcome outcome_ = QueryOutcome::kOpen;
+  Instant wake_at_{};  ///< `Advance` must be called then at the latest.
+};
+
+/// @brief An attempt that the traffic thread has to send.
+struct SendAction {
+  size_t part_ = 0;
+  size_t attempt_ = 0;
+};
+
+/// @brief Whether any replica may have run the request or may still run it.
+[[nodiscard]] bool MayHaveRun(const Query& query);
+
+/// @brief Whether any attempt was handed to a replica.
+[[nodiscard]] bool WasSent(const Query& query);
+
+[[nodiscard]] size_t CountParts(const Query& query, PartState state);
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_QUERY_H_
--- /dev/null
+++ b/src/traffic/replica_answer.h
@@ -0,0 +1,20 @@
+#ifndef CLEMENTINERILL_TRAFFIC_REPLICA_ANSWER_H_
+#define CLEMENTINERILL_TRAFFIC_REPLICA_ANSWER_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace clementinerill::traffic {
+
+/// @brief A complete answer of a replica.
+struct ReplicaAnswer {
+  int status_ = 0;         ///< HTTP status; 0 is no answer.
+  std::string signature_;  ///< The replica's proof of this answer.
+  std::vector<std::pair<std::string, std::string>> headers_;  ///< End to end.
+  std::string body_;
+};
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_REPLICA_ANSWER_H_
--- /dev/null
+++ b/src/traffic/replica_directory.cc
@@ -0,0 +1,62 @@
+#include "traffic/replica_directory.h"
+
+#include <set>
+#include <utility>
+
+namespace clementinerill::traffic {
+
+void PutReplica(ReplicaDirectory& directory, ReplicaEntry entry) {
+  const auto known = directory.replicas_.find(entry.id_);
+  if (known == directory.replicas_.end()) {
+    directory.replicas_.emplace(entry.id_, std::move(entry));
+    return;
+  }
+  const bool keeps_leaving = entry.leaving_since_ &&
+                             known->second.leaving_since_ &&
+                             IsSameProcess(entry, known->second);
+  if (keeps_leaving) {
+    entry.leaving_since_ = known->second.leaving_since_;
+  }
+  known->second = std::move(entry);
+}
+
+void RemoveReplica(ReplicaDirectory& directory,
+                   const std::string& id,
+                   Instant now) {
+  const auto known = directory.replicas_.find(id);
+  if (known != directory.replicas_.end() && !known->second.leaving_since_) {
+    known->second.leaving_since_ = now;
+  }
+}
+
+void ReplaceReplicas(ReplicaDirectory& directory,
+                     std::vector<ReplicaEntry> entries,
+                     Instant now) {
+  std::set<std::string> listed;
+  for (ReplicaEntry& entry : entries) {
+    listed.insert(entry.id_);
+    PutReplica(directory, std::move(entry));
+  }
+  for (const auto& [id, entry] : directory.replicas_) {
+    if (listed.count(id) == 0) {
+      RemoveReplica(directory, id, now);
+    }
+  }
+}
+
+bool ForgetLeftReplicas(ReplicaDirectory& directory, Instant now) {
+  bool changed = false;
+  auto& replicas = directory.replicas_;
+  for (auto it = replicas.begin(); it != replicas.end();) {
+    const auto& leaving = it->second.leaving_since_;
+    if (leaving && now - *leaving >= kLeavingGrace) {
+      it = replicas.erase(it);
+      changed = true;
+    } else {
+      ++it;
+    }
+  }
+  return changed;
+}
+
+}  // namespace clementinerill::traffic
--- /dev/null
+++ b/src/traffic/replica_entry.h
@@ -0,0 +1,40 @@
+#ifndef CLEMENTINERILL_TRAFFIC_REPLICA_ENTRY_H_
+#define CLEMENTINERILL_TRAFFIC_REPLICA_ENTRY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+
+namespace clementinerill::traffic {
+
+/// @brief What service discovery says about one replica.
+struct ReplicaEntry {
+  std::string id_;
+  std::string service_;
+  std::string address_;  ///< IPv4 number.
+  uint16_t port_ = 0;
+  std::string failure_domain_;
+  std::string version_;  ///< Version of the software.
+  int slots_ = 1;        ///< Requests that run at once.
+  /// Wall time of the start in Unix milliseconds; tells apart two processes
+  /// that use one id. Never compared with a clock.
+  int64_t started_unix_ms_ = 0;
+  /// The replica is slow until then, by the time of this process.
+  std::optional<Instant> cold_until_;
+  /// When this daemon learned that the replica leaves.
+  std::optional<Instant> leaving_since_;
+};
+
+/// @brief Whether both entries describe the same process.
+[[nodiscard]] inline bool IsSameProcess(const ReplicaEntry& a,
+                                        const ReplicaEntry& b) noexcept {
+  return a.id_ == b.id_ && a.started_unix_ms_ == b.started_unix_ms_ &&
+         a.address_ == b.address_ && a.port_ == b.port_ &&
+         a.service_ == b.service_;
+}
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_REPLICA_ENTRY_H_
--- /dev/null
+++ b/src/traffic/route_rule.h
@@ -0,0 +1,56 @@
+#ifndef CLEMENTINERILL_TRAFFIC_ROUTE_RULE_H_
+#define CLEMENTINERILL_TRAFFIC_ROUTE_RULE_H_
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "base/name_table.h"
+#include "base/time.h"
+
+namespace clementinerill::traffic {
+
+/// @brief Whether a request may run more than once.
+enum class RequestKind {
+  kIdempotent,
+  kNonIdempotent,
+};
+
+inline constexpr std::array<NameEntry<RequestKind>, 2> kRequestKindNames = {{
+    {RequestKind::kIdempotent, "idempotent"},
+    {RequestKind::kNonIdempotent, "non_idempotent"},
+}};
+
+/// @brief One destination of a route and its share of the requests.
+struct WeightedService {
+  std::string service_;
+  double weight_ = 1.0;
+};
+
+/// @brief Where requests with a host and a path prefix go.
+///
+/// Either `destinations_` holds the services of which one takes the request,
+/// or `shards_` holds the services that all contribute to the answer.
+struct RouteRule {
+  std::string name_;
+  std::string host_;         ///< Lower case, without a port.
+  std::string path_prefix_;  ///< Begins and ends with a slash.
+  RequestKind kind_ = RequestKind::kNonIdempotent;
+  Duration timeout_{};    ///< Longest time that a caller is kept waiting.
+  Duration objective_{};  ///< Latency objective of an answer.
+  int max_attempts_ = 1;  ///< Replicas that may run the request, per service.
+  int priority_ = 0;      ///< 0 is the most urgent.
+  std::vector<WeightedService> destinations_;
+  std::vector<std::string> shards_;
+  int record_limit_ = 0;       ///< Records in an answer merged from shards.
+  double min_coverage_ = 1.0;  ///< Least share of the shards in an answer.
+};
+
+/// @brief Whether the answer is merged from several services.
+[[nodiscard]] inline bool IsSweep(const RouteRule& route) noexcept {
+  return !route.shards_.empty();
+}
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_ROUTE_RULE_H_
--- /dev/null
+++ b/src/traffic/traffic.h
@@ -0,0 +1,28 @@
+#ifndef CLEMENTINERILL_TRAFFIC_TRAFFIC_H_
+#define CLEMENTINERILL_TRAFFIC_TRAFFIC_H_
+
+// Includes the whole traffic library.
+
+#include "traffic/advance_query.h"
+#include "traffic/attempt_outcome.h"
+#include "traffic/caller_limits.h"
+#include "traffic/choose_replica.h"
+#include "traffic/extra_attempt_window.h"
+#include "traffic/fleet_state.h"
+#include "traffic/forward_declarations.h"
+#include "traffic/latency_estimate.h"
+#include "traffic/merge_records.h"
+#include "traffic/query.h"
+#include "traffic/query_outcome.h"
+#include "traffic/replica_answer.h"
+#include "traffic/replica_directory.h"
+#include "traffic/replica_entry.h"
+#include "traffic/replica_state.h"
+#include "traffic/reported_load.h"
+#include "traffic/rollout_order.h"
+#include "traffic/route_rule.h"
+#include "traffic/service_rule.h"
+#include "traffic/traffic_configuration.h"
+#include "traffic/traffic_view.h"
+
+#endif  // CLEMENTINERILL_TRAFFIC_TRAFFIC_H_
--- /dev/null
+++ b/src/traffic/traffic_configuration.h
@@ -0,0 +1,39 @@
+#ifndef CLEMENTINERILL_TRAFFIC_TRAFFIC_CONFIGURATION_H_
+#define CLEMENTINERILL_TRAFFIC_TRAFFIC_CONFIGURATION_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "traffic/caller_limits.h"
+#include "traffic/route_rule.h"
+#include "traffic/service_rule.h"
+
+namespace clementinerill::traffic {
+
+/// @brief One version of the routes, services and limits; used as a whole.
+struct TrafficConfiguration {
+  int64_t version_ = 0;  ///< Rises with each change; 0 is no configuration.
+  /// Routes by host, the longest path prefix first.
+  std::map<std::string, std::vector<RouteRule>, std::less<>> routes_;
+  std::map<std::string, ServiceRule, std::less<>> services_;
+  CallerLimits limits_;
+};
+
+/// @brief Adds a route and keeps the order of prefixes.
+void AddRoute(TrafficConfiguration& configuration, RouteRule route);
+
+/// @brief The route of a request, or null when none matches.
+///
+/// `host` may carry a port and any case; `target` is the request target with
+/// or without a query. The longest matching prefix wins.
+[[nodiscard]] const RouteRule* FindRoute(
+    const TrafficConfiguration& configuration,
+    std::string_view host,
+    std::string_view target);
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_TRAFFIC_CONFIGURATION_H_
