--- a/src/gateway/connection_pool.cc
+++ b/src/gateway/connection_pool.cc
@@ -14,6 +14,10 @@
 // a request does not cross the close.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(300);
 
+// A connection beyond the share of this daemon is closed after this idle time:
+// daemons take turns in using it.
+constexpr Duration kSpareIdle = std::chrono::milliseconds(500);
+
 // Pause before connecting again to a replica that could not be reached.
 constexpr Duration kConnectPause = std::chrono::milliseconds(1000);
 
@@ -27,23 +31,6 @@
          fleet.view_->evacuated_.count(replica.entry_.failure_domain_) == 0;
 }
 
-// Whether a route of the present configuration leads to the service.
-std::set<std::string> RoutedServices(const traffic::FleetState& fleet) {
-  std::set<std::string> services;
-  if (!fleet.view_ || !fleet.view_->configuration_) {
-    return services;
-  }
-  for (const auto& [host, routes] : fleet.view_->configuration_->routes_) {
-    for (const auto& route : routes) {
-      services.insert(route.shards_.begin(), route.shards_.end());
-      for (const auto& destination : route.destinations_) {
-        services.insert(destination.service_);
-      }
-    }
-  }
-  return services;
-}
-
 }  // namespace
 
 std::shared_ptr<http::ClientConnection> ConnectionPool::MakeConnection(
@@ -131,6 +118,15 @@
   }
 }
 
+void ConnectionPool::CloseIdle(Entry& entry, Instant now) {
+  for (IdleConnection& idle : entry.idle_) {
+    if (now - idle.connection_->LastUse() >= kSpareIdle) {
+      idle.usable_until_ = now;
+    }
+  }
+  CloseExpired(entry, now);
+}
+
 void ConnectionPool::OpenFirst(Entry& entry, Instant now) {
   const auto connection = MakeConnection(entry.replica_);
   AddIdle(entry, {connection});
@@ -143,17 +139,20 @@
     return;
   }
   std::set<traffic::ReplicaState*> present;
-  const auto routed = RoutedServices(fleet);
   int opens = 0;
   for (const auto& [name, service] : fleet.services_) {
     for (const auto& replica : service->replicas_) {
       present.insert(replica.get());
-      if (!IsWanted(fleet, *replica) || routed.count(name) == 0) {
+      if (!service->is_routed_ || !IsWanted(fleet, *replica)) {
         continue;
       }
       Entry& entry = entries_[replica.get()];
       entry.replica_ = replica;
       CloseExpired(entry, now);
+      if (!traffic::MayKeepIdle(fleet, *service, *replica)) {
+        CloseIdle(entry, now);
+        continue;
+      }
       if (replica->open_connections_ == 0 && now >= entry.open_again_ &&
           opens < kOpensPerPeriod) {
         OpenFirst(entry, now);
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -56,6 +56,7 @@
   void RemoveIdle(traffic::ReplicaState* replica,
                   const http::ClientConnection* connection);
   void CloseExpired(Entry& entry, Instant now);
+  void CloseIdle(Entry& entry, Instant now);
   void OpenFirst(Entry& entry, Instant now);
 
   http::EventLoop& loop_;
--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/daemon_record_json.h"
 #include "logging/log.h"
 
 namespace clementinerill::gateway {
@@ -11,29 +12,17 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A waiting watch counts as one call, so it waits long; a path that went
-// silent is noticed by the keep-alive probes of the connection.
-constexpr milliseconds kWatchWait{5000};
-constexpr milliseconds kQuietWatchWait{10000};
-// Entries of replicas change in groups when many start or leave; a change is
-// due within seconds.
-constexpr Duration kReplicaSettle = milliseconds(100);
-// Until the daemons are counted, limits are shared among this many: the
-// smaller share is the safe one.
-constexpr int kAssumedDaemons = 12;
-// Period between counts of the daemons; machines are added and lost rarely.
-constexpr Duration kCountPeriod = seconds(5);
 // Pause before a failed registration is repeated.
 constexpr Duration kRegisterPause = milliseconds(700);
 constexpr Duration kCallTimeout = milliseconds(2000);
+// How long a daemon that registers for the first time waits for others: all
+// VMs of a fleet start within 0.3 s.
+constexpr Duration kFleetStartPause = milliseconds(500);
 // Period in which replicas that left are forgotten.
 constexpr Duration kForgetPeriod = seconds(1);
 
-bool NamesEntry(const std::vector<StoredObject>& objects,
-                const std::string& name) {
-  return std::any_of(
-      objects.begin(), objects.end(),
-      [&name](const StoredObject& object) { return object.name_ == name; });
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
 }
 
 }  // namespace
@@ -44,41 +33,36 @@
                          Publish publish)
     : loop_(loop),
       options_(options),
-      metrics_(metrics),
       publish_(std::move(publish)),
-      writer_(loop, options.store_),
-      reader_(loop, options.store_),
-      daemons_(kAssumedDaemons) {}
+      follower_(
+          loop,
+          options,
+          metrics,
+          [this](const std::string& kind, const mirror::KindChanges& changes) {
+            OnChanges(kind, changes);
+          }),
+      writer_(loop, options.store_.address_, options.store_.port_) {}
 
 void ControlLoop::Start() {
-  StartConfiguration();
-  StartReplicas();
-  StartEvacuations();
-  for (const auto& watch : watches_) {
-    watch->Start();
-  }
+  follower_.Start();
   Register();
   Tick();
 }
 
-void ControlLoop::StartConfiguration() {
-  WatchHandlers handlers;
-  handlers.on_list_ = [this](const std::vector<StoredObject>& objects) {
-    for (const StoredObject& object : objects) {
+void ControlLoop::OnChanges(const std::string& kind,
+                            const mirror::KindChanges& changes) {
+  const StoreKinds& kinds = options_.port_.kinds_;
+  if (kind == kinds.configuration_) {
+    for (const StoredObject& object : changes.present_) {
       TakeConfiguration(object);
     }
-  };
-  handlers.on_events_ = [this](const std::vector<StoreEvent>& events) {
-    for (const StoreEvent& event : events) {
-      if (!event.deleted_) {
-        TakeConfiguration(event.object_);
-      }
-    }
-  };
-  watches_.push_back(std::make_unique<KindWatch>(
-      loop_, options_.store_, options_.port_, metrics_,
-      WatchOptions{options_.port_.kinds_.configuration_, kWatchWait, {}},
-      std::move(handlers)));
+  } else if (kind == kinds.replicas_) {
+    TakeReplicas(changes);
+  } else if (kind == kinds.evacuations_) {
+    TakeEvacuations(changes);
+  } else if (kind == kinds.daemons_) {
+    TakeDaemons(changes);
+  }
 }
 
 void ControlLoop::TakeConfiguration(const StoredObject& object) {
@@ -104,24 +88,22 @@
   PublishView();
 }
 
-void ControlLoop::StartReplicas() {
-  WatchHandlers handlers;
-  handlers.on_list_ = [this](const std::vector<StoredObject>& objects) {
-    TakeReplicas(objects);
-  };
-  handlers.on_events_ = [this](const std::vector<StoreEvent>& events) {
-    for (const StoreEvent& event : events) {
-      TakeReplicaEvent(event);
+void ControlLoop::TakeReplicas(const mirror::KindChanges& changes) {
+  if (changes.is_complete_) {
+    TakeReplicaList(changes.present_);
+  } else {
+    for (const StoredObject& object : changes.present_) {
+      TakeReplica(object);
     }
-    PublishView();
-  };
-  watches_.push_back(std::make_unique<KindWatch>(
-      loop_, options_.store_, options_.port_, metrics_,
-      WatchOptions{options_.port_.kinds_.replicas_, kWatchWait, kReplicaSettle},
-      std::move(handlers)));
+    for (const std::string& name : changes.removed_) {
+      Log(LogLevel::kInfo, "replicas", "entry removed", {{"replica", name}});
+      traffic::RemoveReplica(directory_, name, http::EventLoop::Now());
+    }
+  }
+  PublishView();
 }
 
-void ControlLoop::TakeReplicas(const std::vector<StoredObject>& objects) {
+void ControlLoop::TakeReplicaList(const std::vector<StoredObject>& objects) {
   const Instant now = http::EventLoop::Now();
   std::vector<traffic::ReplicaEntry> entries;
   for (const StoredObject& object : objects) {
@@ -137,102 +119,117 @@
       {{"objects", objects.size()}, {"usable", entries.size()}});
   traffic::ReplaceReplicas(directory_, std::move(entries), now);
   replicas_known_ = true;
-  PublishView();
 }
 
-void ControlLoop::TakeReplicaEvent(const StoreEvent& event) {
+void ControlLoop::TakeReplica(const StoredObject& object) {
   const Instant now = http::EventLoop::Now();
-  const std::string& name = event.object_.name_;
-  if (event.deleted_) {
-    Log(LogLevel::kInfo, "replicas", "entry removed", {{"replica", name}});
-    traffic::RemoveReplica(directory_, name, now);
-    return;
-  }
-  auto entry = options_.port_.decode_replica_(event.object_, now);
+  auto entry = options_.port_.decode_replica_(object, now);
   if (!entry) {
     Log(LogLevel::kWarning, "replicas", "entry is not usable",
-        {{"name", name}, {"error", Format(entry.error())}});
-    traffic::RemoveReplica(directory_, name, now);
+        {{"name", object.name_}, {"error", Format(entry.error())}});
+    traffic::RemoveReplica(directory_, object.name_, now);
     return;
   }
   Log(LogLevel::kInfo, "replicas", "entry changed",
-      {{"replica", name},
+      {{"replica", object.name_},
        {"service", entry->service_},
        {"leaving", entry->leaving_since_.has_value()},
        {"cold", entry->cold_until_.has_value()}});
   traffic::PutReplica(directory_, std::move(*entry));
 }
 
-void ControlLoop::StartEvacuations() {
-  WatchHandlers handlers;
-  handlers.on_list_ = [this](const std::vector<StoredObject>& objects) {
+void ControlLoop::TakeEvacuations(const mirror::KindChanges& changes) {
+  if (changes.is_complete_) {
     evacuated_.clear();
-    for (const StoredObject& object : objects) {
-      evacuated_.insert(object.name_);
-    }
-    PublishView();
-  };
-  handlers.on_events_ = [this](const std::vector<StoreEvent>& events) {
-    for (const StoreEvent& event : events) {
-      const std::string& domain = event.object_.name_;
-      Log(LogLevel::kInfo, "evacuation", event.deleted_ ? "ended" : "ordered",
-          {{"failure_domain", domain}});
-      if (event.deleted_) {
-        evacuated_.erase(domain);
-      } else {
-        evacuated_.insert(domain);
-      }
+  }
+  for (const StoredObject& object : changes.present_) {
+    Log(LogLevel::kInfo, "evacuation", "ordered",
+        {{"failure_domain", object.name_}});
+    evacuated_.insert(object.name_);
+  }
+  for (const std::string& name : changes.removed_) {
+    Log(LogLevel::kInfo, "evacuation", "ended", {{"failure_domain", name}});
+    evacuated_.erase(name);
+  }
+  PublishView();
+}
+
+void ControlLoop::TakeDaemons(const mirror::KindChanges& changes) {
+  if (changes.is_complete_) {
+    daemons_.clear();
+  }
+  for (const StoredObject& object : changes.present_) {
+    auto record = DecodeDaemonRecord(object);
+    if (record) {
+      daemons_[object.name_] = std::move(*record);
+    } else {
+      Log(LogLevel::kWarning, "daemons", "entry is not usable",
+          {{"name", object.name_}, {"error", Format(record.error())}});
+      daemons_.erase(object.name_);
     }
-    PublishView();
-  };
-  watches_.push_back(std::make_unique<KindWatch>(
-      loop_, options_.store_, options_.port_, metrics_,
-      WatchOptions{options_.port_.kinds_.evacuations_, kQuietWatchWait, {}},
-      std::move(handlers)));
+  }
+  for (const std::string& name : changes.removed_) {
+    daemons_.erase(name);
+  }
+  Log(LogLevel::kInfo, "daemons", "counted", {{"count", daemons_.size()}});
+  std::vector<mirror::DaemonRecord> records;
+  for (const auto& [name, record] : daemons_) {
+    records.push_back(record);
+  }
+  follower_.SetDaemons(records);
+  PublishView();
 }
 
 void ControlLoop::Register() {
   const auto& port = options_.port_;
-  const nlohmann::json content = {{"failure_domain", options_.failure_domain_}};
-  writer_.Call({"POST", port.list_target_(port.kinds_.daemons_, "", false),
-                port.encode_object_(options_.name_, content), kCallTimeout},
-               [this](const StoreReply& reply) {
-                 // 409: registered by an earlier process of this VM.
-                 if (reply.status_ == 409 ||
-                     (reply.status_ >= 200 && reply.status_ < 300)) {
-                   Log(LogLevel::kInfo, "daemons", "registered",
-                       {{"status", reply.status_}});
-                   CountDaemons();
-                   return;
-                 }
-                 Log(LogLevel::kWarning, "daemons", "cannot register yet",
-                     {{"status", reply.status_}});
-                 loop_.Timers().Add(http::EventLoop::Now() + kRegisterPause,
-                                    [this] { Register(); });
-               });
+  http::ClientCall call;
+  call.method_ = "POST";
+  call.target_ = port.list_target_(port.kinds_.daemons_, "", false);
+  call.body_ = port.encode_object_(options_.name_, EncodeOwnRecord(options_));
+  call.timeout_ = kCallTimeout;
+  writer_.Call(std::move(call),
+               [this](const http::ClientReply& reply) { OnRegistered(reply); });
 }
 
-void ControlLoop::CountDaemons() {
+void ControlLoop::OnRegistered(const http::ClientReply& reply) {
+  if (IsSuccess(reply.status_)) {
+    Log(LogLevel::kInfo, "daemons", "registered", {{"name", options_.name_}});
+    // Others register at the same time when a fleet starts.
+    loop_.Timers().Add(http::EventLoop::Now() + kFleetStartPause,
+                       [this] { follower_.FindDaemons(); });
+  } else if (reply.status_ == 409) {
+    follower_.FindDaemons();
+    UpdateRegistration();
+  } else {
+    follower_.FindDaemons();
+    RegisterLater(reply.status_);
+  }
+}
+
+// An earlier process of this name registered; its address may have been
+// another one. A write of the same content changes nothing in the store.
+void ControlLoop::UpdateRegistration() {
   const auto& port = options_.port_;
-  reader_.Call({"GET", port.list_target_(port.kinds_.daemons_, "", true), "",
-                kCallTimeout},
-               [this](const StoreReply& reply) {
-                 const auto page = options_.port_.decode_page_(reply.body_);
-                 // A stale answer may lack daemons that started just now; the
-                 // larger count is the safe one.
-                 if (reply.status_ == 200 && page &&
-                     NamesEntry(page->objects_, options_.name_)) {
-                   const auto count = static_cast<int>(page->objects_.size());
-                   if (count != daemons_) {
-                     Log(LogLevel::kInfo, "daemons", "counted",
-                         {{"count", count}, {"previous", daemons_}});
-                     daemons_ = count;
-                     PublishView();
-                   }
-                 }
-                 loop_.Timers().Add(http::EventLoop::Now() + kCountPeriod,
-                                    [this] { CountDaemons(); });
-               });
+  http::ClientCall call;
+  call.method_ = "PUT";
+  call.target_ = port.object_target_(port.kinds_.daemons_, options_.name_);
+  call.body_ = port.encode_object_(options_.name_, EncodeOwnRecord(options_));
+  call.timeout_ = kCallTimeout;
+  writer_.Call(std::move(call), [this](const http::ClientReply& reply) {
+    if (IsSuccess(reply.status_)) {
+      Log(LogLevel::kInfo, "daemons", "registered again",
+          {{"name", options_.name_}});
+    } else {
+      RegisterLater(reply.status_);
+    }
+  });
+}
+
+void ControlLoop::RegisterLater(int status) {
+  Log(LogLevel::kWarning, "daemons", "cannot register yet",
+      {{"status", status}});
+  loop_.Timers().Add(http::EventLoop::Now() + kRegisterPause,
+                     [this] { Register(); });
 }
 
 void ControlLoop::PublishView() {
@@ -244,7 +241,9 @@
     view->replicas_.push_back(entry);
   }
   view->evacuated_ = evacuated_;
-  view->daemons_ = std::max(daemons_, 1);
+  for (const auto& [name, record] : daemons_) {
+    ++view->daemons_[record.failure_domain_];
+  }
   publish_(std::move(view));
 }
 
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -2,6 +2,7 @@
 #define CLEMENTINERILL_GATEWAY_CONTROL_LOOP_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -9,14 +10,16 @@
 
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
-#include "gateway/kind_watch.h"
-#include "gateway/store_caller.h"
+#include "gateway/store_follower.h"
+#include "http/client.h"
+#include "mirror/daemon_record.h"
 #include "traffic/replica_directory.h"
 #include "traffic/traffic_view.h"
 
 namespace clementinerill::gateway {
 
-/// @brief The control thread: follows the store and publishes views.
+/// @brief The control thread: turns the copies of the store into views for the
+/// traffic thread.
 class ControlLoop {
  public:
   using Publish =
@@ -30,29 +33,30 @@
   void Start();
 
  private:
-  void StartConfiguration();
-  void StartReplicas();
-  void StartEvacuations();
+  void OnChanges(const std::string& kind, const mirror::KindChanges& changes);
   void TakeConfiguration(const StoredObject& object);
-  void TakeReplicas(const std::vector<StoredObject>& objects);
-  void TakeReplicaEvent(const StoreEvent& event);
+  void TakeReplicas(const mirror::KindChanges& changes);
+  void TakeReplicaList(const std::vector<StoredObject>& objects);
+  void TakeReplica(const StoredObject& object);
+  void TakeEvacuations(const mirror::KindChanges& changes);
+  void TakeDaemons(const mirror::KindChanges& changes);
   void Register();
-  void CountDaemons();
+  void OnRegistered(const http::ClientReply& reply);
+  void UpdateRegistration();
+  void RegisterLater(int status);
   void PublishView();
   void Tick();
 
   http::EventLoop& loop_;
   const GatewayOptions& options_;
-  GatewayMetrics& metrics_;
   const Publish publish_;
-  StoreCaller writer_;
-  StoreCaller reader_;
-  std::vector<std::unique_ptr<KindWatch>> watches_;
+  StoreFollower follower_;
+  http::Client writer_;
   std::shared_ptr<const traffic::TrafficConfiguration> configuration_;
   traffic::ReplicaDirectory directory_;
   std::set<std::string> evacuated_;
+  std::map<std::string, mirror::DaemonRecord> daemons_;
   bool replicas_known_ = false;
-  int daemons_;
 };
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "base/time.h"
@@ -22,6 +23,12 @@
   Endpoint ready_listen_;
   std::optional<Endpoint> metrics_listen_;
   Endpoint store_;
+  /// Where other daemons ask for this daemon's copy of the store.
+  std::optional<Endpoint> relay_listen_;
+  /// Relays that may answer while the store does not, for a start without it.
+  std::vector<Endpoint> seeds_;
+  /// The shortest time within which a change in the store must be in force.
+  Duration change_bound_ = std::chrono::seconds(3);
   Duration stop_grace_ = std::chrono::seconds(6);  ///< From SIGTERM to SIGKILL.
   traffic::FleetLimits limits_;
   WireNames names_;
--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -37,71 +37,102 @@
                      const StorePort& port,
                      GatewayMetrics& metrics,
                      WatchOptions options,
-                     WatchHandlers handlers)
+                     mirror::KindMirror& mirror,
+                     std::function<void(const mirror::KindChanges&)> on_changes)
     : loop_(loop),
       port_(port),
       metrics_(metrics),
       options_(std::move(options)),
-      handlers_(std::move(handlers)),
-      caller_(loop, store) {}
+      mirror_(mirror),
+      on_changes_(std::move(on_changes)),
+      client_(loop, store.address_, store.port_) {}
 
-void KindWatch::Start() {
-  List();
+void KindWatch::SetActive(bool active) {
+  if (active == active_) {
+    return;
+  }
+  active_ = active;
+  if (active) {
+    failures_ = 0;
+    listed_ = {};
+    Step();
+    return;
+  }
+  client_.Cancel();
+  if (timer_) {
+    loop_.Timers().Cancel(*timer_);
+    timer_.reset();
+  }
+}
+
+void KindWatch::Step() {
+  if (must_list_ || mirror_.revision_ == 0) {
+    List();
+  } else {
+    Watch();
+  }
 }
 
-void KindWatch::After(Duration pause, void (KindWatch::*step)()) {
-  loop_.Timers().Add(http::EventLoop::Now() + pause,
-                     [this, step] { (this->*step)(); });
+void KindWatch::StepAfter(Duration pause) {
+  timer_ = loop_.Timers().Add(http::EventLoop::Now() + pause, [this] {
+    timer_.reset();
+    Step();
+  });
 }
 
 void KindWatch::List() {
-  const std::string after = listed_.empty() ? "" : listed_.back().name_;
-  caller_.Call({"GET", port_.list_target_(options_.kind_, after, false), "",
-                kListTimeout},
-               [this](const StoreReply& reply) { OnPage(reply); });
+  const std::string after =
+      listed_.present_.empty() ? "" : listed_.present_.back().name_;
+  http::ClientCall call;
+  call.target_ = port_.list_target_(options_.kind_, after, false);
+  call.timeout_ = kListTimeout;
+  client_.Call(std::move(call),
+               [this](const http::ClientReply& reply) { OnPage(reply); });
 }
 
-void KindWatch::OnPage(const StoreReply& reply) {
+void KindWatch::OnPage(const http::ClientReply& reply) {
   if (reply.status_ != 200) {
-    listed_.clear();
     RetryLater("status " + std::to_string(reply.status_));
     return;
   }
   auto page = port_.decode_page_(reply.body_);
   if (!page) {
-    listed_.clear();
     RetryLater(page.error().description_);
     return;
   }
   // The first page's revision: a watch from it repeats changes that later
   // pages already show, and misses none.
-  revision_ = listed_.empty() ? page->revision_ : revision_;
+  if (listed_.present_.empty()) {
+    listed_.revision_ = page->revision_;
+  }
   std::move(page->objects_.begin(), page->objects_.end(),
-            std::back_inserter(listed_));
+            std::back_inserter(listed_.present_));
   if (page->has_more_ && !page->objects_.empty()) {
     List();
     return;
   }
-  NoteSuccess();
-  listing_ = false;
-  auto listed = std::move(listed_);
-  listed_.clear();
-  handlers_.on_list_(std::move(listed));
-  Watch();
+  must_list_ = false;
+  const mirror::KindChanges listed = std::exchange(listed_, {});
+  Take({listed.revision_, true, listed.present_, {}});
+  if (active_) {
+    Watch();
+  }
 }
 
 void KindWatch::Watch() {
-  caller_.Call(
-      {"GET", port_.watch_target_(options_.kind_, revision_, options_.wait_),
-       "", Duration(options_.wait_) + kWatchMargin},
-      [this](const StoreReply& reply) { OnEvents(reply); });
+  http::ClientCall call;
+  call.target_ =
+      port_.watch_target_(options_.kind_, mirror_.revision_, options_.wait_);
+  call.timeout_ = Duration(options_.wait_) + kWatchMargin;
+  client_.Call(std::move(call),
+               [this](const http::ClientReply& reply) { OnEvents(reply); });
 }
 
-void KindWatch::OnEvents(const StoreReply& reply) {
+void KindWatch::OnEvents(const http::ClientReply& reply) {
   if (reply.status_ == 410) {
     Log(LogLevel::kInfo, "store", "history is gone, listing again",
-        {{"kind", options_.kind_}, {"revision", revision_}});
-    listing_ = true;
+        {{"kind", options_.kind_}, {"revision", mirror_.revision_}});
+    must_list_ = true;
     List();
     return;
   }
@@ -111,28 +142,39 @@
   }
   auto events = port_.decode_events_(reply.body_);
   if (!events) {
-    listing_ = true;
+    must_list_ = true;
     RetryLater(events.error().description_);
     return;
   }
+  const bool changed = !events->present_.empty() || !events->removed_.empty();
+  Take(*events);
+  if (!active_) {
+    return;
+  }
+  if (changed && options_.settle_ > Duration::zero()) {
+    StepAfter(options_.settle_);
+  } else {
+    Watch();
+  }
+}
+
+void KindWatch::Take(const mirror::KindChanges& changes) {
   NoteSuccess();
-  revision_ = std::max(revision_, events->revision_);
-  const bool changed = !events->events_.empty();
-  if (changed) {
-    handlers_.on_events_(std::move(events->events_));
+  mirror::Confirm(mirror_, http::EventLoop::Now());
+  if (mirror::Apply(mirror_, changes)) {
+    on_changes_(changes);
   }
-  After(changed ? options_.settle_ : Duration::zero(), &KindWatch::Watch);
 }
 
 void KindWatch::RetryLater(const std::string& reason) {
+  listed_ = {};
   ++failures_;
   metrics_.store_failures_.Increment();
   if (failures_ == 1) {
     Log(LogLevel::kWarning, "store", "lost",
         {{"kind", options_.kind_}, {"reason", reason}});
   }
-  After(PauseAfter(failures_, options_.kind_, http::EventLoop::Now()),
-        listing_ ? &KindWatch::List : &KindWatch::Watch);
+  StepAfter(PauseAfter(failures_, options_.kind_, http::EventLoop::Now()));
 }
 
 void KindWatch::NoteSuccess() {
--- a/src/gateway/kind_watch.h
+++ b/src/gateway/kind_watch.h
@@ -6,8 +6,10 @@
 #include <vector>
 
 #include "gateway/gateway_metrics.h"
-#include "gateway/store_caller.h"
 #include "gateway/store_port.h"
+#include "http/client.h"
+#include "mirror/kind_mirror.h"
+#include "settings/endpoint.h"
 
 namespace clementinerill::gateway {
 
@@ -19,46 +21,49 @@
   Duration settle_{};
 };
 
-/// @brief Receives what the store says about one kind, in its order.
-struct WatchHandlers {
-  std::function<void(std::vector<StoredObject>)> on_list_;
-  std::function<void(std::vector<StoreEvent>)> on_events_;
-};
-
-/// @brief Follows all objects of one kind: lists them, then watches, and lists
-/// again when the store has dropped the history.
+/// @brief Keeps a copy of the objects of one kind up to date from the store:
+/// lists them, then watches, and lists again when the store has dropped the
+/// history.
 class KindWatch {
  public:
+  /// @param on_changes called after newer changes were applied to `mirror`.
   KindWatch(http::EventLoop& loop,
             const Endpoint& store,
             const StorePort& port,
             GatewayMetrics& metrics,
             WatchOptions options,
-            WatchHandlers handlers);
+            mirror::KindMirror& mirror,
+            std::function<void(const mirror::KindChanges&)> on_changes);
 
-  void Start();
+  /// @brief Begins or ends following; a copy that has a revision is continued
+  /// from there.
+  void SetActive(bool active);
 
-  /// @brief Whether the last call succeeded.
-  [[nodiscard]] bool IsInTouch() const noexcept { return failures_ == 0; }
+  /// @brief Sets how long a watch waits, from the next one on.
+  void SetWait(std::chrono::milliseconds wait) { options_.wait_ = wait; }
 
  private:
+  void Step();
   void List();
   void Watch();
-  void OnPage(const StoreReply& reply);
-  void OnEvents(const StoreReply& reply);
+  void OnPage(const http::ClientReply& reply);
+  void OnEvents(const http::ClientReply& reply);
+  void Take(const mirror::KindChanges& changes);
   void RetryLater(const std::string& reason);
-  void After(Duration pause, void (KindWatch::*step)());
+  void StepAfter(Duration pause);
   void NoteSuccess();
 
   http::EventLoop& loop_;
   const StorePort& port_;
   GatewayMetrics& metrics_;
-  const WatchOptions options_;
-  const WatchHandlers handlers_;
-  StoreCaller caller_;
-  std::vector<StoredObject> listed_;
-  int64_t revision_ = 0;
-  bool listing_ = true;
+  WatchOptions options_;
+  mirror::KindMirror& mirror_;
+  const std::function<void(const mirror::KindChanges&)> on_changes_;
+  http::Client client_;
+  mirror::KindChanges listed_;
+  std::optional<http::TimerQueue::Id> timer_;
+  bool active_ = false;
+  bool must_list_ = false;
   int failures_ = 0;
 };
 
--- /dev/null
+++ b/src/gateway/store_follower.cc
@@ -0,0 +1,326 @@
+#include "gateway/store_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/log.h"
+
+namespace clementinerill::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kRelayPath = "/relay";
+
+// Shares of the time within which a change must be in force: a watcher hears
+// from the store at least so often, a relay's copy may be so old, and a reader
+// waits so long for news. Together they leave a third for a change of relay.
+constexpr double kWatchWaitShare = 0.4;
+constexpr double kFreshShare = 0.5;
+constexpr double kRelayWaitShare = 0.16;
+// Where every daemon follows the store, nobody depends on how often it answers
+// and a path that went silent is noticed by keep-alive probes.
+constexpr milliseconds kLoneWatchWait{8000};
+// A relay answers at the end of the wait; the rest covers a busy processor.
+constexpr Duration kRelayMargin = milliseconds(500);
+// Pause after a relay failed, when all of them have.
+constexpr Duration kRelayPause = milliseconds(700);
+// Changes of replicas come in groups when many start or leave.
+constexpr Duration kReplicaSettle = milliseconds(400);
+// Daemons register together at a start; their number is not urgent.
+constexpr Duration kDaemonSettle = milliseconds(1000);
+// Period in which connections of readers are checked.
+constexpr Duration kTick = milliseconds(1000);
+// Fewer daemons than this follow the store each by itself: relays need shorter
+// waits, which cost more calls than they save.
+constexpr size_t kLeastDaemonsForRelays = 16;
+
+milliseconds ShareOf(Duration bound, double share) {
+  return std::chrono::duration_cast<milliseconds>(bound * share);
+}
+
+}  // namespace
+
+StoreFollower::StoreFollower(http::EventLoop& loop,
+                             const GatewayOptions& options,
+                             GatewayMetrics& metrics,
+                             OnChanges on_changes)
+    : loop_(loop),
+      options_(options),
+      metrics_(metrics),
+      on_changes_(std::move(on_changes)),
+      relay_listener_(
+          loop,
+          [this](const Caller& caller, const http::HttpRequest& request) {
+            OnRelayRequest(caller, request);
+          }) {
+  const StoreKinds& kinds = options.port_.kinds_;
+  AddKind(kinds.configuration_, {}, true);
+  AddKind(kinds.replicas_, kReplicaSettle, true);
+  AddKind(kinds.evacuations_, {}, true);
+  AddKind(kinds.daemons_, kDaemonSettle, false);
+}
+
+void StoreFollower::AddKind(const std::string& kind,
+                            Duration settle,
+                            bool must_be_fresh) {
+  FollowedKind& followed = kinds_[kind];
+  followed.must_be_fresh_ = must_be_fresh;
+  followed.watch_ = std::make_unique<KindWatch>(
+      loop_, options_.store_, options_.port_, metrics_,
+      WatchOptions{kind, kLoneWatchWait, settle}, followed.mirror_,
+      [this, kind](const mirror::KindChanges& changes) {
+        OnKindChanged(kind, changes);
+      });
+}
+
+void StoreFollower::Start() {
+  if (options_.relay_listen_) {
+    const auto port = relay_listener_.Listen(options_.relay_listen_->address_,
+                                             options_.relay_listen_->port_);
+    if (!port) {
+      Log(LogLevel::kError, "relay", "cannot listen, others cannot ask here",
+          {{"error", Format(port.error())}});
+    }
+  }
+  for (const Endpoint& seed : options_.seeds_) {
+    if (!options_.relay_listen_ || !(seed == *options_.relay_listen_)) {
+      plan_.relays_.push_back({"seed", "", seed.address_, seed.port_});
+    }
+  }
+  AskRelay();
+  Tick();
+}
+
+void StoreFollower::FindDaemons() {
+  kinds_[options_.port_.kinds_.daemons_].watch_->SetActive(true);
+}
+
+void StoreFollower::SetDaemons(
+    const std::vector<mirror::DaemonRecord>& daemons) {
+  mirror::RelayPlan plan = mirror::PlanRelays(daemons, options_.name_);
+  const bool relays = daemons.size() >= kLeastDaemonsForRelays;
+  plan.follows_store_ = plan.follows_store_ || !relays;
+  for (auto& [kind, followed] : kinds_) {
+    followed.watch_->SetWait(
+        relays ? ShareOf(options_.change_bound_, kWatchWaitShare)
+               : kLoneWatchWait);
+  }
+  if (plan.follows_store_ != plan_.follows_store_) {
+    Log(LogLevel::kInfo, "relay", "role changed",
+        {{"follows_store", plan.follows_store_},
+         {"daemons", daemons.size()},
+         {"relays", plan.relays_.size()}});
+  }
+  plan_ = std::move(plan);
+  if (plan_.follows_store_) {
+    SetDirect(true, "watcher");
+  } else {
+    AskRelay();
+  }
+}
+
+void StoreFollower::SetDirect(bool direct, const std::string& reason) {
+  if (direct_ && *direct_ == direct) {
+    return;
+  }
+  direct_ = direct;
+  Log(LogLevel::kInfo, "relay",
+      direct ? "follows the store" : "follows a relay", {{"reason", reason}});
+  for (auto& [kind, followed] : kinds_) {
+    followed.watch_->SetActive(direct);
+  }
+}
+
+void StoreFollower::OnKindChanged(const std::string& kind,
+                                  const mirror::KindChanges& changes) {
+  on_changes_(kind, changes);
+  ReplyToWaiting();
+}
+
+mirror::RelayRequest StoreFollower::MakeRequest() const {
+  mirror::RelayRequest request;
+  request.wait_ = ShareOf(options_.change_bound_, kRelayWaitShare);
+  for (const auto& [kind, followed] : kinds_) {
+    request.revisions_[kind] = followed.mirror_.revision_;
+  }
+  return request;
+}
+
+void StoreFollower::AskRelay() {
+  // Relays are asked by daemons that do not follow the store, and by one that
+  // starts while the store does not answer.
+  const bool configured =
+      kinds_[options_.port_.kinds_.configuration_].mirror_.revision_ > 0;
+  if (asking_ || plan_.relays_.empty() ||
+      (plan_.follows_store_ && configured)) {
+    return;
+  }
+  asking_ = true;
+  const auto& relay = plan_.relays_[relay_ % plan_.relays_.size()];
+  relay_client_ =
+      std::make_unique<http::Client>(loop_, relay.address_, relay.port_);
+  AskRelayAfter(Duration::zero());
+}
+
+void StoreFollower::AskRelayAfter(Duration pause) {
+  loop_.Timers().Add(http::EventLoop::Now() + pause, [this] {
+    const mirror::RelayRequest request = MakeRequest();
+    http::ClientCall call;
+    call.method_ = "POST";
+    call.target_ = kRelayPath;
+    call.body_ = mirror::Encode(request);
+    call.content_type_ = "application/cbor";
+    call.timeout_ = Duration(request.wait_) + kRelayMargin;
+    relay_client_->Call(std::move(call), [this](const http::ClientReply& r) {
+      OnRelayReply(r);
+    });
+  });
+}
+
+void StoreFollower::OnRelayReply(const http::ClientReply& reply) {
+  if (reply.status_ != 200) {
+    OnRelaySilent("status " + std::to_string(reply.status_));
+    return;
+  }
+  const auto decoded = mirror::DecodeRelayReply(reply.body_);
+  if (!decoded) {
+    OnRelaySilent(decoded.error().description_);
+    return;
+  }
+  if (!TakeRelayed(*decoded)) {
+    OnRelaySilent("copy is out of date");
+    return;
+  }
+  relay_failures_ = 0;
+  if (plan_.follows_store_) {
+    asking_ = false;
+    return;
+  }
+  SetDirect(false, "relay is up to date");
+  AskRelayAfter(Duration::zero());
+}
+
+bool StoreFollower::TakeRelayed(const mirror::RelayReply& reply) {
+  const Instant now = http::EventLoop::Now();
+  const Duration limit = ShareOf(options_.change_bound_, kFreshShare);
+  bool fresh = true;
+  for (auto& [kind, followed] : kinds_) {
+    const auto found = reply.kinds_.find(kind);
+    if (found == reply.kinds_.end()) {
+      fresh = fresh && !followed.must_be_fresh_;
+      continue;
+    }
+    const mirror::RelayedKind& relayed = found->second;
+    if (followed.must_be_fresh_ && Duration(relayed.age_) > limit) {
+      fresh = false;
+    }
+    mirror::Confirm(followed.mirror_, now - relayed.age_);
+    if (mirror::Apply(followed.mirror_, relayed.changes_)) {
+      OnKindChanged(kind, relayed.changes_);
+    }
+  }
+  return fresh;
+}
+
+void StoreFollower::OnRelaySilent(const std::string& reason) {
+  ++relay_failures_;
+  const bool tried_all =
+      relay_failures_ >= static_cast<int>(plan_.relays_.size());
+  Log(LogLevel::kInfo, "relay", "not usable",
+      {{"reason", reason}, {"failures", relay_failures_}});
+  ++relay_;
+  if (tried_all) {
+    SetDirect(true, "no relay is up to date");
+  }
+  // The client cannot be replaced while it reports its reply.
+  loop_.Timers().Add(
+      http::EventLoop::Now() + (tried_all ? kRelayPause : Duration::zero()),
+      [this] {
+        asking_ = false;
+        AskRelay();
+      });
+}
+
+void StoreFollower::OnRelayRequest(const Caller& caller,
+                                   const http::HttpRequest& request) {
+  const auto decoded = mirror::DecodeRelayRequest(request.body_);
+  if (request.target_ != kRelayPath || !decoded) {
+    http::HttpAnswer answer;
+    answer.status_ = decoded ? 404 : 400;
+    caller->Respond(answer, false);
+    return;
+  }
+  if (HasNews(*decoded) || decoded->wait_ <= milliseconds(0)) {
+    ReplyTo(caller, *decoded);
+    return;
+  }
+  const auto place = waiting_.insert(waiting_.end(), {caller, *decoded, {}});
+  const auto wait = std::min(decoded->wait_, kLoneWatchWait);
+  place->timer_ =
+      loop_.Timers().Add(http::EventLoop::Now() + wait, [this, place] {
+        const WaitingReader reader = *place;
+        waiting_.erase(place);
+        ReplyTo(reader.caller_, reader.request_);
+      });
+}
+
+bool StoreFollower::HasNews(const mirror::RelayRequest& request) const {
+  return std::any_of(
+      kinds_.begin(), kinds_.end(), [&request](const auto& entry) {
+        const auto known = request.revisions_.find(entry.first);
+        const int64_t revision =
+            known == request.revisions_.end() ? 0 : known->second;
+        const auto& mirror = entry.second.mirror_;
+        if (mirror.revision_ <= revision) {
+          return false;
+        }
+        // Other kinds move the store's revision on without any change here.
+        const auto changes = mirror::ChangesSince(mirror, revision);
+        return changes.is_complete_ || !changes.present_.empty() ||
+               !changes.removed_.empty();
+      });
+}
+
+void StoreFollower::ReplyTo(const Caller& caller,
+                            const mirror::RelayRequest& request) {
+  const Instant now = http::EventLoop::Now();
+  mirror::RelayReply reply;
+  for (const auto& [kind, followed] : kinds_) {
+    if (followed.mirror_.revision_ == 0) {
+      continue;
+    }
+    const auto known = request.revisions_.find(kind);
+    mirror::RelayedKind& relayed = reply.kinds_[kind];
+    relayed.changes_ = mirror::ChangesSince(
+        followed.mirror_,
+        known == request.revisions_.end() ? 0 : known->second);
+    relayed.age_ = std::chrono::duration_cast<milliseconds>(
+        mirror::Age(followed.mirror_, now));
+  }
+  http::HttpAnswer answer;
+  answer.status_ = 200;
+  answer.headers_.emplace_back("Content-Type", "application/cbor");
+  answer.body_ = mirror::Encode(reply);
+  caller->Respond(answer, false);
+}
+
+void StoreFollower::ReplyToWaiting() {
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (!HasNews(it->request_)) {
+      ++it;
+      continue;
+    }
+    const WaitingReader reader = *it;
+    it = waiting_.erase(it);
+    loop_.Timers().Cancel(reader.timer_);
+    ReplyTo(reader.caller_, reader.request_);
+  }
+}
+
+void StoreFollower::Tick() {
+  relay_listener_.CheckTimeouts(false, http::EventLoop::Now());
+  loop_.Timers().Add(http::EventLoop::Now() + kTick, [this] { Tick(); });
+}
+
+}  // namespace clementinerill::gateway
--- /dev/null
+++ b/src/gateway/store_follower.h
@@ -0,0 +1,96 @@
+#ifndef CLEMENTINERILL_GATEWAY_STORE_FOLLOWER_H_
+#define CLEMENTINERILL_GATEWAY_STORE_FOLLOWER_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_metrics.h"
+#include "gateway/gateway_options.h"
+#include "gateway/kind_watch.h"
+#include "http/client.h"
+#include "http/listener.h"
+#include "mirror/kind_mirror.h"
+#include "mirror/relay_message.h"
+#include "mirror/relay_plan.h"
+
+namespace clementinerill::gateway {
+
+/// @brief Keeps this daemon's copies of the store up to date and relays them.
+///
+/// A few daemons of each failure domain follow the store; the others ask them,
+/// so that a change of one object does not cost a call for each daemon. A
+/// daemon whose relays are silent or out of date follows the store itself.
+class StoreFollower {
+ public:
+  using OnChanges = std::function<void(const std::string& kind,
+                                       const mirror::KindChanges& changes)>;
+
+  StoreFollower(http::EventLoop& loop,
+                const GatewayOptions& options,
+                GatewayMetrics& metrics,
+                OnChanges on_changes);
+
+  /// @brief Listens for other daemons and asks the seeds.
+  void Start();
+
+  /// @brief Reads the registered daemons from the store; what is followed is
+  /// decided once they are known.
+  void FindDaemons();
+
+  /// @brief Takes the registered daemons, which decide who follows the store.
+  void SetDaemons(const std::vector<mirror::DaemonRecord>& daemons);
+
+ private:
+  using Caller = std::shared_ptr<http::CallerConnection>;
+
+  struct FollowedKind {
+    mirror::KindMirror mirror_;
+    std::unique_ptr<KindWatch> watch_;
+    bool must_be_fresh_ = true;
+  };
+
+  struct WaitingReader {
+    Caller caller_;
+    mirror::RelayRequest request_;
+    http::TimerQueue::Id timer_;
+  };
+
+  void AddKind(const std::string& kind, Duration settle, bool must_be_fresh);
+  void OnKindChanged(const std::string& kind,
+                     const mirror::KindChanges& changes);
+  void SetDirect(bool direct, const std::string& reason);
+  void AskRelay();
+  void AskRelayAfter(Duration pause);
+  void OnRelayReply(const http::ClientReply& reply);
+  void OnRelaySilent(const std::string& reason);
+  [[nodiscard]] bool TakeRelayed(const mirror::RelayReply& reply);
+  [[nodiscard]] mirror::RelayRequest MakeRequest() const;
+  void OnRelayRequest(const Caller& caller, const http::HttpRequest& request);
+  [[nodiscard]] bool HasNews(const mirror::RelayRequest& request) const;
+  void ReplyTo(const Caller& caller, const mirror::RelayRequest& request);
+  void ReplyToWaiting();
+  void Tick();
+
+  http::EventLoop& loop_;
+  const GatewayOptions& options_;
+  GatewayMetrics& metrics_;
+  const OnChanges on_changes_;
+  std::map<std::string, FollowedKind> kinds_;
+  http::Listener relay_listener_;
+  std::list<WaitingReader> waiting_;
+  mirror::RelayPlan plan_;
+  size_t relay_ = 0;  ///< Index of the relay that is asked.
+  int relay_failures_ = 0;
+  std::unique_ptr<http::Client> relay_client_;
+  bool asking_ = false;
+  std::optional<bool> direct_;  ///< Follows the store; nothing at the start.
+};
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_GATEWAY_STORE_FOLLOWER_H_
--- a/src/gateway/store_port.h
+++ b/src/gateway/store_port.h
@@ -10,16 +10,14 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "mirror/kind_changes.h"
+#include "mirror/stored_object.h"
 #include "traffic/replica_entry.h"
 #include "traffic/traffic_configuration.h"
 
 namespace clementinerill::gateway {
 
-/// @brief One object of the store.
-struct StoredObject {
-  std::string name_;
-  nlohmann::json content_;
-};
+using mirror::StoredObject;
 
 /// @brief A page of the objects of one kind.
 struct StorePage {
@@ -28,17 +26,6 @@
   int64_t revision_ = 0;   ///< Of the store, for a watch.
 };
 
-/// @brief A change of one object.
-struct StoreEvent {
-  StoredObject object_;
-  bool deleted_ = false;
-};
-
-struct StoreEvents {
-  std::vector<StoreEvent> events_;
-  int64_t revision_ = 0;  ///< To watch from next.
-};
-
 /// @brief Names of the kinds of objects.
 struct StoreKinds {
   std::string configuration_;
@@ -68,7 +55,8 @@
                             const nlohmann::json& content)>
       encode_object_;
   std::function<Result<StorePage>(const std::string& body)> decode_page_;
-  std::function<Result<StoreEvents>(const std::string& body)> decode_events_;
+  std::function<Result<mirror::KindChanges>(const std::string& body)>
+      decode_events_;
   std::function<Result<traffic::TrafficConfiguration>(const nlohmann::json&)>
       decode_configuration_;
   std::function<Result<traffic::ReplicaEntry>(const StoredObject&, Instant now)>
--- a/src/http/caller_connection.cc
+++ b/src/http/caller_connection.cc
@@ -37,7 +37,6 @@
 
 void CallerConnection::Start() {
   SetNoDelay(socket_);
-  SetKeepAlive(socket_, {});
   error_code ignored;
   socket_.non_blocking(true, ignored);
   StartParser();
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -37,7 +37,9 @@
     return;
   }
   SetNoDelay(socket_);
-  SetKeepAlive(socket_, {});
+  if (probes_) {
+    SetKeepAlive(socket_, {});
+  }
   connecting_ = true;
   const auto self = shared_from_this();
   socket_.async_connect(endpoint_, [self](const error_code& failed) {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -63,6 +63,10 @@
   /// @brief Closes the connection and forgets the running exchange.
   void Close();
 
+  /// @brief Probes the peer while nothing arrives, for exchanges that wait
+  /// long. Before the connection is opened.
+  void ProbePeer() noexcept { probes_ = true; }
+
   /// @brief Called once when the connection closes by itself or by `Close`.
   void OnClosed(std::function<void()> callback) {
     on_closed_ = std::move(callback);
@@ -117,6 +121,7 @@
   bool busy_ = false;
   bool sent_ = false;
   bool reusable_ = true;
+  bool probes_ = false;
 };
 
 }  // namespace clementinerill::http
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -4,6 +4,7 @@
 // Includes the whole http library.
 
 #include "http/caller_connection.h"
+#include "http/client.h"
 #include "http/client_connection.h"
 #include "http/event_loop.h"
 #include "http/forward_declarations.h"
--- /dev/null
+++ b/src/mirror/daemon_record.h
@@ -0,0 +1,19 @@
+#ifndef CLEMENTINERILL_MIRROR_DAEMON_RECORD_H_
+#define CLEMENTINERILL_MIRROR_DAEMON_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+namespace clementinerill::mirror {
+
+/// @brief What a daemon registers about itself.
+struct DaemonRecord {
+  std::string name_;
+  std::string failure_domain_;
+  std::string address_;  ///< Where it relays; empty when it does not.
+  uint16_t port_ = 0;
+};
+
+}  // namespace clementinerill::mirror
+
+#endif  // CLEMENTINERILL_MIRROR_DAEMON_RECORD_H_
--- /dev/null
+++ b/src/mirror/forward_declarations.h
@@ -0,0 +1,15 @@
+#ifndef CLEMENTINERILL_MIRROR_FORWARD_DECLARATIONS_H_
+#define CLEMENTINERILL_MIRROR_FORWARD_DECLARATIONS_H_
+
+namespace clementinerill::mirror {
+
+struct DaemonRecord;
+struct KindChanges;
+struct KindMirror;
+struct RelayReply;
+struct RelayRequest;
+struct StoredObject;
+
+}  // namespace clementinerill::mirror
+
+#endif  // CLEMENTINERILL_MIRROR_FORWARD_DECLARATIONS_H_
--- /dev/null
+++ b/src/mirror/kind_mirror.cc
@@ -0,0 +1,98 @@
+#include "mirror/kind_mirror.h"
+
+#include <algorithm>
+#include <set>
+
+namespace clementinerill::mirror {
+namespace {
+
+// Changes kept for readers that lag: a fleet of 6,000 replicas of which a
+// third restarts. Older readers get the whole list.
+constexpr size_t kMostChanges = 2000;
+
+void NoteChange(KindMirror& mirror, int64_t revision, const std::string& name) {
+  mirror.changes_.push_back({revision, name});
+  if (mirror.changes_.size() > kMostChanges) {
+    mirror.changes_since_ = mirror.changes_.front().revision_;
+    mirror.changes_.pop_front();
+  }
+}
+
+void ApplyComplete(KindMirror& mirror, const KindChanges& changes) {
+  mirror.objects_.clear();
+  for (const StoredObject& object : changes.present_) {
+    mirror.objects_[object.name_] = object.content_;
+  }
+  mirror.changes_.clear();
+  mirror.changes_since_ = changes.revision_;
+}
+
+KindChanges Everything(const KindMirror& mirror) {
+  KindChanges changes;
+  changes.revision_ = mirror.revision_;
+  changes.is_complete_ = true;
+  for (const auto& [name, content] : mirror.objects_) {
+    changes.present_.push_back({name, content});
+  }
+  return changes;
+}
+
+}  // namespace
+
+bool Apply(KindMirror& mirror, const KindChanges& changes) {
+  if (changes.revision_ < mirror.revision_ ||
+      (changes.revision_ == mirror.revision_ && mirror.revision_ > 0)) {
+    return false;
+  }
+  if (changes.is_complete_) {
+    ApplyComplete(mirror, changes);
+  } else {
+    for (const StoredObject& object : changes.present_) {
+      mirror.objects_[object.name_] = object.content_;
+      NoteChange(mirror, changes.revision_, object.name_);
+    }
+    for (const std::string& name : changes.removed_) {
+      mirror.objects_.erase(name);
+      NoteChange(mirror, changes.revision_, name);
+    }
+  }
+  mirror.revision_ = changes.revision_;
+  return true;
+}
+
+void Confirm(KindMirror& mirror, Instant when) {
+  if (!mirror.confirmed_ || *mirror.confirmed_ < when) {
+    mirror.confirmed_ = when;
+  }
+}
+
+Duration Age(const KindMirror& mirror, Instant now) {
+  return mirror.confirmed_
+             ? std::max(now - *mirror.confirmed_, Duration::zero())
+             : Duration::max();
+}
+
+KindChanges ChangesSince(const KindMirror& mirror, int64_t revision) {
+  if (revision <= 0 || revision < mirror.changes_since_) {
+    return Everything(mirror);
+  }
+  KindChanges changes;
+  changes.revision_ = mirror.revision_;
+  std::set<std::string> names;
+  for (const KindMirror::Change& change : mirror.changes_) {
+    if (change.revision_ > revision) {
+      names.insert(change.name_);
+    }
+  }
+  for (const std::string& name : names) {
+    const auto found = mirror.objects_.find(name);
+    if (found == mirror.objects_.end()) {
+      changes.removed_.push_back(name);
+    } else {
+      changes.present_.push_back({name, found->second});
+    }
+  }
+  return changes;
+}
+
+}  // namespace clementinerill::mirror
--- /dev/null
+++ b/src/mirror/mirror.h
@@ -0,0 +1,14 @@
+#ifndef CLEMENTINERILL_MIRROR_MIRROR_H_
+#define CLEMENTINERILL_MIRROR_MIRROR_H_
+
+// Includes the whole mirror library.
+
+#include "mirror/daemon_record.h"
+#include "mirror/forward_declarations.h"
+#include "mirror/kind_changes.h"
+#include "mirror/kind_mirror.h"
+#include "mirror/relay_message.h"
+#include "mirror/relay_plan.h"
+#include "mirror/stored_object.h"
+
+#endif  // CLEMENTINERILL_MIRROR_MIRROR_H_
--- /dev/null
+++ b/src/mirror/relay_message.cc
@@ -0,0 +1,92 @@
+#include "mirror/relay_message.h"
+
+#include <utility>
+#include <vector>
+
+namespace clementinerill::mirror {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+std::string ToCbor(const json& message) {
+  std::string bytes;
+  json::to_cbor(message, bytes);
+  return bytes;
+}
+
+json EncodeKind(const RelayedKind& kind) {
+  json present = json::object();
+  for (const StoredObject& object : kind.changes_.present_) {
+    present[object.name_] = object.content_;
+  }
+  return {{"revision", kind.changes_.revision_},
+          {"complete", kind.changes_.is_complete_},
+          {"age_ms", kind.age_.count()},
+          {"present", std::move(present)},
+          {"removed", kind.changes_.removed_}};
+}
+
+RelayedKind DecodeKind(const json& message) {
+  RelayedKind kind;
+  kind.changes_.revision_ = message.at("revision").get<int64_t>();
+  kind.changes_.is_complete_ = message.at("complete").get<bool>();
+  kind.age_ = milliseconds(message.at("age_ms").get<int64_t>());
+  for (const auto& [name, content] : message.at("present").items()) {
+    kind.changes_.present_.push_back({name, content});
+  }
+  kind.changes_.removed_ =
+      message.at("removed").get<std::vector<std::string>>();
+  return kind;
+}
+
+// Decodes with `decode`, which may throw what the JSON library throws.
+template <typename T, typename Decode>
+Result<T> DecodeMessage(const std::string& body, Decode decode) {
+  const json message = json::from_cbor(body, true, false);
+  if (message.is_discarded()) {
+    return Fail("the message is not CBOR");
+  }
+  try {
+    return decode(message);
+  } catch (const json::exception& error) {
+    return Fail(std::string("the message is not valid: ") + error.what());
+  }
+}
+
+}  // namespace
+
+std::string Encode(const RelayRequest& request) {
+  return ToCbor(
+      {{"wait_ms", request.wait_.count()}, {"revisions", request.revisions_}});
+}
+
+std::string Encode(const RelayReply& reply) {
+  json kinds = json::object();
+  for (const auto& [name, kind] : reply.kinds_) {
+    kinds[name] = EncodeKind(kind);
+  }
+  return ToCbor({{"kinds", std::move(kinds)}});
+}
+
+Result<RelayRequest> DecodeRelayRequest(const std::string& body) {
+  return DecodeMessage<RelayRequest>(body, [](const json& message) {
+    RelayRequest request;
+    request.wait_ = milliseconds(message.at("wait_ms").get<int64_t>());
+    request.revisions_ =
+        message.at("revisions").get<std::map<std::string, int64_t>>();
+    return request;
+  });
+}
+
+Result<RelayReply> DecodeRelayReply(const std::string& body) {
+  return DecodeMessage<RelayReply>(body, [](const json& message) {
+    RelayReply reply;
+    for (const auto& [name, kind] : message.at("kinds").items()) {
+      reply.kinds_[name] = DecodeKind(kind);
+    }
+    return reply;
+  });
+}
+
+}  // namespace clementinerill::mirror
--- /dev/null
+++ b/src/mirror/relay_plan.cc
@@ -0,0 +1,48 @@
+#include "mirror/relay_plan.h"
+
+#include <algorithm>
+
+#include "base/rendezvous.h"
+
+namespace clementinerill::mirror {
+namespace {
+
+const DaemonRecord* FindDaemon(const std::vector<DaemonRecord>& daemons,
+                               const std::string& name) {
+  const auto found = std::find_if(
+      daemons.begin(), daemons.end(),
+      [&name](const DaemonRecord& daemon) { return daemon.name_ == name; });
+  return found == daemons.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+RelayPlan PlanRelays(const std::vector<DaemonRecord>& daemons,
+                     const std::string& self) {
+  RelayPlan plan;
+  const DaemonRecord* own = FindDaemon(daemons, self);
+  if (!own) {
+    return plan;
+  }
+  std::vector<std::string> names;
+  for (const DaemonRecord& daemon : daemons) {
+    if (daemon.failure_domain_ == own->failure_domain_ &&
+        !daemon.address_.empty()) {
+      names.push_back(daemon.name_);
+    }
+  }
+  auto ranked =
+      RankByRendezvous("store-watcher:" + own->failure_domain_, names);
+  ranked.resize(std::min<size_t>(ranked.size(), kWatchersPerDomain));
+  plan.follows_store_ =
+      ranked.empty() ||
+      std::find(ranked.begin(), ranked.end(), self) != ranked.end();
+  for (const std::string& name : ranked) {
+    if (name != self) {
+      plan.relays_.push_back(*FindDaemon(daemons, name));
+    }
+  }
+  return plan;
+}
+
+}  // namespace clementinerill::mirror
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -119,7 +119,7 @@
                 ExtraAttemptUse use,
                 Instant now) {
   return part.service_->extras_.TrySpend(fleet.limits_.extra_attempts_,
-                                         fleet.view_->daemons_, use, now);
+                                         CountDaemons(*fleet.view_), use, now);
 }
 
 // Sends the first attempt of a part, or the next one after a failure; whether
@@ -162,10 +162,8 @@
   return true;
 }
 
-Instant HedgeAt(const FleetState& fleet,
-                const Query& query,
-                const QueryPart& part) {
-  return part.attempts_.back().sent_ + HedgeDelay(fleet, *query.route_);
+Instant HedgeAt(const Query& query, const QueryPart& part) {
+  return part.attempts_.back().sent_ + query.hedge_delay_;
 }
 
 void AdvancePart(FleetState& fleet,
@@ -183,7 +181,7 @@
     if (!added && part.state_ == PartState::kPending) {
       query.wake_at_ = std::min(query.wake_at_, now + kConnectionPause);
     }
-  } else if (MayHedge(query, part) && HedgeAt(fleet, query, part) <= now) {
+  } else if (MayHedge(query, part) && HedgeAt(query, part) <= now) {
     added = TryHedge(fleet, query, part, now);
     if (!added && !part.hedge_refused_) {
       query.wake_at_ = std::min(query.wake_at_, now + kConnectionPause);
@@ -193,7 +191,7 @@
     sends.push_back({index, part.attempts_.size() - 1});
   }
   if (HasOpenAttempt(part) && MayHedge(query, part)) {
-    const Instant hedge_at = HedgeAt(fleet, query, part);
+    const Instant hedge_at = HedgeAt(query, part);
     if (hedge_at > now) {
       query.wake_at_ = std::min(query.wake_at_, hedge_at);
     }
@@ -295,6 +293,7 @@
   query.started_ = now;
   query.deadline_ = now + std::min(patience, route.timeout_);
   query.answer_by_ = now + route.objective_ - AnswerMargin(route);
+  query.hedge_delay_ = HedgeDelay(fleet, route);
   if (IsSweep(route)) {
     for (const std::string& shard : route.shards_) {
       AddPart(query, FindService(fleet, shard), now);
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -77,15 +77,18 @@
   const double total =
       (rate * limits.cold_overage_ + limits.cold_slack_) * kColdRateInUse;
   const int share =
-      std::max(1, static_cast<int>(total / std::max(fleet.view_->daemons_, 1)));
+      std::max(1, static_cast<int>(total / CountDaemons(*fleet.view_)));
   const auto recent = std::count_if(
       replica.cold_sends_.begin(), replica.cold_sends_.end(),
       [now](Instant sent) { return now - sent < std::chrono::seconds(1); });
   return recent < share;
 }
 
-bool HasConnection(const ReplicaState& replica, int limit) {
-  return replica.idle_connections_ > 0 || replica.open_connections_ < limit;
+bool HasConnection(const FleetState& fleet,
+                   const ServiceState& service,
+                   const ReplicaState& replica) {
+  return replica.idle_connections_ > 0 ||
+         replica.open_connections_ < ConnectionLimit(fleet, service, replica);
 }
 
 Candidate Rate(const FleetState& fleet,
@@ -123,7 +126,6 @@
                             const ServiceState& service,
                             const ReplicaRequest& request,
                             Instant now) {
-  const int limit = ConnectionLimit(service, fleet.view_->daemons_);
   const size_t count = service.replicas_.size();
   const size_t first = count == 0 ? 0 : fleet.turn_++ % count;
   ReplicaChoice choice;
@@ -134,7 +136,7 @@
     if (!MayUse(fleet, *replica, request, now)) {
       continue;
     }
-    if (!HasConnection(*replica, limit) ||
+    if (!HasConnection(fleet, service, *replica) ||
         !HasColdRoom(fleet, service, *replica, now)) {
       if (!choice.replica_) {
         choice.reason_ = NoReplicaReason::kNoConnection;
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -8,9 +8,10 @@
 
 // Connections to one replica when the configuration states no limit.
 constexpr int kConnectionsWithoutLimit = 16;
-// Part of the connections of a replica that daemons share; the rest is for
-// connections that are closing while new ones open.
-constexpr double kConnectionsInUse = 0.9;
+// Parts of the connections of a replica for daemons in its failure domain and
+// elsewhere; the rest is for connections that are closing while others open.
+constexpr double kLocalConnections = 0.65;
+constexpr double kRemoteConnections = 0.25;
 
 using Replicas = std::map<std::string, std::shared_ptr<ReplicaState>>;
 
@@ -46,12 +47,50 @@
   return *service;
 }
 
+void MarkRouted(FleetState& fleet, const RouteRule& route) {
+  for (const std::string& shard : route.shards_) {
+    ServiceOf(fleet, shard).is_routed_ = true;
+  }
+  for (const WeightedService& destination : route.destinations_) {
+    ServiceOf(fleet, destination.service_).is_routed_ = true;
+  }
+}
+
 void ApplyRules(FleetState& fleet, const TrafficConfiguration& configuration) {
+  for (auto& [name, service] : fleet.services_) {
+    service->is_routed_ = false;
+  }
+  for (const auto& [host, routes] : configuration.routes_) {
+    for (const RouteRule& route : routes) {
+      MarkRouted(fleet, route);
+    }
+  }
   for (const auto& [name, rule] : configuration.services_) {
     ServiceOf(fleet, name).rule_ = rule;
   }
 }
 
+// The connections to one replica that fall to this daemon; may be below one.
+double ConnectionShare(const FleetState& fleet,
+                       const ServiceState& service,
+                       const ReplicaState& replica) {
+  const int most = service.rule_.max_connections_;
+  if (most <= 0) {
+    return kConnectionsWithoutLimit;
+  }
+  const int all = CountDaemons(*fleet.view_);
+  const auto& by_domain = fleet.view_->daemons_;
+  const auto found = by_domain.find(replica.entry_.failure_domain_);
+  const int local = found == by_domain.end() ? 0 : found->second;
+  if (by_domain.empty()) {
+    return kLocalConnections * most / all;
+  }
+  if (replica.entry_.failure_domain_ == fleet.failure_domain_) {
+    return kLocalConnections * most / std::max(local, 1);
+  }
+  return kRemoteConnections * most / std::max(all - local, 1);
+}
+
 }  // namespace
 
 void ApplyView(FleetState& fleet, std::shared_ptr<const TrafficView> view) {
@@ -59,7 +98,9 @@
   for (auto& [name, service] : fleet.services_) {
     service->replicas_.clear();
   }
-  if (view->configuration_) {
+  const bool is_new =
+      !fleet.view_ || fleet.view_->configuration_ != view->configuration_;
+  if (view->configuration_ && is_new) {
     ApplyRules(fleet, *view->configuration_);
   }
   for (const ReplicaEntry& entry : view->replicas_) {
@@ -74,13 +115,17 @@
   return found == fleet.services_.end() ? nullptr : found->second;
 }
 
-int ConnectionLimit(const ServiceState& service, int daemons) {
-  if (service.rule_.max_connections_ <= 0) {
-    return kConnectionsWithoutLimit;
-  }
-  const double share =
-      service.rule_.max_connections_ * kConnectionsInUse / std::max(daemons, 1);
-  return std::max(1, static_cast<int>(share));
+int ConnectionLimit(const FleetState& fleet,
+                    const ServiceState& service,
+                    const ReplicaState& replica) {
+  return std::max(1,
+                  static_cast<int>(ConnectionShare(fleet, service, replica)));
+}
+
+bool MayKeepIdle(const FleetState& fleet,
+                 const ServiceState& service,
+                 const ReplicaState& replica) {
+  return ConnectionShare(fleet, service, replica) >= 1.0;
 }
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -26,6 +26,7 @@
   std::vector<std::shared_ptr<ReplicaState>> replicas_;
   ExtraAttemptWindow extras_;
   LatencyEstimate latency_{kInitialLatency};
+  bool is_routed_ = false;  ///< A route of the configuration leads here.
 };
 
 /// @brief What this daemon learned about one route.
@@ -60,8 +61,19 @@
 [[nodiscard]] std::shared_ptr<ServiceState> FindService(const FleetState& fleet,
                                                         std::string_view name);
 
-/// @brief Connections that this daemon may hold to one replica of a service.
-[[nodiscard]] int ConnectionLimit(const ServiceState& service, int daemons);
+/// @brief Connections that this daemon may hold to one replica.
+///
+/// Daemons in the failure domain of a replica share most of its connections,
+/// because they send it most of its requests.
+[[nodiscard]] int ConnectionLimit(const FleetState& fleet,
+                                  const ServiceState& service,
+                                  const ReplicaState& replica);
+
+/// @brief Whether this daemon may keep an idle connection to the replica, so
+/// that all daemons together stay within the connections of the replica.
+[[nodiscard]] bool MayKeepIdle(const FleetState& fleet,
+                               const ServiceState& service,
+                               const ReplicaState& replica);
 
 }  // namespace clementinerill::traffic
 
--- a/src/traffic/query.h
+++ b/src/traffic/query.h
@@ -53,6 +53,7 @@
   Instant started_{};
   Instant deadline_{};   ///< The caller's or the route's, whichever is first.
   Instant answer_by_{};  ///< An incomplete sweep is answered then.
+  Duration hedge_delay_{};  ///< How long an attempt waits before a second one.
   std::vector<QueryPart> parts_;
   QueryOutcome outcome_ = QueryOutcome::kOpen;
   Instant wake_at_{};  ///< `Advance` must be called then at the latest.
--- a/src/traffic/traffic_view.h
+++ b/src/traffic/traffic_view.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINERILL_TRAFFIC_TRAFFIC_VIEW_H_
 #define CLEMENTINERILL_TRAFFIC_TRAFFIC_VIEW_H_
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -20,9 +21,21 @@
   /// Failure domains whose replicas get no new requests.
   std::set<std::string> evacuated_;
   std::vector<RolloutOrder> rollouts_;
-  int daemons_ = 1;  ///< Daemons that share the limits, itself included.
+  /// Daemons that share the limits, by failure domain; empty when unknown.
+  std::map<std::string, int> daemons_;
 };
 
+/// @brief All daemons; a high number while they are unknown, because a smaller
+/// share of a limit is the safe one.
+[[nodiscard]] inline int CountDaemons(const TrafficView& view) noexcept {
+  constexpr int kAssumed = 100;
+  int count = 0;
+  for (const auto& [domain, daemons] : view.daemons_) {
+    count += daemons;
+  }
+  return count > 0 ? count : kAssumed;
+}
+
 }  // namespace clementinerill::traffic
 
 #endif  // CLEMENTINERILL_TRAFFIC_TRAFFIC_VIEW_H_
