--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -322,8 +322,12 @@
   RecordOutcome(*attempt.replica_, outcome, attempt.sent_,
                 route.latency_.Median(), now);
   if (outcome == AttemptOutcome::kAnswered) {
-    route.latency_.Add(attempt.took_);
-    part.service_->latency_.Add(attempt.took_);
+    // Only healthy replicas say what is usual: with the latency of slow ones
+    // the second attempts would come later the more they are needed.
+    if (!IsOnProbation(*attempt.replica_)) {
+      route.latency_.Add(attempt.took_);
+      part.service_->latency_.Add(attempt.took_);
+    }
     if (part.state_ != PartState::kAnswered) {
       part.state_ = PartState::kAnswered;
       part.answer_ = std::move(answer);
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -13,9 +13,14 @@
 // latency objective: bytes between failure domains are priced at about a
 // seventh of what a part earns.
 constexpr double kCrossingShareOfObjective = 0.2;
-// A failed attempt costs a second one, which comes late for this share of the
-// latency objective.
-constexpr double kFailureShareOfObjective = 0.6;
+// A failed attempt costs a second one from a budget of a fifth of the requests;
+// without it the part is lost. Certain failure costs twice the objective, more
+// than any wait that still meets it.
+constexpr double kFailureShareOfObjective = 2.0;
+// Work of a cold replica relative to its usual work.
+constexpr double kColdSlowdown = 1.6;
+// A stall lasts about as long again as it has lasted so far.
+constexpr double kStallCost = 2.0;
 // A replica without an answer for this multiple of the 90th percentile of the
 // service is taken to be pausing.
 constexpr double kStallFactor = 1.5;
@@ -28,7 +33,7 @@
 // any second and arrivals bunch on the way.
 constexpr double kColdRateInUse = 0.6;
 
-enum class Tier { kNormal, kImpaired, kLeaving };
+enum class Tier { kNormal, kOnProbation, kLeaving };
 
 struct Candidate {
   Tier tier_ = Tier::kNormal;
@@ -39,13 +44,15 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-bool IsStalled(const ServiceState& service,
-               const ReplicaState& replica,
-               Instant now) {
+// What waiting for a replica that has stopped answering costs.
+double StallCost(const ServiceState& service,
+                 const ReplicaState& replica,
+                 Instant now) {
+  const Duration stalled = StalledFor(replica, now);
   const Duration limit =
       std::max(kLeastStall, std::chrono::duration_cast<Duration>(
                                 service.latency_.P90() * kStallFactor));
-  return StalledFor(replica, now) > limit;
+  return stalled > limit ? kStallCost * Milliseconds(stalled) : 0.0;
 }
 
 bool MayUse(const FleetState& fleet,
@@ -99,10 +106,11 @@
   Candidate candidate;
   if (replica.entry_.leaving_since_) {
     candidate.tier_ = Tier::kLeaving;
-  } else if (IsStalled(service, replica, now) || IsCold(replica, now)) {
-    candidate.tier_ = Tier::kImpaired;
+  } else if (IsOnProbation(replica) && !replica.outstanding_.empty()) {
+    candidate.tier_ = Tier::kOnProbation;
   }
-  const double work = Milliseconds(request.usual_) * Slowness(replica, now);
+  const double work = Milliseconds(request.usual_) * Slowness(replica, now) *
+                      (IsCold(replica, now) ? kColdSlowdown : 1.0);
   const double objective = Milliseconds(request.route_->objective_);
   const double busy = EstimatedBusy(replica, now);
   const double slots = std::max(replica.entry_.slots_, 1);
@@ -111,6 +119,7 @@
   if (replica.entry_.failure_domain_ != fleet.failure_domain_) {
     candidate.cost_ms_ += kCrossingShareOfObjective * objective;
   }
+  candidate.cost_ms_ += StallCost(service, replica, now);
   candidate.cost_ms_ +=
       FailureShare(replica, now) * kFailureShareOfObjective * objective;
   return candidate;
--- a/src/traffic/choose_replica.h
+++ b/src/traffic/choose_replica.h
@@ -33,8 +33,8 @@
 /// @brief Chooses the replica with the lowest expected cost.
 ///
 /// The cost is the expected latency plus what a failure or a crossing between
-/// failure domains costs. Stalled and cold replicas come after all others,
-/// leaving ones last. Replicas in evacuated failure domains, avoided ones and
+/// failure domains costs. A replica on probation that has a request already
+/// comes after all others, a leaving one last. Replicas in evacuated failure domains, avoided ones and
 /// those tried before are never chosen.
 [[nodiscard]] ReplicaChoice ChooseReplica(FleetState& fleet,
                                           const ServiceState& service,
--- a/src/traffic/extra_attempt_window.cc
+++ b/src/traffic/extra_attempt_window.cc
@@ -7,10 +7,10 @@
 
 // Part of the ratio that is spent; the rest covers requests that clients give
 // up before they arrive and windows that begin elsewhere than the buckets.
-constexpr double kRatioInUse = 0.85;
+constexpr double kRatioInUse = 0.95;
 // Part of the slack that is spent, so that daemons which restart within a
 // window and forget their counts stay within the whole.
-constexpr double kSlackInUse = 0.5;
+constexpr double kSlackInUse = 0.7;
 // Part of the allowance that hedges may use; a retry after a failure saves a
 // part for certain.
 constexpr double kHedgeShare = 0.75;
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -10,8 +10,8 @@
 constexpr int kConnectionsWithoutLimit = 16;
 // Parts of the connections of a replica for daemons in its failure domain and
 // elsewhere; the rest is for connections that are closing while others open.
-constexpr double kLocalConnections = 0.65;
-constexpr double kRemoteConnections = 0.25;
+constexpr double kLocalConnections = 0.85;
+constexpr double kRemoteConnections = 0.2;
 
 using Replicas = std::map<std::string, std::shared_ptr<ReplicaState>>;
 
--- a/src/traffic/replica_state.cc
+++ b/src/traffic/replica_state.cc
@@ -8,16 +8,26 @@
 
 using std::chrono::milliseconds;
 
-// Observations lose half of their weight in this time: about half of the
-// pause between two pauses of a replica, so that one pause is forgotten.
-constexpr Duration kHalfLife = milliseconds(1500);
-// Weight of one latency in the moving average of slowness.
+// Observations lose half of their weight in this time. Slow and failing
+// replicas stay so for several seconds; a pause of 150 to 200 ms is forgotten
+// before the next one, 3.6 to 4.5 s later.
+constexpr Duration kSlownessHalfLife = milliseconds(2500);
+constexpr Duration kFailureHalfLife = milliseconds(4000);
+// Least weight of one latency in the moving average of slowness, and the
+// interval between answers at which it is a half: a daemon that sends little to
+// a replica has to learn from few answers.
 constexpr double kSlownessWeight = 0.2;
+constexpr Duration kSlownessInterval = milliseconds(700);
 // A latency counts at most as this multiple of the usual one, so that a single
 // pause does not make a replica look broken.
 constexpr double kSlownessCap = 8.0;
-// Weight of one attempt in the moving average of failures.
+// Least weight of one attempt in the moving average of failures, and the
+// interval between attempts at which it is a half.
 constexpr double kFailureWeight = 0.15;
+constexpr Duration kFailureInterval = milliseconds(1000);
+// Slowness and share of failures beyond which a replica is on probation.
+constexpr double kProbationSlowness = 2.5;
+constexpr double kProbationFailures = 0.25;
 // Failures in a row after which a replica is kept out. Two, because answers
 // of healthy replicas are lost now and then.
 constexpr int kFailuresToAvoid = 2;
@@ -39,15 +49,20 @@
 
 void AddSlowness(ReplicaState& replica, double ratio, Instant now) {
   const double present = Slowness(replica, now);
+  const double weight =
+      std::max(kSlownessWeight,
+               1.0 - Decay(now - replica.slowness_at_, kSlownessInterval));
   replica.slowness_ =
-      present + kSlownessWeight * (std::min(ratio, kSlownessCap) - present);
+      present + weight * (std::min(ratio, kSlownessCap) - present);
   replica.slowness_at_ = now;
 }
 
 void AddFailure(ReplicaState& replica, bool failed, Instant now) {
   const double present = FailureShare(replica, now);
-  replica.failure_share_ =
-      present + kFailureWeight * ((failed ? 1.0 : 0.0) - present);
+  const double weight =
+      std::max(kFailureWeight,
+               1.0 - Decay(now - replica.failure_share_at_, kFailureInterval));
+  replica.failure_share_ = present + weight * ((failed ? 1.0 : 0.0) - present);
   replica.failure_share_at_ = now;
 }
 
@@ -148,12 +163,12 @@
 
 double Slowness(const ReplicaState& replica, Instant now) {
   return 1.0 + (replica.slowness_ - 1.0) *
-                   Decay(now - replica.slowness_at_, kHalfLife);
+                   Decay(now - replica.slowness_at_, kSlownessHalfLife);
 }
 
 double FailureShare(const ReplicaState& replica, Instant now) {
   return replica.failure_share_ *
-         Decay(now - replica.failure_share_at_, kHalfLife);
+         Decay(now - replica.failure_share_at_, kFailureHalfLife);
 }
 
 double EstimatedBusy(const ReplicaState& replica, Instant now) {
@@ -170,6 +185,11 @@
   return now < replica.avoid_until_ || !replica.outstanding_.empty();
 }
 
+bool IsOnProbation(const ReplicaState& replica) {
+  return replica.slowness_ > kProbationSlowness ||
+         replica.failure_share_ > kProbationFailures;
+}
+
 bool IsCold(const ReplicaState& replica, Instant now) {
   return replica.entry_.cold_until_ && now < *replica.entry_.cold_until_;
 }
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -70,6 +70,10 @@
 /// over, a single request tries it.
 [[nodiscard]] bool IsAvoided(const ReplicaState& replica, Instant now);
 
+/// @brief Whether the last answers were slow or failures. Such a replica gets
+/// one request at a time until an answer shows that it has recovered.
+[[nodiscard]] bool IsOnProbation(const ReplicaState& replica);
+
 [[nodiscard]] bool IsCold(const ReplicaState& replica, Instant now);
 
 }  // namespace clementinerill::traffic
