Give the watchers of a starting fleet a moment before going to the store

Cause: seeds that were not up yet counted as failed relays, and 89 of 91 daemons went to the store at the start.

--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -18,13 +18,18 @@
 constexpr double kWatchWaitShare = 0.4;
 constexpr double kFreshShare = 0.5;
 constexpr double kRelayWaitShare = 0.16;
+// Share for which relays may fail before this daemon asks the store: the
+// watchers of a fleet that starts need a moment to read their copies.
+constexpr double kRelayPatienceShare = 0.15;
 // Where every daemon follows the store, nobody depends on how often it answers
 // and a path that went silent is noticed by keep-alive probes.
 constexpr milliseconds kLoneWatchWait{8000};
 // A relay answers at the end of the wait; the rest covers a busy processor.
 constexpr Duration kRelayMargin = milliseconds(500);
-// Pause after a relay failed, when all of them have.
+// Pause after all relays have failed.
 constexpr Duration kRelayPause = milliseconds(700);
+// The same while this daemon has not turned to the store yet.
+constexpr Duration kImpatientPause = milliseconds(100);
 // Changes of replicas come in groups when many start or leave.
 constexpr Duration kReplicaSettle = milliseconds(400);
 // Daemons register together at a start; their number is not urgent.
@@ -113,6 +118,10 @@
          {"relays", plan.relays_.size()}});
   }
   plan_ = std::move(plan);
+  if (!knows_daemons_) {
+    knows_daemons_ = true;
+    last_fresh_ = http::EventLoop::Now();
+  }
   if (plan_.follows_store_) {
     SetDirect(true, "watcher");
   } else {
@@ -193,6 +202,7 @@
     return;
   }
   relay_failures_ = 0;
+  last_fresh_ = http::EventLoop::Now();
   if (plan_.follows_store_) {
     asking_ = false;
     return;
@@ -227,19 +237,24 @@
   ++relay_failures_;
   const bool tried_all =
       relay_failures_ >= static_cast<int>(plan_.relays_.size());
-  Log(LogLevel::kInfo, "relay", "not usable",
-      {{"reason", reason}, {"failures", relay_failures_}});
+  static LogSite lines;
+  lines.Log(http::EventLoop::Now(), LogLevel::kInfo, "relay", "not usable",
+            {{"reason", reason}, {"failures", relay_failures_}});
   ++relay_;
-  if (tried_all) {
+  const Instant now = http::EventLoop::Now();
+  const Duration patience =
+      ShareOf(options_.change_bound_, kRelayPatienceShare);
+  if (tried_all && knows_daemons_ && now - last_fresh_ > patience) {
     SetDirect(true, "no relay is up to date");
   }
+  const Duration pause = !tried_all            ? Duration::zero()
+                         : direct_ && *direct_ ? kRelayPause
+                                               : kImpatientPause;
   // The client cannot be replaced while it reports its reply.
-  loop_.Timers().Add(
-      http::EventLoop::Now() + (tried_all ? kRelayPause : Duration::zero()),
-      [this] {
-        asking_ = false;
-        AskRelay();
-      });
+  loop_.Timers().Add(now + pause, [this] {
+    asking_ = false;
+    AskRelay();
+  });
 }
 
 void StoreFollower::OnRelayRequest(const Caller& caller,
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -86,6 +86,8 @@
   mirror::RelayPlan plan_;
   size_t relay_ = 0;  ///< Index of the relay that is asked.
   int relay_failures_ = 0;
+  Instant last_fresh_{};  ///< A relay was up to date, or relays were named.
+  bool knows_daemons_ = false;
   std::unique_ptr<http::Client> relay_client_;
   bool asking_ = false;
   std::optional<bool> direct_;  ///< Follows the store; nothing at the start.
--- a/src/traffic/choose_replica.h
+++ b/src/traffic/choose_replica.h
@@ -34,8 +34,8 @@
 ///
 /// The cost is the expected latency plus what a failure or a crossing between
 /// failure domains costs. A replica on probation that has a request already
-/// comes after all others, a leaving one last. Replicas in evacuated failure domains, avoided ones and
-/// those tried before are never chosen.
+/// comes after all others, a leaving one last. Replicas in evacuated failure
+/// domains, avoided ones and those tried before are never chosen.
 [[nodiscard]] ReplicaChoice ChooseReplica(FleetState& fleet,
                                           const ServiceState& service,
                                           const ReplicaRequest& request,
