Relay through the VMs with most capacity; probe the store once when relays fail

Cause: with big_config a small VM sends 30 copies of 500 KB over 20 Mbit/s, its readers time out and go to the store with four watches each; the same in an outage of the store.

--- a/src/gateway/daemon_record_json.cc
+++ b/src/gateway/daemon_record_json.cc
@@ -9,6 +9,7 @@
 
 constexpr const char* kFailureDomain = "failure_domain";
 constexpr const char* kRelay = "relay";
+constexpr const char* kCapacity = "capacity";
 
 std::string TextOf(const nlohmann::json& object, const char* key) {
   const auto found = object.is_object() ? object.find(key) : object.end();
@@ -19,7 +20,8 @@
 }  // namespace
 
 nlohmann::json EncodeOwnRecord(const GatewayOptions& options) {
-  nlohmann::json record = {{kFailureDomain, options.failure_domain_}};
+  nlohmann::json record = {{kFailureDomain, options.failure_domain_},
+                           {kCapacity, options.capacity_}};
   if (options.relay_listen_) {
     record[kRelay] = ToText(*options.relay_listen_);
   }
@@ -34,6 +36,10 @@
   if (record.failure_domain_.empty()) {
     return Fail("failure_domain is missing");
   }
+  const auto capacity = object.content_.find(kCapacity);
+  if (capacity != object.content_.end() && capacity->is_number_integer()) {
+    record.capacity_ = capacity->get<int>();
+  }
   const std::string relay = TextOf(object.content_, kRelay);
   if (relay.empty()) {
     return record;
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -27,6 +27,7 @@
   std::optional<Endpoint> relay_listen_;
   /// Relays that may answer while the store does not, for a start without it.
   std::vector<Endpoint> seeds_;
+  int capacity_ = 0;  ///< Thousandths of a core for this process.
   /// The shortest time within which a change in the store must be in force.
   Duration change_bound_ = std::chrono::seconds(3);
   Duration stop_grace_ = std::chrono::seconds(6);  ///< From SIGTERM to SIGKILL.
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -25,7 +25,7 @@
 // and a path that went silent is noticed by keep-alive probes.
 constexpr milliseconds kLoneWatchWait{8000};
 // A relay answers at the end of the wait; the rest covers a busy processor.
-constexpr Duration kRelayMargin = milliseconds(500);
+constexpr Duration kRelayMargin = milliseconds(800);
 // Pause after all relays have failed.
 constexpr Duration kRelayPause = milliseconds(700);
 // The same while this daemon has not turned to the store yet.
@@ -35,7 +35,9 @@
 // Daemons register together at a start; their number is not urgent.
 constexpr Duration kDaemonSettle = milliseconds(1000);
 // Period in which connections of readers are checked.
-constexpr Duration kTick = milliseconds(1000);
+constexpr Duration kTick = milliseconds(300);
+// The store answered the first watch of a daemon this recently.
+constexpr Duration kProbeAnswered = milliseconds(2500);
 // Fewer daemons than this follow the store each by itself: relays need shorter
 // waits, which cost more calls than they save.
 constexpr size_t kLeastDaemonsForRelays = 16;
@@ -136,8 +138,23 @@
   direct_ = direct;
   Log(LogLevel::kInfo, "relay",
       direct ? "follows the store" : "follows a relay", {{"reason", reason}});
+  // A daemon whose relays failed asks for one kind first: when the store is
+  // down as well, the others would only cost calls.
+  const std::string& probe = options_.port_.kinds_.configuration_;
   for (auto& [kind, followed] : kinds_) {
-    followed.watch_->SetActive(direct);
+    followed.watch_->SetActive(direct &&
+                               (plan_.follows_store_ || kind == probe));
+  }
+}
+
+void StoreFollower::ActivateWatches() {
+  const auto& probe = kinds_[options_.port_.kinds_.configuration_];
+  if (!direct_ || !*direct_ ||
+      mirror::Age(probe.mirror_, http::EventLoop::Now()) > kProbeAnswered) {
+    return;
+  }
+  for (auto& [kind, followed] : kinds_) {
+    followed.watch_->SetActive(true);
   }
 }
 
@@ -335,6 +352,7 @@
 
 void StoreFollower::Tick() {
   relay_listener_.CheckTimeouts(false, http::EventLoop::Now());
+  ActivateWatches();
   loop_.Timers().Add(http::EventLoop::Now() + kTick, [this] { Tick(); });
 }
 
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -64,6 +64,7 @@
   void OnKindChanged(const std::string& kind,
                      const mirror::KindChanges& changes);
   void SetDirect(bool direct, const std::string& reason);
+  void ActivateWatches();
   void AskRelay();
   void AskRelayAfter(Duration pause);
   void OnRelayReply(const http::ClientReply& reply);
--- a/src/mirror/daemon_record.h
+++ b/src/mirror/daemon_record.h
@@ -12,6 +12,8 @@
   std::string failure_domain_;
   std::string address_;  ///< Where it relays; empty when it does not.
   uint16_t port_ = 0;
+  /// Thousandths of a core that the VM gives the daemon; 0 when unknown.
+  int capacity_ = 0;
 };
 
 }  // namespace clementinerill::mirror
--- a/src/mirror/relay_plan.h
+++ b/src/mirror/relay_plan.h
@@ -19,8 +19,9 @@
   std::vector<DaemonRecord> relays_;  ///< To ask otherwise, in this order.
 };
 
-/// @brief Names the watchers of the failure domain of `self`, the same way in
-/// every daemon that knows the same records.
+/// @brief Names the watchers of the failure domain of `self`, those with the
+/// most capacity first, the same way in every daemon that knows the same
+/// records.
 ///
 /// A daemon that is not registered follows the store itself.
 [[nodiscard]] RelayPlan PlanRelays(const std::vector<DaemonRecord>& daemons,
