--- a/src/gateway/connection_pool.cc
+++ b/src/gateway/connection_pool.cc
@@ -35,7 +35,7 @@
 
 std::shared_ptr<http::ClientConnection> ConnectionPool::MakeConnection(
     const std::shared_ptr<traffic::ReplicaState>& replica) {
-  const auto connection = std::make_shared<http::ClientConnection>(
+  auto connection = std::make_shared<http::ClientConnection>(
       loop_, replica->entry_.address_, replica->entry_.port_, kMostAnswerBytes);
   ++replica->open_connections_;
   const std::weak_ptr<http::ClientConnection> weak = connection;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -14,7 +14,7 @@
 using boost::system::error_code;
 
 ClientConnection::ClientConnection(EventLoop& loop,
-                                   std::string address,
+                                   const std::string& address,
                                    uint16_t port,
                                    uint64_t most_answer_bytes)
     : loop_(loop),
@@ -164,6 +164,10 @@
     error_code error;
     const size_t used = parser_->put(asio::buffer(in_), error);
     in_.erase(0, used);
+    if (IsTooLong()) {
+      Finish(ExchangeEnd::kGarbled);
+      return;
+    }
     if (parser_->is_done()) {
       TakeAnswer();
       continue;
@@ -184,6 +188,14 @@
   }
 }
 
+// Boost.Beast 1.74 does not apply its body limit to the stated length of an
+// answer.
+bool ClientConnection::IsTooLong() const {
+  const auto length = parser_->content_length();
+  return (length && *length > most_answer_bytes_) ||
+         parser_->get().body().size() > most_answer_bytes_;
+}
+
 void ClientConnection::TakeAnswer() {
   HttpAnswer answer;
   auto message = parser_->release();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -49,7 +49,7 @@
 
   /// @param most_answer_bytes a longer answer counts as garbled.
   ClientConnection(EventLoop& loop,
-                   std::string address,
+                   const std::string& address,
                    uint16_t port,
                    uint64_t most_answer_bytes);
 
@@ -99,6 +99,7 @@
   void Parse();
   void StartParser();
   void TakeAnswer();
+  [[nodiscard]] bool IsTooLong() const;
   void Finish(ExchangeEnd end, HttpAnswer answer = {});
   void CloseSocket();
 
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -351,6 +351,10 @@
   query.outcome_ = Decide(query, now);
   if (query.outcome_ != QueryOutcome::kOpen) {
     CancelSends(query, sends);
+    // A part that was about to be sent did not run.
+    if (query.outcome_ == QueryOutcome::kFailed) {
+      query.outcome_ = OutcomeWithout(query);
+    }
   }
   if (query.answer_by_ > now) {
     query.wake_at_ = std::min(query.wake_at_, query.answer_by_);
--- /dev/null
+++ b/tests/http/caller_connection_test.cc
@@ -0,0 +1,133 @@
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "http/http.h"
+#include "http/test_server.h"
+
+namespace clementinerill::http {
+namespace {
+
+namespace asio = boost::asio;
+
+/// A listener and one raw connection of a caller.
+struct Server {
+  Server()
+      : listener_(loop_,
+                  [this](std::shared_ptr<CallerConnection> caller,
+                         HttpRequest request) {
+                    callers_.push_back(std::move(caller));
+                    requests_.push_back(std::move(request));
+                  }),
+        socket_(loop_.Context()) {
+    const auto port = listener_.Listen("127.0.0.1", 0);
+    REQUIRE(port);
+    socket_.connect({asio::ip::make_address("127.0.0.1"), *port});
+  }
+
+  void Send(const std::string& bytes) {
+    asio::write(socket_, asio::buffer(bytes));
+  }
+
+  bool WaitForRequests(size_t count) {
+    return RunUntil(loop_,
+                    [this, count] { return requests_.size() >= count; });
+  }
+
+  /// What the caller has received once it holds `part`.
+  std::string ReadUntil(const std::string& part) {
+    socket_.non_blocking(true);
+    RunUntil(loop_, [this, &part] {
+      char bytes[4096];
+      boost::system::error_code error;
+      const size_t size = socket_.read_some(asio::buffer(bytes), error);
+      received_.append(bytes, size);
+      return received_.find(part) != std::string::npos ||
+             error == asio::error::eof;
+    });
+    return received_;
+  }
+
+  EventLoop loop_;
+  Listener listener_;
+  std::vector<std::shared_ptr<CallerConnection>> callers_;
+  std::vector<HttpRequest> requests_;
+  asio::ip::tcp::socket socket_;
+  std::string received_;
+};
+
+// Guards against requests that are smuggled in or lost behind another one.
+TEST_CASE("requests in one write are served in their order", "[caller]") {
+  Server server;
+  server.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+      "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(server.WaitForRequests(1));
+  CHECK(server.requests_[0].body_ == "abc");
+  CHECK(server.requests_.size() == 1);
+  server.callers_[0]->Respond({200, {}, "one", true}, false);
+  REQUIRE(server.WaitForRequests(2));
+  CHECK(server.requests_[1].target_ == "/b");
+  server.callers_[1]->Respond({200, {}, "two", true}, false);
+  const std::string received = server.ReadUntil("two");
+  CHECK(received.find("one") < received.find("two"));
+}
+
+TEST_CASE("a chunked body arrives whole", "[caller]") {
+  Server server;
+  server.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  REQUIRE(server.WaitForRequests(1));
+  CHECK(server.requests_[0].body_ == "abcde");
+}
+
+// Guards against work for a caller that has gone.
+TEST_CASE("a caller that leaves is noticed while it is served", "[caller]") {
+  Server server;
+  server.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(server.WaitForRequests(1));
+  bool left = false;
+  server.callers_[0]->OnLeft([&left] { left = true; });
+  server.socket_.close();
+  CHECK(RunUntil(server.loop_, [&left] { return left; }));
+}
+
+// Guards against a process that broken input stops or that hangs on it.
+TEST_CASE("bad requests get a status and the connection ends", "[caller]") {
+  Server server;
+  server.Send("nonsense\r\n\r\n");
+  CHECK(server.ReadUntil("400").find("HTTP/1.1 400") == 0);
+  CHECK(server.requests_.empty());
+}
+
+TEST_CASE("a body beyond the limit is refused", "[caller]") {
+  Server server;
+  server.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n");
+  CHECK(server.ReadUntil("413").find("HTTP/1.1 413") == 0);
+}
+
+// Guards against a stop that cuts a request, and against idle connections that
+// keep a stopping process alive.
+TEST_CASE("draining closes idle connections only", "[caller]") {
+  Server server;
+  server.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(server.WaitForRequests(1));
+  server.listener_.CheckTimeouts(true, EventLoop::Now());
+  CHECK(server.listener_.CountServing() == 1);
+  server.callers_[0]->Respond({200, {}, "done", true}, true);
+  CHECK(server.ReadUntil("done").find("Connection: close") !=
+        std::string::npos);
+  CHECK(RunUntil(server.loop_, [&server] {
+    server.listener_.CheckTimeouts(true, EventLoop::Now());
+    return server.listener_.CountOpen() == 0;
+  }));
+}
+
+}  // namespace
+}  // namespace clementinerill::http
--- /dev/null
+++ b/tests/http/client_connection_test.cc
@@ -0,0 +1,121 @@
+#include <optional>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "http/http.h"
+#include "http/test_server.h"
+
+namespace clementinerill::http {
+namespace {
+
+std::string Ok(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+/// A connection to a test server, and the result of its last exchange.
+struct Exchange {
+  explicit Exchange(TestServer::Handler handler)
+      : server_(loop_, std::move(handler)),
+        connection_(std::make_shared<ClientConnection>(loop_, "127.0.0.1",
+                                                       server_.Port(), 1000)) {}
+
+  ExchangeResult Run(const std::string& id) {
+    std::optional<ExchangeResult> result;
+    ExchangeRequest request;
+    request.bytes_ = "GET / HTTP/1.1\r\nX-Id: " + id + "\r\n\r\n";
+    request.belongs_ = [id](const HttpAnswer& answer) {
+      return FindHeader(answer.headers_, "x-id") == id;
+    };
+    connection_->Start(std::move(request),
+                       [&result](ExchangeResult r) { result = std::move(r); });
+    REQUIRE(RunUntil(loop_, [&result] { return result.has_value(); }));
+    return *result;
+  }
+
+  EventLoop loop_;
+  TestServer server_;
+  std::shared_ptr<ClientConnection> connection_;
+};
+
+TEST_CASE("a connection serves one exchange after the other", "[client]") {
+  int requests = 0;
+  Exchange exchange([&requests](const std::string&) {
+    return TestServer::Reply{Ok(std::to_string(++requests), "body"), false};
+  });
+  CHECK(exchange.Run("1").answer_.body_ == "body");
+  CHECK(exchange.connection_->IsReusable());
+  CHECK(exchange.Run("2").end_ == ExchangeEnd::kAnswer);
+  CHECK(exchange.server_.Connections() == 1);
+}
+
+// Guards against an answer that arrives twice and is taken for the next one.
+TEST_CASE("a second answer is not taken for the next request", "[client]") {
+  Exchange exchange([](const std::string& head) {
+    if (head.find("X-Id: 1") != std::string::npos) {
+      return TestServer::Reply{Ok("1", "first") + Ok("1", "again"), false};
+    }
+    return TestServer::Reply{Ok("1", "late") + Ok("2", "second"), false};
+  });
+  CHECK(exchange.Run("1").answer_.body_ == "first");
+  CHECK_FALSE(exchange.connection_->IsReusable());
+  exchange.connection_ = std::make_shared<ClientConnection>(
+      exchange.loop_, "127.0.0.1", exchange.server_.Port(), 1000);
+  CHECK(exchange.Run("2").answer_.body_ == "second");
+  CHECK_FALSE(exchange.connection_->IsReusable());
+}
+
+// Guards against a truncated answer that looks complete.
+TEST_CASE("an answer that ends early is broken", "[client]") {
+  Exchange exchange([](const std::string&) {
+    return TestServer::Reply{
+        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\nshort", true};
+  });
+  CHECK(exchange.Run("1").end_ == ExchangeEnd::kBroken);
+}
+
+// Guards against losing answers whose length is their connection's end.
+TEST_CASE("an answer may end with its connection", "[client]") {
+  Exchange exchange([](const std::string&) {
+    return TestServer::Reply{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nto the end",
+                             true};
+  });
+  const ExchangeResult result = exchange.Run("1");
+  CHECK(result.end_ == ExchangeEnd::kAnswer);
+  CHECK(result.answer_.body_ == "to the end");
+  CHECK_FALSE(exchange.connection_->IsReusable());
+}
+
+// Guards against bytes that are no HTTP reaching a caller.
+TEST_CASE("other bytes are garbled", "[client]") {
+  Exchange exchange([](const std::string&) {
+    return TestServer::Reply{"\x01\x02 nonsense\r\n\r\n", false};
+  });
+  CHECK(exchange.Run("1").end_ == ExchangeEnd::kGarbled);
+}
+
+// Guards against an answer that fills the memory of a VM.
+TEST_CASE("an answer beyond the limit is garbled", "[client]") {
+  Exchange exchange([](const std::string&) {
+    return TestServer::Reply{Ok("1", std::string(5000, 'x')), false};
+  });
+  CHECK(exchange.Run("1").end_ == ExchangeEnd::kGarbled);
+}
+
+// Guards against a refused connection that counts as "may have run".
+TEST_CASE("a refused connection has sent nothing", "[client]") {
+  Exchange exchange([](const std::string&) { return TestServer::Reply{}; });
+  boost::asio::ip::tcp::acceptor closed(
+      exchange.loop_.Context(),
+      {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const uint16_t port = closed.local_endpoint().port();
+  closed.close();
+  exchange.connection_ = std::make_shared<ClientConnection>(
+      exchange.loop_, "127.0.0.1", port, 1000);
+  CHECK(exchange.Run("1").end_ == ExchangeEnd::kNotSent);
+}
+
+}  // namespace
+}  // namespace clementinerill::http
--- /dev/null
+++ b/tests/http/test_server.h
@@ -0,0 +1,99 @@
+#ifndef CLEMENTINERILL_TESTS_HTTP_TEST_SERVER_H_
+#define CLEMENTINERILL_TESTS_HTTP_TEST_SERVER_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http/event_loop.h"
+
+namespace clementinerill::http {
+
+/// Accepts connections and answers each request with bytes of the test's
+/// choice, which need not be HTTP.
+class TestServer {
+ public:
+  /// Gets the head of a request; the answer is written as it is. `close` ends
+  /// the connection after it.
+  struct Reply {
+    std::string bytes_;
+    bool close_ = false;
+  };
+  using Handler = std::function<Reply(const std::string& head)>;
+
+  TestServer(EventLoop& loop, Handler handler)
+      : acceptor_(loop.Context(),
+                  {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        handler_(std::move(handler)) {
+    Accept();
+  }
+
+  [[nodiscard]] uint16_t Port() const {
+    return acceptor_.local_endpoint().port();
+  }
+  [[nodiscard]] int Connections() const { return connections_; }
+
+ private:
+  struct Session {
+    explicit Session(boost::asio::ip::tcp::socket socket)
+        : socket_(std::move(socket)) {}
+    boost::asio::ip::tcp::socket socket_;
+    std::string in_;
+    std::string out_;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](const auto& error, auto socket) {
+      if (error) {
+        return;
+      }
+      ++connections_;
+      Serve(std::make_shared<Session>(std::move(socket)));
+      Accept();
+    });
+  }
+
+  void Serve(const std::shared_ptr<Session>& session) {
+    boost::asio::async_read_until(
+        session->socket_, boost::asio::dynamic_buffer(session->in_),
+        "\r\n\r\n", [this, session](const auto& error, size_t size) {
+          if (error) {
+            return;
+          }
+          const Reply reply = handler_(session->in_.substr(0, size));
+          session->in_.erase(0, size);
+          session->out_ = reply.bytes_;
+          boost::asio::async_write(
+              session->socket_, boost::asio::buffer(session->out_),
+              [this, session, reply](const auto& failed, size_t /*size*/) {
+                if (failed || reply.close_) {
+                  return;
+                }
+                Serve(session);
+              });
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  Handler handler_;
+  int connections_ = 0;
+};
+
+/// Runs the loop until `done` or for 5 s; whether it was done.
+inline bool RunUntil(EventLoop& loop, const std::function<bool()>& done) {
+  const Instant end = EventLoop::Now() + std::chrono::seconds(5);
+  while (!done() && EventLoop::Now() < end) {
+    loop.Context().restart();
+    loop.Context().run_one_for(std::chrono::milliseconds(20));
+  }
+  return done();
+}
+
+}  // namespace clementinerill::http
+
+#endif  // CLEMENTINERILL_TESTS_HTTP_TEST_SERVER_H_
--- /dev/null
+++ b/tests/mirror/kind_mirror_test.cc
@@ -0,0 +1,77 @@
+#include <catch2/catch.hpp>
+
+#include "mirror/mirror.h"
+
+namespace clementinerill::mirror {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+KindChanges List(int64_t revision, std::vector<StoredObject> objects) {
+  return {revision, true, std::move(objects), {}};
+}
+
+// Guards against a copy that goes back to an older state, from a stale read or
+// from a relay that is behind.
+TEST_CASE("older changes do not change a copy", "[mirror]") {
+  KindMirror mirror;
+  CHECK(Apply(mirror, List(10, {{"a", 1}})));
+  CHECK_FALSE(Apply(mirror, List(9, {})));
+  CHECK_FALSE(Apply(mirror, {10, false, {{"a", 0}}, {}}));
+  CHECK(mirror.objects_.at("a") == 1);
+  CHECK(Apply(mirror, {12, false, {{"b", 2}}, {"a"}}));
+  CHECK(mirror.objects_.count("a") == 0);
+  CHECK(mirror.revision_ == 12);
+}
+
+// Guards against changes that a reader misses because they were merged or
+// because it lagged behind what the relay remembers.
+TEST_CASE("a reader gets what it lacks", "[mirror]") {
+  KindMirror mirror;
+  Apply(mirror, List(10, {{"a", 1}, {"b", 1}}));
+  Apply(mirror, {12, false, {{"a", 2}}, {}});
+  Apply(mirror, {14, false, {{"a", 3}}, {"b"}});
+  const KindChanges recent = ChangesSince(mirror, 12);
+  CHECK_FALSE(recent.is_complete_);
+  REQUIRE(recent.present_.size() == 1);
+  CHECK(recent.present_[0].content_ == 3);
+  CHECK(recent.removed_ == std::vector<std::string>{"b"});
+  CHECK(ChangesSince(mirror, 14).present_.empty());
+  CHECK(ChangesSince(mirror, 9).is_complete_);
+  CHECK(ChangesSince(mirror, 0).is_complete_);
+}
+
+// Guards against a reader that misses changes which the relay has forgotten.
+TEST_CASE("a reader behind the remembered changes gets everything",
+          "[mirror]") {
+  KindMirror mirror;
+  Apply(mirror, List(1, {}));
+  for (int64_t revision = 2; revision < 3000; ++revision) {
+    Apply(mirror, {revision, false, {{std::to_string(revision), 1}}, {}});
+  }
+  KindMirror reader;
+  Apply(reader, List(1, {}));
+  for (const int64_t at : {int64_t{1}, int64_t{500}, int64_t{2990}}) {
+    KindMirror behind;
+    Apply(behind, List(at, {}));
+    for (int64_t r = 2; r <= at; ++r) {
+      behind.objects_[std::to_string(r)] = 1;
+    }
+    Apply(behind, ChangesSince(mirror, at));
+    CHECK(behind.objects_ == mirror.objects_);
+  }
+}
+
+// Guards against a relay that passes for up to date because it was asked.
+TEST_CASE("the age counts from the last confirmation", "[mirror]") {
+  KindMirror mirror;
+  const Instant start{seconds(100)};
+  CHECK(Age(mirror, start) == Duration::max());
+  Confirm(mirror, start);
+  Confirm(mirror, start - seconds(5));
+  CHECK(Age(mirror, start + milliseconds(700)) == milliseconds(700));
+}
+
+}  // namespace
+}  // namespace clementinerill::mirror
--- /dev/null
+++ b/tests/platform_adapter/decoder_test.cc
@@ -0,0 +1,182 @@
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "platform/configuration_decoder.h"
+#include "platform/node_settings.h"
+#include "platform/replica_decoder.h"
+#include "platform/store_codec.h"
+
+namespace clementinerill::platform_adapter {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kConfiguration = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "host": "leno.example", "path_prefix": "/a/b/",
+     "kind": "safe", "timeout_ms": 600, "goal_ms": 60, "priority": 2,
+     "gather": ["s1", "s2"], "max_attempts": 2, "top_k": 5,
+     "min_share": 0.75},
+    {"name": "r2", "host": "hufi.example", "path_prefix": "/c/",
+     "kind": "unsafe", "timeout_ms": 5000, "goal_ms": 500,
+     "split": [{"service": "s3", "weight": 3}, {"service": "s4", "weight": 1}]}
+  ],
+  "services": [
+    {"name": "s1", "health_path": "/health", "max_conns": 31,
+     "protocol": "h1", "warmup_s": 3.0, "cold_per_s": 0.0}
+  ],
+  "limits": {"max_header_bytes": 8192, "max_body_bytes": 262144,
+             "header_timeout_ms": 5000, "idle_timeout_ms": 4000}
+})";
+
+TEST_CASE("a configuration is decoded into types", "[decoder]") {
+  const auto decoded = DecodeConfiguration(json::parse(kConfiguration));
+  REQUIRE(decoded);
+  CHECK(decoded->version_ == 7);
+  const auto& sweep = decoded->routes_.at("leno.example").front();
+  CHECK(sweep.kind_ == traffic::RequestKind::kIdempotent);
+  CHECK(sweep.shards_ == std::vector<std::string>{"s1", "s2"});
+  CHECK(sweep.objective_ == milliseconds(60));
+  CHECK(sweep.record_limit_ == 5);
+  const auto& split = decoded->routes_.at("hufi.example").front();
+  CHECK(split.kind_ == traffic::RequestKind::kNonIdempotent);
+  CHECK(split.destinations_[0].weight_ == 3);
+  CHECK(split.max_attempts_ == 1);
+  CHECK(decoded->services_.at("s1").max_connections_ == 31);
+  CHECK(decoded->limits_.idle_timeout_ == seconds(4));
+}
+
+// Guards against half a configuration in force after a wrong field.
+TEST_CASE("a wrong field refuses the whole configuration", "[decoder]") {
+  const json valid = json::parse(kConfiguration);
+  for (const char* path :
+       {"/version", "/routes/0/timeout_ms", "/routes/0/kind",
+        "/routes/1/split/0/service", "/services/0/name", "/routes",
+        "/limits/idle_timeout_ms", "/routes/0/gather"}) {
+    json broken = valid;
+    broken[json::json_pointer(path)] = json::object();
+    const auto decoded = DecodeConfiguration(broken);
+    INFO(path);
+    REQUIRE_FALSE(decoded);
+    CHECK_FALSE(decoded.error().description_.empty());
+  }
+  CHECK_FALSE(DecodeConfiguration(json("text")));
+}
+
+json ReplicaSpec() {
+  return json::parse(R"({"service": "s1", "address": "10.1.2.3:8080",
+    "zone": "z1", "version": "v1", "slots": 3, "state": "ready",
+    "cold_remaining_ms": 1500, "seq": 4, "born": 1700000000000})");
+}
+
+TEST_CASE("a replica's entry is decoded", "[decoder]") {
+  const Instant now{seconds(100)};
+  const auto entry = DecodeReplica({"i-1", ReplicaSpec()}, now);
+  REQUIRE(entry);
+  CHECK(entry->port_ == 8080);
+  CHECK(entry->failure_domain_ == "z1");
+  CHECK(entry->started_unix_ms_ == 1700000000000);
+  CHECK(entry->cold_until_ == now + milliseconds(1500));
+  CHECK_FALSE(entry->leaving_since_);
+}
+
+// Guards against requests to an address that a forged or broken entry names.
+TEST_CASE("entries of other writers name no replica", "[decoder]") {
+  const Instant now{seconds(100)};
+  for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+    json missing = ReplicaSpec();
+    missing.erase(field);
+    json wrong = ReplicaSpec();
+    wrong[field] = json::array();
+    INFO(field);
+    CHECK_FALSE(DecodeReplica({"i-1", missing}, now));
+    CHECK_FALSE(DecodeReplica({"i-1", wrong}, now));
+  }
+  json state = ReplicaSpec();
+  state["state"] = "resting";
+  CHECK_FALSE(DecodeReplica({"i-1", state}, now));
+  CHECK_FALSE(DecodeReplica({"i-1", json("\x01\x02")}, now));
+  CHECK_FALSE(DecodeReplica({"i-1", json(nullptr)}, now));
+}
+
+TEST_CASE("the answers of the store are decoded", "[decoder]") {
+  const auto page = DecodePage(
+      R"({"items": [{"meta": {"name": "i-1"}, "spec": {"a": 1}}, "broken"],
+          "has_more": true, "current_rev": 530})");
+  REQUIRE(page);
+  CHECK(page->has_more_);
+  CHECK(page->revision_ == 530);
+  CHECK(page->objects_[0].name_ == "i-1");
+  CHECK(page->objects_[1].name_.empty());
+  // Of two events of one object the last counts.
+  const auto events = DecodeEvents(
+      R"({"events": [
+            {"deleted": false, "object": {"meta": {"name": "x"}, "spec": 1}},
+            {"deleted": true, "object": {"meta": {"name": "x"}, "spec": 1}},
+            {"deleted": false, "object": {"meta": {"name": "y"}, "spec": 2}}],
+          "current_rev": 533})");
+  REQUIRE(events);
+  CHECK(events->removed_ == std::vector<std::string>{"x"});
+  REQUIRE(events->present_.size() == 1);
+  CHECK(events->present_[0].content_ == 2);
+  CHECK_FALSE(DecodePage("<html>"));
+  CHECK_FALSE(DecodeEvents(R"({"events": 3, "current_rev": 1})"));
+  CHECK_FALSE(DecodeEvents(R"({"events": []})"));
+}
+
+constexpr const char* kSettings = R"(
+node: "frontend-z1-1"
+ip: "10.1.0.39"
+zone: "z1"
+listen:
+  front: "10.1.0.39:8226"
+  ready: "10.1.0.39:8227"
+  control: "10.1.0.39:8224"
+internal_ports: [7740, 7755]
+seeds: ["10.1.0.39:8224", "unreadable"]
+limits: {cpu_share: 0.25, cores: 1}
+bounds: {drain_ms: 3000, config_ms: 2500, evacuate_ms: 5000, grace_s: 6,
+         retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58,
+         cold_overage: 1.5, cold_slack: 5}
+platform: {address: "10.200.1.7:8229"}
+field_of_later: 1
+)";
+
+TEST_CASE("the settings of a process are read", "[settings]") {
+  const auto options = ParseNodeSettings(kSettings, "boot.yaml");
+  REQUIRE(options);
+  CHECK(options->name_ == "frontend-z1-1");
+  CHECK(options->caller_listen_.port_ == 8226);
+  CHECK(options->relay_listen_->port_ == 8224);
+  CHECK(options->metrics_listen_->port_ == 7740);
+  CHECK(options->seeds_.size() == 1);
+  CHECK(options->capacity_ == 250);
+  CHECK(options->change_bound_ == milliseconds(2500));
+  CHECK(options->stop_grace_ == seconds(6));
+  CHECK(options->limits_.extra_attempts_.slack_ == 58);
+}
+
+// Guards against a daemon that starts with a wrong address or without saying
+// what is wrong.
+TEST_CASE("wrong settings are errors with their place", "[settings]") {
+  const auto error = [](const std::string& from, const std::string& to) {
+    std::string text = kSettings;
+    text.replace(text.find(from), from.size(), to);
+    const auto options = ParseNodeSettings(text, "boot.yaml");
+    return options ? std::string("valid") : Format(options.error());
+  };
+  CHECK(error("front:", "back:").find("listen.front is missing") !=
+        std::string::npos);
+  CHECK(error("10.1.0.39:8226", "leno:x").find("listen.front") !=
+        std::string::npos);
+  CHECK(error("retry_ratio: 0.2", "retry_ratio: much").find("retry_ratio") !=
+        std::string::npos);
+  CHECK(error("node:", "{node:").find("boot.yaml:") == 0);
+}
+
+}  // namespace
+}  // namespace clementinerill::platform_adapter
--- /dev/null
+++ b/tests/traffic/load_model.h
@@ -0,0 +1,242 @@
+#ifndef CLEMENTINERILL_TESTS_TRAFFIC_LOAD_MODEL_H_
+#define CLEMENTINERILL_TESTS_TRAFFIC_LOAD_MODEL_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "traffic/fleet_fixture.h"
+
+namespace clementinerill::traffic {
+
+/// How one replica of the model behaves.
+struct Behaviour {
+  double slow_factor_ = 1.0;
+  double shed_share_ = 0.0;     ///< Refused before running, at once.
+  double failure_share_ = 0.0;  ///< Run and failed.
+  bool is_dark_ = false;        ///< Answers nothing.
+  Duration pause_{};            ///< Stands still so long,
+  Duration pause_every_{};      ///< once in this time.
+};
+
+/// What callers got.
+struct LoadResult {
+  int queries_ = 0;
+  int complete_in_time_ = 0;
+  int answered_in_time_ = 0;  ///< Complete or partial.
+  int refused_ = 0;
+  int failed_ = 0;
+  int requests_ = 0;  ///< First attempts.
+  int extras_ = 0;
+  Duration longest_refusal_{};  ///< Time that a refused query was held.
+
+  [[nodiscard]] double InTime() const {
+    return static_cast<double>(answered_in_time_) / queries_;
+  }
+  [[nodiscard]] double Extra() const {
+    return static_cast<double>(extras_) / requests_;
+  }
+};
+
+/// Plays sweeps on one daemon against replicas with slots and queues, in
+/// virtual time, with the decisions of the product and no sockets.
+class LoadModel {
+ public:
+  LoadModel(RouteRule route, double queries_per_s, uint64_t seed)
+      : fleet_({std::move(route)}),
+        random_(seed),
+        interval_(1.0 / queries_per_s) {
+    const auto& routes = fleet_.state_.view_->configuration_->routes_;
+    route_ = &routes.begin()->second.front();
+  }
+
+  Fleet fleet_;
+  std::map<std::string, Behaviour> behaviours_;  ///< By replica id.
+
+  LoadResult Play(Duration length) {
+    end_ = At(length);
+    Arrive(At({}));
+    while (!events_.empty()) {
+      const auto event = std::move(*events_.begin());
+      events_.erase(events_.begin());
+      event.second(event.first.first);
+    }
+    return result_;
+  }
+
+ private:
+  struct Request {
+    std::shared_ptr<Query> query_;
+    SendAction action_;
+  };
+  struct Server {
+    int busy_ = 0;
+    std::deque<Request> queue_;
+  };
+
+  void Schedule(Instant at, std::function<void(Instant)> event) {
+    events_.emplace(std::make_pair(at, next_++), std::move(event));
+  }
+
+  double Uniform() { return std::uniform_real_distribution<>(0, 1)(random_); }
+
+  void Arrive(Instant now) {
+    if (now >= end_) {
+      return;
+    }
+    auto query = std::make_shared<Query>(
+        StartQuery(fleet_.state_, *route_, std::to_string(result_.queries_),
+                   milliseconds(1200), now));
+    ++result_.queries_;
+    Step(query, now);
+    const double wait =
+        std::exponential_distribution<>(1.0 / interval_)(random_);
+    Schedule(now + std::chrono::duration_cast<Duration>(
+                       std::chrono::duration<double>(wait)),
+             [this](Instant at) { Arrive(at); });
+  }
+
+  void Step(const std::shared_ptr<Query>& query, Instant now) {
+    if (query->outcome_ != QueryOutcome::kOpen) {
+      return;
+    }
+    for (const SendAction& send : Advance(fleet_.state_, *query, now)) {
+      (send.attempt_ == 0 ? result_.requests_ : result_.extras_) += 1;
+      Schedule(now + Way(*query, send),
+               [this, query, send](Instant at) { Deliver({query, send}, at); });
+    }
+    if (query->outcome_ != QueryOutcome::kOpen) {
+      Count(*query, now);
+      return;
+    }
+    Schedule(query->wake_at_,
+             [this, query](Instant at) { Step(query, at); });
+  }
+
+  static const ReplicaState& ReplicaOf(const Request& request) {
+    return *request.query_->parts_[request.action_.part_]
+                .attempts_[request.action_.attempt_]
+                .replica_;
+  }
+
+  static Duration Way(const Query& query, SendAction send) {
+    const auto& entry =
+        query.parts_[send.part_].attempts_[send.attempt_].replica_->entry_;
+    return entry.failure_domain_ == "a" ? std::chrono::microseconds(200)
+                                        : std::chrono::microseconds(1000);
+  }
+
+  void Reply(const Request& request, AttemptOutcome outcome, Instant now) {
+    Schedule(now + Way(*request.query_, request.action_),
+             [this, request, outcome](Instant at) {
+               RecordAttempt(fleet_.state_, *request.query_, request.action_,
+                             outcome, {}, at);
+               Step(request.query_, at);
+             });
+  }
+
+  void Deliver(const Request& request, Instant now) {
+    const ReplicaState& replica = ReplicaOf(request);
+    const Behaviour& behaviour = behaviours_[replica.entry_.id_];
+    if (behaviour.is_dark_) {
+      Schedule(request.query_->deadline_, [this, request](Instant at) {
+        RecordAttempt(fleet_.state_, *request.query_, request.action_,
+                      AttemptOutcome::kAbandoned, {}, at);
+      });
+      return;
+    }
+    if (Uniform() < behaviour.shed_share_) {
+      Reply(request, AttemptOutcome::kShed, now);
+      return;
+    }
+    Server& server = servers_[replica.entry_.id_];
+    if (server.busy_ >= replica.entry_.slots_) {
+      server.queue_.push_back(request);
+      return;
+    }
+    Run(request, now);
+  }
+
+  void Run(const Request& request, Instant now) {
+    const std::string id = ReplicaOf(request).entry_.id_;
+    const Behaviour& behaviour = behaviours_[id];
+    ++servers_[id].busy_;
+    // Work of 15 ms with a spread of 0.35 and a hundredth five times as long.
+    double work = std::lognormal_distribution<>(2.65, 0.35)(random_);
+    work *= (Uniform() < 0.01 ? 5.0 : 1.0) * behaviour.slow_factor_;
+    Instant end = now + std::chrono::duration_cast<Duration>(
+                            std::chrono::duration<double, std::milli>(work));
+    end = AfterPause(id, behaviour, now, end);
+    const auto outcome = Uniform() < behaviour.failure_share_
+                             ? AttemptOutcome::kFailed
+                             : AttemptOutcome::kAnswered;
+    Schedule(end, [this, request, id, outcome](Instant at) {
+      Server& server = servers_[id];
+      --server.busy_;
+      Reply(request, outcome, at);
+      if (!server.queue_.empty()) {
+        const Request next = server.queue_.front();
+        server.queue_.pop_front();
+        Run(next, at);
+      }
+    });
+  }
+
+  // Work that meets a pause ends later by the rest of the pause.
+  Instant AfterPause(const std::string& id,
+                     const Behaviour& behaviour,
+                     Instant begin,
+                     Instant end) const {
+    if (behaviour.pause_every_ <= Duration::zero()) {
+      return end;
+    }
+    const auto every = behaviour.pause_every_;
+    const Duration phase = every * static_cast<int>(Hash(id) % 100) / 100;
+    const Duration offset = (begin.time_since_epoch() + phase) % every;
+    if (offset < behaviour.pause_) {
+      return end + (behaviour.pause_ - offset);
+    }
+    const bool meets = offset + (end - begin) > every;
+    return meets ? end + behaviour.pause_ : end;
+  }
+
+  static size_t Hash(const std::string& text) {
+    return std::hash<std::string>()(text);
+  }
+
+  void Count(const Query& query, Instant now) {
+    const Duration took = now - query.started_;
+    const bool in_time = took <= route_->objective_;
+    if (query.outcome_ == QueryOutcome::kComplete && in_time) {
+      ++result_.complete_in_time_;
+    }
+    if (query.outcome_ == QueryOutcome::kComplete ||
+        query.outcome_ == QueryOutcome::kPartial) {
+      result_.answered_in_time_ += in_time ? 1 : 0;
+    } else if (query.outcome_ == QueryOutcome::kRefused) {
+      ++result_.refused_;
+      result_.longest_refusal_ = std::max(result_.longest_refusal_, took);
+    } else {
+      ++result_.failed_;
+    }
+  }
+
+  const RouteRule* route_;
+  std::mt19937_64 random_;
+  double interval_;
+  Instant end_{};
+  std::map<std::pair<Instant, uint64_t>, std::function<void(Instant)>> events_;
+  std::map<std::string, Server> servers_;
+  LoadResult result_;
+  uint64_t next_ = 0;
+};
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TESTS_TRAFFIC_LOAD_MODEL_H_
--- /dev/null
+++ b/tests/traffic/replica_directory_test.cc
@@ -0,0 +1,51 @@
+#include <catch2/catch.hpp>
+
+#include "traffic/fleet_fixture.h"
+
+namespace clementinerill::traffic {
+namespace {
+
+// Guards against a service without replicas when all entries lapse while the
+// store is away and return with it.
+TEST_CASE("a lapsed replica stays known until its entry had time to return",
+          "[directory]") {
+  ReplicaDirectory directory;
+  PutReplica(directory, MakeReplica("r1", "s", "a"));
+  ReplaceReplicas(directory, {}, At(seconds(1)));
+  CHECK_FALSE(ForgetLeftReplicas(directory, At(seconds(2))));
+  CHECK(directory.replicas_.at("r1").leaving_since_ == At(seconds(1)));
+  PutReplica(directory, MakeReplica("r1", "s", "a"));
+  CHECK_FALSE(directory.replicas_.at("r1").leaving_since_);
+  RemoveReplica(directory, "r1", At(seconds(5)));
+  CHECK(ForgetLeftReplicas(directory, At(seconds(5)) + kLeavingGrace));
+  CHECK(directory.replicas_.empty());
+}
+
+// Guards against a replica that serves longer because it repeats that it
+// leaves.
+TEST_CASE("the first notice of leaving counts", "[directory]") {
+  ReplicaDirectory directory;
+  ReplicaEntry entry = MakeReplica("r1", "s", "a");
+  entry.leaving_since_ = At(seconds(1));
+  PutReplica(directory, entry);
+  entry.leaving_since_ = At(seconds(2));
+  PutReplica(directory, entry);
+  CHECK(directory.replicas_.at("r1").leaving_since_ == At(seconds(1)));
+}
+
+// Guards against counts of an earlier process that are held against the new
+// one under the same id.
+TEST_CASE("a restart under the same id is another replica", "[directory]") {
+  Fleet fleet({MakeSingleRoute(RequestKind::kIdempotent)});
+  fleet.Replica("docket", 0).failures_in_row_ = 9;
+  auto view = std::make_shared<TrafficView>(*fleet.state_.view_);
+  view->replicas_[0].started_unix_ms_ = 2;
+  ApplyView(fleet.state_, view);
+  CHECK(fleet.Replica("docket", 0).failures_in_row_ == 0);
+  fleet.Replica("docket", 1).failures_in_row_ = 9;
+  ApplyView(fleet.state_, std::make_shared<TrafficView>(*view));
+  CHECK(fleet.Replica("docket", 1).failures_in_row_ == 9);
+}
+
+}  // namespace
+}  // namespace clementinerill::traffic
