--- a/tests/traffic/load_model.h
+++ b/tests/traffic/load_model.h
@@ -48,8 +48,11 @@
 /// virtual time, with the decisions of the product and no sockets.
 class LoadModel {
  public:
-  LoadModel(RouteRule route, double queries_per_s, uint64_t seed)
-      : fleet_({std::move(route)}),
+  LoadModel(RouteRule route,
+            double queries_per_s,
+            uint64_t seed,
+            int daemons = 1)
+      : fleet_({std::move(route)}, daemons),
         random_(seed),
         interval_(1.0 / queries_per_s) {
     const auto& routes = fleet_.state_.view_->configuration_->routes_;
--- a/tests/traffic/load_test.cc
+++ b/tests/traffic/load_test.cc
@@ -68,6 +68,21 @@
   CHECK(result.Extra() <= 0.2);
 }
 
+// Pattern: the same on one of 30 daemons, which sends each replica two requests
+// a second and has a thirtieth of the slack. Guards against learning so slowly,
+// or forgetting so soon, that every request meets a refusal.
+TEST_CASE("half of the replicas shed, little traffic a daemon", "[load]") {
+  LoadModel model(Sweep(), 2, 2, 30);
+  for (int shard = 0; shard < kShards; ++shard) {
+    model.behaviours_[Id(shard, "a")].shed_share_ = 0.6;
+    model.behaviours_[Id(shard, "b")].shed_share_ = shard % 2 == 0 ? 0.6 : 0;
+  }
+  const LoadResult result = model.Play(seconds(120));
+  INFO("in time " << result.InTime() << ", extra " << result.Extra()
+                  << ", failed " << result.failed_);
+  CHECK(result.InTime() >= 0.9);
+}
+
 // Pattern: 15% of the replicas of all shards are 8.5 times slower. Guards
 // against going back to them with many requests.
 TEST_CASE("slow replicas across the shards", "[load]") {
