Test the gateway against a stand-in of the store, and the bounded log output

Eleven cases of one or more daemons on real sockets: configuration never back, at most once, true refusals, a caller that leaves, compaction and outages, a start from a seed, calls of a large fleet, a graceful stop.

--- /dev/null
+++ b/tests/gateway/fake_store.h
@@ -0,0 +1,203 @@
+#ifndef CLEMENTINERILL_TESTS_GATEWAY_FAKE_STORE_H_
+#define CLEMENTINERILL_TESTS_GATEWAY_FAKE_STORE_H_
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "http/http.h"
+
+namespace clementinerill::gateway {
+
+/// A stand-in of the platform's store: lists, watches and writes in memory.
+class FakeStore {
+ public:
+  explicit FakeStore(http::EventLoop& loop)
+      : loop_(loop), listener_(loop, [this](auto caller, auto request) {
+          OnRequest(caller, request);
+        }) {
+    port_ = *listener_.Listen("127.0.0.1", 0);
+  }
+
+  [[nodiscard]] uint16_t Port() const { return port_; }
+
+  void Put(const std::string& kind,
+           const std::string& name,
+           const nlohmann::json& spec) {
+    Change({kind, name, spec, false});
+  }
+
+  void Remove(const std::string& kind, const std::string& name) {
+    Change({kind, name, nullptr, true});
+  }
+
+  /// Forgets the history: waiting and later watches of it get 410.
+  void Compact() {
+    history_floor_ = revision_;
+    events_.clear();
+    ReplyToWatches(410);
+  }
+
+  /// While down, calls get 503 and waiting watches are cut off.
+  void SetDown(bool down) {
+    down_ = down;
+    if (down) {
+      ReplyToWatches(503);
+    }
+  }
+
+  std::map<std::string, int> calls_;  ///< By method and kind.
+
+ private:
+  struct Event {
+    std::string kind_;
+    std::string name_;
+    nlohmann::json spec_;
+    bool deleted_ = false;
+    int64_t revision_ = 0;
+  };
+  using Caller = std::shared_ptr<http::CallerConnection>;
+  struct Waiting {
+    Caller caller_;
+    std::string kind_;
+    int64_t revision_;
+  };
+
+  static nlohmann::json ObjectOf(const Event& event) {
+    return {{"meta", {{"name", event.name_}, {"rev", event.revision_}}},
+            {"spec", event.spec_}};
+  }
+
+  void Change(Event event) {
+    event.revision_ = ++revision_;
+    if (event.deleted_) {
+      objects_[event.kind_].erase(event.name_);
+    } else {
+      objects_[event.kind_][event.name_] = event;
+    }
+    events_.push_back(std::move(event));
+    for (auto it = watches_.begin(); it != watches_.end();) {
+      const Waiting waiting = *it;
+      it = HasEvents(waiting) ? watches_.erase(it) : std::next(it);
+      if (HasEvents(waiting)) {
+        ReplyEvents(waiting);
+      }
+    }
+  }
+
+  [[nodiscard]] bool HasEvents(const Waiting& waiting) const {
+    for (const Event& event : events_) {
+      if (event.kind_ == waiting.kind_ &&
+          event.revision_ > waiting.revision_) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void ReplyEvents(const Waiting& waiting) {
+    nlohmann::json events = nlohmann::json::array();
+    for (const Event& event : events_) {
+      if (event.kind_ == waiting.kind_ &&
+          event.revision_ > waiting.revision_) {
+        events.push_back(
+            {{"deleted", event.deleted_}, {"object", ObjectOf(event)}});
+      }
+    }
+    Respond(waiting.caller_, 200,
+            {{"events", events}, {"current_rev", revision_}});
+  }
+
+  void ReplyToWatches(int status) {
+    for (const Waiting& waiting : std::exchange(watches_, {})) {
+      Respond(waiting.caller_, status, nullptr);
+    }
+  }
+
+  static void Respond(const Caller& caller,
+                      int status,
+                      const nlohmann::json& body) {
+    caller->Respond({status, {}, body.dump(), true}, false);
+  }
+
+  static std::string QueryValue(const std::string& target,
+                                const std::string& key) {
+    const size_t at = target.find(key + "=");
+    if (at == std::string::npos) {
+      return {};
+    }
+    const size_t begin = at + key.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+  }
+
+  void OnRequest(const Caller& caller, const http::HttpRequest& request) {
+    const std::string path = request.target_.substr(
+        std::string("/objects/").size(),
+        request.target_.find('?') - std::string("/objects/").size());
+    const std::string kind = path.substr(0, path.find('/'));
+    ++calls_[request.method_ + " " + kind];
+    if (down_) {
+      Respond(caller, 503, nullptr);
+      return;
+    }
+    if (request.method_ != "GET") {
+      Write(caller, kind, request);
+      return;
+    }
+    const std::string watch = QueryValue(request.target_, "watch");
+    if (watch.empty()) {
+      List(caller, kind);
+      return;
+    }
+    const Waiting waiting{caller, kind, std::stoll(watch)};
+    if (waiting.revision_ < history_floor_) {
+      Respond(caller, 410, nullptr);
+    } else if (HasEvents(waiting)) {
+      ReplyEvents(waiting);
+    } else {
+      watches_.push_back(waiting);
+    }
+  }
+
+  void Write(const Caller& caller,
+             const std::string& kind,
+             const http::HttpRequest& request) {
+    const auto object = nlohmann::json::parse(request.body_);
+    const std::string name = object["meta"]["name"];
+    if (request.method_ == "POST" && objects_[kind].count(name) > 0) {
+      Respond(caller, 409, object);
+      return;
+    }
+    Put(kind, name, object["spec"]);
+    Respond(caller, request.method_ == "POST" ? 201 : 200, object);
+  }
+
+  void List(const Caller& caller, const std::string& kind) {
+    nlohmann::json items = nlohmann::json::array();
+    for (const auto& [name, event] : objects_[kind]) {
+      items.push_back(ObjectOf(event));
+    }
+    Respond(caller, 200,
+            {{"items", items},
+             {"has_more", false},
+             {"current_rev", revision_}});
+  }
+
+  http::EventLoop& loop_;
+  http::Listener listener_;
+  uint16_t port_ = 0;
+  std::map<std::string, std::map<std::string, Event>> objects_;
+  std::list<Event> events_;
+  std::list<Waiting> watches_;
+  int64_t revision_ = 1;
+  int64_t history_floor_ = 0;
+  bool down_ = false;
+};
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_TESTS_GATEWAY_FAKE_STORE_H_
--- /dev/null
+++ b/tests/gateway/gateway_fixture.h
@@ -0,0 +1,193 @@
+#ifndef CLEMENTINERILL_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+#define CLEMENTINERILL_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/control_loop.h"
+#include "gateway/fake_store.h"
+#include "gateway/traffic_server.h"
+#include "http/http.h"
+#include "http/test_server.h"
+#include "logging/log_threshold.h"
+#include "platform/node_settings.h"
+#include "platform/store_codec.h"
+
+namespace clementinerill::gateway {
+
+/// A replica that answers with the first letter of its id sixteen times.
+struct FakeReplica {
+  using Caller = std::shared_ptr<http::CallerConnection>;
+
+  FakeReplica(http::EventLoop& loop, std::string id)
+      : id_(std::move(id)), listener_(loop, [this](auto caller, auto request) {
+          requests_.push_back(request);
+          if (behave_) {
+            behave_(caller, request);
+            return;
+          }
+          Answer(caller, request);
+        }) {
+    port_ = *listener_.Listen("127.0.0.1", 0);
+  }
+
+  void Answer(const Caller& caller, const http::HttpRequest& request) const {
+    http::HttpAnswer answer;
+    answer.status_ = 200;
+    answer.headers_ = {
+        {"X-Request-Id",
+         std::string(http::FindHeader(request.headers_, "X-Request-Id"))},
+        {"X-Server-Stamp", "stamp-" + id_},
+        {"X-Server-Load", "1,0,4"}};
+    answer.body_ = std::string(16, id_[0]);
+    caller->Respond(answer, false);
+  }
+
+  [[nodiscard]] nlohmann::json Entry(const std::string& service,
+                                     const std::string& state = "ready") const {
+    return {{"service", service},
+            {"address", "127.0.0.1:" + std::to_string(port_)},
+            {"zone", "z1"},
+            {"version", "v1"},
+            {"slots", 4},
+            {"state", state},
+            {"cold_remaining_ms", 0},
+            {"seq", 1},
+            {"born", 1}};
+  }
+
+  std::string id_;
+  http::Listener listener_;
+  uint16_t port_ = 0;
+  std::vector<http::HttpRequest> requests_;
+  std::function<void(const Caller&, const http::HttpRequest&)> behave_;
+};
+
+/// One daemon on one loop; both of its threads' work runs in the test's thread.
+struct Daemon {
+  Daemon(http::EventLoop& loop, GatewayOptions options)
+      : options_(std::move(options)),
+        traffic_(loop, options_, metrics_),
+        control_(loop, options_, metrics_, [this](auto view) {
+          traffic_.SetView(view);
+        }) {
+    REQUIRE(traffic_.Listen());
+    control_.Start();
+  }
+
+  GatewayOptions options_;
+  GatewayMetrics metrics_;
+  TrafficServer traffic_;
+  ControlLoop control_;
+};
+
+inline uint16_t FreePort(http::EventLoop& loop) {
+  boost::asio::ip::tcp::acceptor acceptor(
+      loop.Context(), {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
+/// A store, replicas of two shards and of one single service, and daemons.
+struct World {
+  World() {
+    // The lines of many daemons would hide the result.
+    LogThreshold().store(LogLevel::kError);
+    for (const char* id : {"a1", "b1", "c1"}) {
+      replicas_.push_back(std::make_unique<FakeReplica>(loop_, id));
+    }
+  }
+
+  static nlohmann::json Configuration(int version) {
+    return {
+        {"version", version},
+        {"routes",
+         {{{"name", "sweep"},
+           {"host", "search.example"},
+           {"path_prefix", "/s/"},
+           {"kind", "safe"},
+           {"timeout_ms", 1000},
+           {"goal_ms", 200},
+           {"gather", {"shard-a", "shard-b"}},
+           {"max_attempts", 2},
+           {"top_k", 5},
+           {"min_share", 0.5}},
+          {{"name", "hold"},
+           {"host", "hold.example"},
+           {"path_prefix", "/h" + std::to_string(version) + "/"},
+           {"kind", "unsafe"},
+           {"timeout_ms", 1000},
+           {"goal_ms", 500},
+           {"service", "hold"},
+           {"max_attempts", 2}}}},
+        {"services", nlohmann::json::array()}};
+  }
+
+  void PutEverything() {
+    store_.Put("config", "main", Configuration(5));
+    store_.Put("servers", "a1", replicas_[0]->Entry("shard-a"));
+    store_.Put("servers", "b1", replicas_[1]->Entry("shard-b"));
+    store_.Put("servers", "c1", replicas_[2]->Entry("hold"));
+    store_.Put("servers", "forged", {{"service", 7}});
+  }
+
+  GatewayOptions Options(const std::string& name) {
+    GatewayOptions options;
+    options.name_ = name;
+    options.failure_domain_ = "z1";
+    options.caller_listen_ = {"127.0.0.1", FreePort(loop_)};
+    options.ready_listen_ = {"127.0.0.1", FreePort(loop_)};
+    options.relay_listen_ = Endpoint{"127.0.0.1", FreePort(loop_)};
+    options.store_ = {"127.0.0.1", store_.Port()};
+    options.names_ = platform_adapter::PlatformWireNames();
+    options.port_ = platform_adapter::MakeStorePort();
+    return options;
+  }
+
+  Daemon& Start(const GatewayOptions& options) {
+    daemons_.push_back(std::make_unique<Daemon>(loop_, options));
+    return *daemons_.back();
+  }
+
+  bool Until(const std::function<bool()>& done) {
+    return http::RunUntil(loop_, done);
+  }
+
+  bool IsReady(const Daemon& daemon) {
+    return Get(daemon.options_.ready_listen_, "", "/ready").status_ == 200;
+  }
+
+  /// One request on a new connection; a status of 0 is a closed connection.
+  http::HttpAnswer Get(const Endpoint& endpoint,
+                       const std::string& host,
+                       const std::string& target,
+                       const std::string& id = "id-1") {
+    const auto connection = std::make_shared<http::ClientConnection>(
+        loop_, endpoint.address_, endpoint.port_, 1 << 20);
+    std::optional<http::ExchangeResult> result;
+    http::ExchangeRequest request;
+    request.bytes_ = "GET " + target + " HTTP/1.1\r\nHost: " + host +
+                     "\r\nX-Request-Id: " + id +
+                     "\r\nX-Request-Deadline: 800\r\n\r\n";
+    connection->Start(std::move(request),
+                      [&result](http::ExchangeResult r) { result = r; });
+    Until([&result] { return result.has_value(); });
+    connection->Close();
+    return result ? result->answer_ : http::HttpAnswer{};
+  }
+
+  http::HttpAnswer Sweep(const Daemon& daemon) {
+    return Get(daemon.options_.caller_listen_, "search.example", "/s/1");
+  }
+
+  http::EventLoop loop_;
+  FakeStore store_{loop_};
+  std::vector<std::unique_ptr<FakeReplica>> replicas_;
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+};
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
--- /dev/null
+++ b/tests/gateway/gateway_test.cc
@@ -0,0 +1,236 @@
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway_fixture.h"
+
+namespace clementinerill::gateway {
+namespace {
+
+using http::FindHeader;
+
+TEST_CASE("a sweep is merged from the parts of all shards", "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  const auto answer = world.Sweep(daemon);
+  CHECK(answer.status_ == 200);
+  CHECK(answer.body_ == std::string(16, 'b') + std::string(16, 'a'));
+  CHECK(FindHeader(answer.headers_, "X-Part-Stamps") == "stamp-a1, stamp-b1");
+  CHECK(FindHeader(answer.headers_, "X-Missing-Parts") == "0");
+  const auto& sent = world.replicas_[0]->requests_.back();
+  CHECK(FindHeader(sent.headers_, "X-Expect-Instance") == "a1");
+  CHECK(std::stoi(std::string(
+            FindHeader(sent.headers_, "X-Request-Deadline"))) <= 800);
+}
+
+// Guards against refusing routes that may exist: without a configuration a
+// daemon knows none.
+TEST_CASE("without a configuration requests are refused as not run",
+          "[gateway]") {
+  World world;
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  CHECK_FALSE(world.IsReady(daemon));
+  const auto answer = world.Sweep(daemon);
+  CHECK(answer.status_ == 503);
+  CHECK_FALSE(FindHeader(answer.headers_, "Retry-After").empty());
+}
+
+// Guards against going back to an older version, also from a late write.
+TEST_CASE("a newer configuration is used and an older one is not",
+          "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  const auto status = [&](const std::string& target) {
+    return world.Get(daemon.options_.caller_listen_, "hold.example", target)
+        .status_;
+  };
+  CHECK(status("/h5/1") == 200);
+  world.store_.Put("config", "main", World::Configuration(9));
+  CHECK(world.Until([&] { return status("/h9/1") == 200; }));
+  CHECK(status("/h5/1") == 404);
+  world.store_.Put("config", "main", World::Configuration(7));
+  world.store_.Put("config", "main", {{"version", "broken"}});
+  world.store_.Put("servers", "a1", world.replicas_[0]->Entry("shard-a"));
+  CHECK(status("/h9/1") == 200);
+  CHECK(status("/h7/1") == 404);
+}
+
+// Guards against a non-idempotent request that runs twice, and against telling
+// the caller that it did not run.
+TEST_CASE("a lost answer of a non-idempotent request is unknown",
+          "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  world.replicas_[2]->behave_ = [](const FakeReplica::Caller& caller,
+                                   const http::HttpRequest&) {
+    caller->Close();
+  };
+  const auto answer =
+      world.Get(daemon.options_.caller_listen_, "hold.example", "/h5/1");
+  CHECK(answer.status_ == 502);
+  CHECK(world.replicas_[2]->requests_.size() == 1);
+}
+
+// Guards against a refusal by status of a replica that ran the request.
+TEST_CASE("a failure that promises nothing is not passed on as a promise",
+          "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  std::string mark;
+  world.replicas_[2]->behave_ = [&mark](const FakeReplica::Caller& caller,
+                                        const http::HttpRequest&) {
+    http::HttpAnswer answer{503, {{"X-Server-Stamp", "s"}}, "", true};
+    if (!mark.empty()) {
+      answer.headers_.emplace_back(mark, "1");
+    }
+    caller->Respond(answer, false);
+  };
+  const auto status = [&] {
+    return world.Get(daemon.options_.caller_listen_, "hold.example", "/h5/1")
+        .status_;
+  };
+  CHECK(status() == 502);
+  mark = "X-Not-Executed";
+  CHECK(status() == 503);
+}
+
+// Guards against new work for a leaving replica and for one whose address has
+// another owner.
+TEST_CASE("parts go to the replicas that discovery names", "[gateway]") {
+  World world;
+  world.PutEverything();
+  FakeReplica other(world.loop_, "d1");
+  world.store_.Put("servers", "d1", other.Entry("shard-a"));
+  world.store_.Put("servers", "a1",
+                   world.replicas_[0]->Entry("shard-a", "draining"));
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  CHECK(world.Sweep(daemon).body_ ==
+        std::string(16, 'd') + std::string(16, 'b'));
+  CHECK(world.replicas_[0]->requests_.empty());
+  world.store_.Put("servers", "a1", world.replicas_[0]->Entry("shard-a"));
+  other.behave_ = [](const FakeReplica::Caller& caller,
+                     const http::HttpRequest&) {
+    caller->Respond({421, {{"X-Instance-Id", "x"}}, "", true}, false);
+  };
+  REQUIRE(world.Until([&] { return !world.replicas_[0]->requests_.empty() ||
+                                   world.Sweep(daemon).status_ == 0; }));
+  CHECK(world.Sweep(daemon).body_.find('a') != std::string::npos);
+}
+
+// Guards against replicas at work for a caller that has gone.
+TEST_CASE("a caller that leaves ends the work at the replicas", "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  bool cancelled = false;
+  for (const auto& replica : world.replicas_) {
+    replica->behave_ = [&cancelled](const FakeReplica::Caller& caller,
+                                    const http::HttpRequest&) {
+      caller->OnLeft([&cancelled] { cancelled = true; });
+    };
+  }
+  const auto connection = std::make_shared<http::ClientConnection>(
+      world.loop_, "127.0.0.1", daemon.options_.caller_listen_.port_, 1000);
+  http::ExchangeRequest request;
+  request.bytes_ =
+      "GET /s/1 HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: 1\r\n\r\n";
+  connection->Start(std::move(request), [](const http::ExchangeResult&) {});
+  REQUIRE(world.Until(
+      [&] { return !world.replicas_[0]->requests_.empty(); }));
+  connection->Close();
+  CHECK(world.Until([&] { return cancelled; }));
+}
+
+// Guards against a daemon that stops following the store after it has dropped
+// its history or was away.
+TEST_CASE("the store is followed through compaction and outages",
+          "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  world.store_.Put("config", "main", World::Configuration(6));
+  world.store_.Compact();
+  world.store_.SetDown(true);
+  world.store_.Put("config", "main", World::Configuration(8));
+  world.store_.Compact();
+  CHECK(world.Sweep(daemon).status_ == 200);
+  world.store_.SetDown(false);
+  CHECK(world.Until([&] {
+    return world
+               .Get(daemon.options_.caller_listen_, "hold.example", "/h8/1")
+               .status_ == 200;
+  }));
+}
+
+// Guards against a daemon that cannot start while the store is away although
+// another one knows everything.
+TEST_CASE("a daemon starts from a seed while the store is down", "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& first = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(first); }));
+  world.store_.SetDown(true);
+  GatewayOptions options = world.Options("vm-2");
+  options.seeds_ = {*first.options_.relay_listen_};
+  Daemon& second = world.Start(options);
+  CHECK(world.Until([&] { return world.IsReady(second); }));
+  CHECK(world.Sweep(second).status_ == 200);
+}
+
+// Guards against store calls that grow with the fleet.
+TEST_CASE("most daemons of a large fleet do not call the store",
+          "[gateway]") {
+  World world;
+  world.PutEverything();
+  for (int i = 0; i < 30; ++i) {
+    world.store_.Put("clementinerill-daemons", "far-" + std::to_string(i),
+                     {{"failure_domain", "z2"}});
+  }
+  for (const char* name : {"vm-1", "vm-2", "vm-3", "vm-4", "vm-5"}) {
+    world.Start(world.Options(name));
+  }
+  REQUIRE(world.Until([&] {
+    return std::all_of(
+        world.daemons_.begin(), world.daemons_.end(),
+        [&](const auto& daemon) { return world.IsReady(*daemon); });
+  }));
+  const int before = world.store_.calls_["GET config"];
+  world.store_.Put("config", "main", World::Configuration(9));
+  REQUIRE(world.Until([&] {
+    return std::all_of(
+        world.daemons_.begin(), world.daemons_.end(), [&](const auto& daemon) {
+          return daemon->metrics_.version_.Value() == 9;
+        });
+  }));
+  // One call for each of the two watchers, and one more that was due.
+  CHECK(world.store_.calls_["GET config"] - before <= 4);
+}
+
+// Guards against a stop that cuts requests or keeps the balancer sending.
+TEST_CASE("a stop answers what is served and then ends", "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  bool stopped = false;
+  daemon.traffic_.Drain([&stopped] { stopped = true; });
+  CHECK_FALSE(world.IsReady(daemon));
+  const auto answer = world.Sweep(daemon);
+  CHECK(answer.status_ == 200);
+  CHECK(FindHeader(answer.headers_, "Connection") == "close");
+  CHECK(world.Until([&] { return stopped; }));
+}
+
+}  // namespace
+}  // namespace clementinerill::gateway
