Move traffic through rollouts, judge the target version, write the verdict

Cause: replicas of a target version took their full share at once, which breaks the bound on exposure as soon as a version is bad; no status was written. Writes are conditional on the revision, so a late verdict cannot replace an earlier one.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -41,6 +41,7 @@
           [this](const std::string& kind, const mirror::KindChanges& changes) {
             OnChanges(kind, changes);
           }),
+      rollouts_(loop, options),
       writer_(loop, options.store_.address_, options.store_.port_) {}
 
 void ControlLoop::Start() {
@@ -58,6 +59,9 @@
     }
   } else if (kind == kinds.replicas_) {
     TakeReplicas(changes);
+  } else if (kind == kinds.rollouts_) {
+    rollouts_.Take(changes);
+    PublishView();
   } else if (kind == kinds.evacuations_) {
     TakeEvacuations(changes);
   } else if (kind == kinds.daemons_) {
@@ -241,6 +245,7 @@
     view->replicas_.push_back(entry);
   }
   view->evacuated_ = evacuated_;
+  view->rollouts_ = rollouts_.Orders();
   for (const auto& [name, record] : daemons_) {
     ++view->daemons_[record.failure_domain_];
   }
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -10,6 +10,7 @@
 
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
+#include "gateway/rollout_control.h"
 #include "gateway/store_follower.h"
 #include "http/client.h"
 #include "mirror/daemon_record.h"
@@ -32,6 +33,11 @@
 
   void Start();
 
+  /// @brief Takes what this daemon's traffic found out about a rollout.
+  void DecideRollout(const std::string& service, traffic::RolloutState state) {
+    rollouts_.Decide(service, state);
+  }
+
  private:
   void OnChanges(const std::string& kind, const mirror::KindChanges& changes);
   void TakeConfiguration(const StoredObject& object);
@@ -51,6 +57,7 @@
   const GatewayOptions& options_;
   const Publish publish_;
   StoreFollower follower_;
+  RolloutControl rollouts_;
   http::Client writer_;
   std::shared_ptr<const traffic::TrafficConfiguration> configuration_;
   traffic::ReplicaDirectory directory_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -95,6 +95,11 @@
         traffic_loop.Post(
             [&traffic, view = std::move(view)] { traffic.SetView(view); });
       });
+  traffic.SetOnVerdict([&control_loop, &control](const std::string& service,
+                                                 traffic::RolloutState state) {
+    control_loop.Post(
+        [&control, service, state] { control.DecideRollout(service, state); });
+  });
   std::thread control_thread([&control_loop, &control] {
     control.Start();
     control_loop.Run();
--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -92,7 +92,7 @@
 
 void KindWatch::OnPage(const http::ClientReply& reply) {
   if (reply.status_ != 200) {
-    RetryLater("status " + std::to_string(reply.status_));
+    RetryLater(http::FailureText(reply));
     return;
   }
   auto page = port_.decode_page_(reply.body_);
@@ -137,7 +137,7 @@
     return;
   }
   if (reply.status_ != 200) {
-    RetryLater("status " + std::to_string(reply.status_));
+    RetryLater(http::FailureText(reply));
     return;
   }
   auto events = port_.decode_events_(reply.body_);
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -65,6 +65,7 @@
   AddKind(kinds.configuration_, {}, true);
   AddKind(kinds.replicas_, kReplicaSettle, true);
   AddKind(kinds.evacuations_, {}, true);
+  AddKind(kinds.rollouts_, {}, true);
   AddKind(kinds.daemons_, kDaemonSettle, false);
 }
 
@@ -206,7 +207,7 @@
 
 void StoreFollower::OnRelayReply(const http::ClientReply& reply) {
   if (reply.status_ != 200) {
-    OnRelaySilent("status " + std::to_string(reply.status_));
+    OnRelaySilent(http::FailureText(reply));
     return;
   }
   const auto decoded = mirror::DecodeRelayReply(reply.body_);
--- a/src/gateway/store_port.h
+++ b/src/gateway/store_port.h
@@ -13,6 +13,7 @@
 #include "mirror/kind_changes.h"
 #include "mirror/stored_object.h"
 #include "traffic/replica_entry.h"
+#include "traffic/rollout_order.h"
 #include "traffic/traffic_configuration.h"
 
 namespace clementinerill::gateway {
@@ -32,6 +33,7 @@
   std::string configuration_name_;  ///< The one object of that kind.
   std::string replicas_;
   std::string evacuations_;  ///< Named by failure domain.
+  std::string rollouts_;     ///< Named by service.
   std::string daemons_;      ///< Written by the daemons themselves.
 };
 
@@ -61,6 +63,13 @@
       decode_configuration_;
   std::function<Result<traffic::ReplicaEntry>(const StoredObject&, Instant now)>
       decode_replica_;
+  std::function<Result<traffic::RolloutOrder>(const StoredObject&, Instant now)>
+      decode_rollout_;
+  std::function<std::string(const std::string& service)> rollout_status_target_;
+  std::function<std::string(const traffic::RolloutOrder&,
+                            traffic::RolloutState,
+                            int64_t revision)>
+      encode_rollout_status_;
 };
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -29,6 +29,14 @@
   /// @brief Takes a newer view of configuration and replicas.
   void SetView(std::shared_ptr<const traffic::TrafficView> view);
 
+  /// @brief Called with what the traffic shows about a rollout, again as long
+  /// as the order stays in progress.
+  using OnVerdict =
+      std::function<void(const std::string& service, traffic::RolloutState)>;
+  void SetOnVerdict(OnVerdict on_verdict) {
+    on_verdict_ = std::move(on_verdict);
+  }
+
   /// @brief Begins a graceful shutdown; `stopped` is called at its end.
   ///
   /// Reports not ready at once and keeps serving until the balancer has
@@ -51,6 +59,7 @@
   [[nodiscard]] bool IsReady() const;
   void Tick();
   void CheckDrain(Instant now);
+  void JudgeRollouts(Instant now);
   void Forget();
 
   http::EventLoop& loop_;
@@ -66,6 +75,7 @@
   std::list<std::weak_ptr<QuerySession>> sessions_;
   std::optional<Instant> drain_began_;
   std::function<void()> stopped_;
+  OnVerdict on_verdict_;
   bool was_ready_ = false;
 };
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -10,6 +10,11 @@
 
 }  // namespace
 
+std::string FailureText(const ClientReply& reply) {
+  return reply.status_ == 0 ? "no answer"
+                            : "status " + std::to_string(reply.status_);
+}
+
 Client::Client(EventLoop& loop, std::string address, uint16_t port)
     : loop_(loop), address_(std::move(address)), port_(port) {}
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -28,6 +28,9 @@
   std::string body_;
 };
 
+/// @brief Says in a log line how a call failed.
+[[nodiscard]] std::string FailureText(const ClientReply& reply);
+
 /// @brief Calls one address over a kept connection, one call at a time.
 class Client {
  public:
--- a/src/mirror/kind_mirror.cc
+++ b/src/mirror/kind_mirror.cc
@@ -21,7 +21,7 @@
 void ApplyComplete(KindMirror& mirror, const KindChanges& changes) {
   mirror.objects_.clear();
   for (const StoredObject& object : changes.present_) {
-    mirror.objects_[object.name_] = object.content_;
+    mirror.objects_[object.name_] = object;
   }
   mirror.changes_.clear();
   mirror.changes_since_ = changes.revision_;
@@ -31,8 +31,8 @@
   KindChanges changes;
   changes.revision_ = mirror.revision_;
   changes.is_complete_ = true;
-  for (const auto& [name, content] : mirror.objects_) {
-    changes.present_.push_back({name, content});
+  for (const auto& [name, object] : mirror.objects_) {
+    changes.present_.push_back(object);
   }
   return changes;
 }
@@ -48,7 +48,7 @@
     ApplyComplete(mirror, changes);
   } else {
     for (const StoredObject& object : changes.present_) {
-      mirror.objects_[object.name_] = object.content_;
+      mirror.objects_[object.name_] = object;
       NoteChange(mirror, changes.revision_, object.name_);
     }
     for (const std::string& name : changes.removed_) {
@@ -89,7 +89,7 @@
     if (found == mirror.objects_.end()) {
       changes.removed_.push_back(name);
     } else {
-      changes.present_.push_back({name, found->second});
+      changes.present_.push_back(found->second);
     }
   }
   return changes;
--- a/src/mirror/kind_mirror.h
+++ b/src/mirror/kind_mirror.h
@@ -23,7 +23,7 @@
   };
 
   int64_t revision_ = 0;  ///< 0 until the first list.
-  std::map<std::string, nlohmann::json> objects_;
+  std::map<std::string, StoredObject> objects_;
   std::deque<Change> changes_;  ///< Recent ones, oldest first.
   int64_t changes_since_ = 0;   ///< `changes_` is complete after this revision.
   /// When the store, or another daemon on its behalf, last confirmed the copy.
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -18,7 +18,9 @@
 json EncodeKind(const RelayedKind& kind) {
   json present = json::object();
   for (const StoredObject& object : kind.changes_.present_) {
-    present[object.name_] = object.content_;
+    present[object.name_] = {{"content", object.content_},
+                             {"status", object.status_},
+                             {"revision", object.revision_}};
   }
   return {{"revision", kind.changes_.revision_},
           {"complete", kind.changes_.is_complete_},
@@ -32,8 +34,10 @@
   kind.changes_.revision_ = message.at("revision").get<int64_t>();
   kind.changes_.is_complete_ = message.at("complete").get<bool>();
   kind.age_ = milliseconds(message.at("age_ms").get<int64_t>());
-  for (const auto& [name, content] : message.at("present").items()) {
-    kind.changes_.present_.push_back({name, content});
+  for (const auto& [name, object] : message.at("present").items()) {
+    kind.changes_.present_.push_back({name, object.at("content"),
+                                      object.at("status"),
+                                      object.at("revision").get<int64_t>()});
   }
   kind.changes_.removed_ =
       message.at("removed").get<std::vector<std::string>>();
--- a/src/mirror/stored_object.h
+++ b/src/mirror/stored_object.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINERILL_MIRROR_STORED_OBJECT_H_
 #define CLEMENTINERILL_MIRROR_STORED_OBJECT_H_
 
+#include <cstdint>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -11,6 +12,8 @@
 struct StoredObject {
   std::string name_;
   nlohmann::json content_;
+  nlohmann::json status_ = {};  ///< Null unless the system wrote one.
+  int64_t revision_ = 0;        ///< Of its last change; for conditional writes.
 };
 
 }  // namespace clementinerill::mirror
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace clementinerill::traffic {
 namespace {
 
@@ -75,6 +77,31 @@
   return found == fleet.routes_.end() ? initial : found->second.latency_;
 }
 
+// Whether the target version of a rollout takes the next attempt of a part. Of
+// the requests before completion only first attempts do, chosen by their id, so
+// that a second attempt meets the present version.
+bool TakesTargetVersion(const Query& query,
+                        const QueryPart& part,
+                        Instant now) {
+  if (!part.service_->rollout_) {
+    return false;
+  }
+  const double share = TargetShare(*part.service_->rollout_, now);
+  if (share >= 1.0) {
+    return true;
+  }
+  constexpr uint64_t kSteps = 10000;
+  const uint64_t step = Hash64(query.id_ + part.service_->name_) % kSteps;
+  return part.attempts_.empty() &&
+         static_cast<double>(step) < share * static_cast<double>(kSteps);
+}
+
+// The present version may stand in for the target one, and during the last
+// moments after completion too; never the other way before it.
+bool MayChangeVersion(const ServiceState& service, bool from_target) {
+  return service.rollout_ && from_target;
+}
+
 ReplicaChoice Choose(FleetState& fleet,
                      const Query& query,
                      const QueryPart& part,
@@ -85,7 +112,14 @@
   for (const Attempt& attempt : part.attempts_) {
     request.tried_.push_back(attempt.replica_.get());
   }
-  return ChooseReplica(fleet, *part.service_, request, now);
+  request.takes_target_version_ = TakesTargetVersion(query, part, now);
+  ReplicaChoice choice = ChooseReplica(fleet, *part.service_, request, now);
+  if (choice.reason_ == NoReplicaReason::kUnavailable &&
+      MayChangeVersion(*part.service_, request.takes_target_version_)) {
+    request.takes_target_version_ = !request.takes_target_version_;
+    choice = ChooseReplica(fleet, *part.service_, request, now);
+  }
+  return choice;
 }
 
 void NoteColdSend(ReplicaState& replica, Instant now) {
@@ -271,6 +305,19 @@
                              route.objective_ * kAnswerMarginOfObjective);
 }
 
+void RecordRollout(ServiceState& service,
+                   const Attempt& attempt,
+                   Duration usual) {
+  if (!service.rollout_) {
+    return;
+  }
+  VersionComparison& rollout = *service.rollout_;
+  const bool is_target =
+      attempt.replica_->entry_.version_ == rollout.order_.target_version_;
+  RecordVersion(rollout, is_target, attempt.outcome_, attempt.took_, usual);
+  rollout.is_bad_ = rollout.is_bad_ || IsClearlyWorse(rollout);
+}
+
 }  // namespace
 
 Duration HedgeDelay(const FleetState& fleet, const RouteRule& route) {
@@ -319,6 +366,7 @@
   attempt.outcome_ = outcome;
   attempt.took_ = now - attempt.sent_;
   RouteState& route = fleet.routes_[query.route_->name_];
+  RecordRollout(*part.service_, attempt, route.latency_.Median());
   RecordOutcome(*attempt.replica_, outcome, attempt.sent_,
                 route.latency_.Median(), now);
   if (outcome == AttemptOutcome::kAnswered) {
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -71,6 +71,18 @@
          request.tried_.end();
 }
 
+// Replicas of the target version take the share of the rollout and no more.
+bool HasVersion(const ServiceState& service,
+                const ReplicaState& replica,
+                const ReplicaRequest& request) {
+  if (!service.rollout_) {
+    return true;
+  }
+  const RolloutOrder& order = service.rollout_->order_;
+  const bool is_target = replica.entry_.version_ == order.target_version_;
+  return is_target == request.takes_target_version_;
+}
+
 // Whether a cold replica may take one more request of this daemon now.
 bool HasColdRoom(const FleetState& fleet,
                  const ServiceState& service,
@@ -142,7 +154,8 @@
   // Starting at another replica each time spreads requests over equal ones.
   for (size_t i = 0; i < count; ++i) {
     const auto& replica = service.replicas_[(first + i) % count];
-    if (!MayUse(fleet, *replica, request, now)) {
+    if (!MayUse(fleet, *replica, request, now) ||
+        !HasVersion(service, *replica, request)) {
       continue;
     }
     if (!HasConnection(fleet, service, *replica) ||
--- a/src/traffic/choose_replica.h
+++ b/src/traffic/choose_replica.h
@@ -28,6 +28,8 @@
   Duration usual_{};  ///< Median latency of the route.
   /// Replicas that this request was sent to before.
   std::vector<const ReplicaState*> tried_;
+  /// During a rollout: whether the target version takes the request.
+  bool takes_target_version_ = false;
 };
 
 /// @brief Chooses the replica with the lowest expected cost.
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -13,6 +13,23 @@
 constexpr double kLocalConnections = 0.85;
 constexpr double kRemoteConnections = 0.2;
 
+// Evidence is kept while the order stays the same.
+void ApplyRollout(ServiceState& service, const TrafficView& view) {
+  const auto order = std::find_if(view.rollouts_.begin(), view.rollouts_.end(),
+                                  [&service](const RolloutOrder& candidate) {
+                                    return candidate.service_ == service.name_;
+                                  });
+  if (order == view.rollouts_.end()) {
+    service.rollout_.reset();
+  } else if (service.rollout_ &&
+             IsSameOrder(service.rollout_->order_, *order)) {
+    service.rollout_->order_ = *order;
+  } else {
+    service.rollout_.emplace();
+    service.rollout_->order_ = *order;
+  }
+}
+
 using Replicas = std::map<std::string, std::shared_ptr<ReplicaState>>;
 
 Replicas KnownReplicas(const FleetState& fleet) {
@@ -106,6 +123,9 @@
   for (const ReplicaEntry& entry : view->replicas_) {
     ServiceOf(fleet, entry.service_).replicas_.push_back(Adopt(known, entry));
   }
+  for (auto& [name, service] : fleet.services_) {
+    ApplyRollout(*service, *view);
+  }
   fleet.view_ = std::move(view);
 }
 
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "traffic/latency_estimate.h"
 #include "traffic/replica_state.h"
 #include "traffic/traffic_view.h"
+#include "traffic/version_comparison.h"
 
 namespace clementinerill::traffic {
 
@@ -27,6 +29,8 @@
   ExtraAttemptWindow extras_;
   LatencyEstimate latency_{kInitialLatency};
   bool is_routed_ = false;  ///< A route of the configuration leads here.
+  /// The present rollout, while there is one.
+  std::optional<VersionComparison> rollout_;
 };
 
 /// @brief What this daemon learned about one route.
--- a/src/traffic/rollout_order.h
+++ b/src/traffic/rollout_order.h
@@ -1,18 +1,43 @@
 #ifndef CLEMENTINERILL_TRAFFIC_ROLLOUT_ORDER_H_
 #define CLEMENTINERILL_TRAFFIC_ROLLOUT_ORDER_H_
 
+#include <array>
 #include <string>
 
+#include "base/name_table.h"
+#include "base/time.h"
+
 namespace clementinerill::traffic {
 
-/// @brief How much of a service's traffic its new version takes now.
+/// @brief How far a rollout is.
+enum class RolloutState {
+  kInProgress,
+  kCompleted,   ///< The target version takes all requests.
+  kRolledBack,  ///< The target version takes none.
+};
+
+inline constexpr std::array<NameEntry<RolloutState>, 3> kRolloutStateNames = {{
+    {RolloutState::kInProgress, "in_progress"},
+    {RolloutState::kCompleted, "completed"},
+    {RolloutState::kRolledBack, "rolled_back"},
+}};
+
+/// @brief An order to move a service to another version of its software.
 struct RolloutOrder {
   std::string service_;
   std::string target_version_;
-  /// Share of requests for replicas of the target version, from 0 to 1.
-  double target_share_ = 0;
+  Instant ordered_{};  ///< When this daemon learned of it.
+  Duration length_{};  ///< Time by which it must be decided.
+  RolloutState state_ = RolloutState::kInProgress;
 };
 
+/// @brief Whether both are the same order, whatever its state.
+[[nodiscard]] inline bool IsSameOrder(const RolloutOrder& a,
+                                      const RolloutOrder& b) noexcept {
+  return a.service_ == b.service_ && a.target_version_ == b.target_version_ &&
+         a.length_ == b.length_;
+}
+
 }  // namespace clementinerill::traffic
 
 #endif  // CLEMENTINERILL_TRAFFIC_ROLLOUT_ORDER_H_
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -24,5 +24,6 @@
 #include "traffic/service_rule.h"
 #include "traffic/traffic_configuration.h"
 #include "traffic/traffic_view.h"
+#include "traffic/version_comparison.h"
 
 #endif  // CLEMENTINERILL_TRAFFIC_TRAFFIC_H_
