--- a/src/traffic/caller_limits.h
+++ b/src/base/caller_limits.h
@@ -1,12 +1,12 @@
-#ifndef CLEMENTINERILL_TRAFFIC_CALLER_LIMITS_H_
-#define CLEMENTINERILL_TRAFFIC_CALLER_LIMITS_H_
+#ifndef CLEMENTINERILL_BASE_CALLER_LIMITS_H_
+#define CLEMENTINERILL_BASE_CALLER_LIMITS_H_
 
 #include <chrono>
 #include <cstdint>
 
 #include "base/time.h"
 
-namespace clementinerill::traffic {
+namespace clementinerill {
 
 /// @brief What a caller may send and how long its connection may be idle.
 ///
@@ -18,6 +18,6 @@
   Duration idle_timeout_ = std::chrono::seconds(60);
 };
 
-}  // namespace clementinerill::traffic
+}  // namespace clementinerill
 
-#endif  // CLEMENTINERILL_TRAFFIC_CALLER_LIMITS_H_
+#endif  // CLEMENTINERILL_BASE_CALLER_LIMITS_H_
--- a/src/base/forward_declarations.h
+++ b/src/base/forward_declarations.h
@@ -3,6 +3,7 @@
 
 namespace clementinerill {
 
+struct CallerLimits;
 struct Error;
 struct SourcePosition;
 
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -80,12 +80,7 @@
   if (configured) {
     const auto& configuration = *fleet_.view_->configuration_;
     metrics_.version_.Set(configuration.version_);
-    http::ServerLimits limits;
-    limits.max_header_bytes_ = configuration.limits_.max_header_bytes_;
-    limits.max_body_bytes_ = configuration.limits_.max_body_bytes_;
-    limits.header_timeout_ = configuration.limits_.header_timeout_;
-    limits.idle_timeout_ = configuration.limits_.idle_timeout_;
-    callers_.SetLimits(limits);
+    callers_.SetLimits(configuration.limits_);
   }
   pool_.Maintain(fleet_, http::EventLoop::Now());
 }
--- a/src/http/caller_connection.cc
+++ b/src/http/caller_connection.cc
@@ -26,7 +26,7 @@
 
 CallerConnection::CallerConnection(EventLoop& loop,
                                    asio::ip::tcp::socket socket,
-                                   const ServerLimits& limits,
+                                   const CallerLimits& limits,
                                    Handler handler)
     : loop_(loop),
       socket_(std::move(socket)),
@@ -211,7 +211,7 @@
          (!parser_ || !parser_->got_some());
 }
 
-void CallerConnection::CheckTimeouts(const ServerLimits& limits,
+void CallerConnection::CheckTimeouts(const CallerLimits& limits,
                                      bool draining,
                                      Instant now) {
   limits_ = limits;
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -12,20 +12,13 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "base/caller_limits.h"
 #include "base/time.h"
 #include "http/event_loop.h"
 #include "http/http_message.h"
 
 namespace clementinerill::http {
 
-/// @brief What a caller may send and how long it may take.
-struct ServerLimits {
-  uint32_t max_header_bytes_ = 16 * 1024;
-  uint64_t max_body_bytes_ = 1024 * 1024;
-  Duration header_timeout_ = std::chrono::seconds(10);
-  Duration idle_timeout_ = std::chrono::seconds(60);
-};
-
 /// @brief A connection of a caller: HTTP/1.1, one request at a time.
 ///
 /// While a request is served the connection is watched, so that a caller that
@@ -38,7 +31,7 @@
 
   CallerConnection(EventLoop& loop,
                    boost::asio::ip::tcp::socket socket,
-                   const ServerLimits& limits,
+                   const CallerLimits& limits,
                    Handler handler);
 
   void Start();
@@ -57,7 +50,7 @@
 
   /// @brief Closes the connection when it is idle and `now` is past its
   /// timeouts, or at once when it is idle and `draining`.
-  void CheckTimeouts(const ServerLimits& limits, bool draining, Instant now);
+  void CheckTimeouts(const CallerLimits& limits, bool draining, Instant now);
 
   [[nodiscard]] bool IsClosed() const noexcept { return closed_; }
   [[nodiscard]] bool IsServing() const noexcept { return serving_; }
@@ -80,7 +73,7 @@
 
   EventLoop& loop_;
   boost::asio::ip::tcp::socket socket_;
-  ServerLimits limits_;
+  CallerLimits limits_;
   Handler handler_;
   std::array<char, 4096> chunk_{};
   std::string in_;
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -30,7 +30,7 @@
   /// ones; for a periodic call. With `draining`, ends all idle ones.
   void CheckTimeouts(bool draining, Instant now);
 
-  void SetLimits(const ServerLimits& limits) { limits_ = limits; }
+  void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
   /// @brief Closes all connections at once.
   void CloseAll();
@@ -44,7 +44,7 @@
   EventLoop& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   CallerConnection::Handler handler_;
-  ServerLimits limits_;
+  CallerLimits limits_;
   std::list<std::shared_ptr<CallerConnection>> connections_;
 };
 
--- a/src/traffic/forward_declarations.h
+++ b/src/traffic/forward_declarations.h
@@ -6,7 +6,6 @@
 class ExtraAttemptWindow;
 class LatencyEstimate;
 struct Attempt;
-struct CallerLimits;
 struct FleetState;
 struct Query;
 struct QueryPart;
@@ -15,9 +14,11 @@
 struct ReplicaState;
 struct RouteRule;
 struct ServiceRule;
+struct RolloutOrder;
 struct ServiceState;
 struct TrafficConfiguration;
 struct TrafficView;
+struct VersionComparison;
 struct WeightedService;
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -3,9 +3,9 @@
 
 // Includes the whole traffic library.
 
+#include "base/caller_limits.h"
 #include "traffic/advance_query.h"
 #include "traffic/attempt_outcome.h"
-#include "traffic/caller_limits.h"
 #include "traffic/choose_replica.h"
 #include "traffic/extra_attempt_window.h"
 #include "traffic/fleet_state.h"
--- a/src/traffic/traffic_configuration.h
+++ b/src/traffic/traffic_configuration.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "traffic/caller_limits.h"
+#include "base/caller_limits.h"
 #include "traffic/route_rule.h"
 #include "traffic/service_rule.h"
 
