--- /dev/null
+++ b/scripts/lib/soak_world.py
@@ -0,0 +1,200 @@
+"""The outside of a soak: a store, replicas and a proxy in front of each, as asyncio servers.
+
+The store and the replicas speak the users' protocol. Each listens on a loopback port of its own and is reached
+through a proxy that can delay, reset, silence or cut connections.
+"""
+
+import asyncio
+import json
+import random
+
+
+class Proxy:
+    """Forwards connections to a port and misbehaves on request."""
+
+    def __init__(self, target):
+        self.target = target
+        self.delay_s = 0.0
+        self.silent = False  # Accepts bytes and passes none on.
+        self.cut_back = False  # Passes requests on and no answers.
+        self.refuses = False
+        self.writers = set()
+        self.port = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def heal(self):
+        self.delay_s, self.silent, self.cut_back, self.refuses = 0.0, False, False, False
+
+    async def serve(self, reader, writer):
+        if self.refuses:
+            writer.transport.abort()
+            return
+        try:
+            there, onward = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, onward}
+        await asyncio.gather(self.pump(reader, onward, False), self.pump(there, writer, True))
+        self.writers -= {writer, onward}
+
+    async def pump(self, reader, writer, is_answer):
+        try:
+            while data := await reader.read(65536):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s * random.random())
+                if self.silent or (self.cut_back and is_answer):
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+
+async def read_request(reader):
+    """Returns (method, target, headers, body), or None at the end of the connection."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, OSError):
+        return None
+    lines = head.split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:] if line)}
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return method, target, headers, body
+
+
+def answer_bytes(status, headers, body):
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"] + [f"{k}: {v}" for k, v in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Store:
+    """Objects by kind with one revision, lists, watches and conditional writes."""
+
+    def __init__(self):
+        self.objects, self.events, self.revision, self.floor = {}, [], 1, 0
+        self.changed = asyncio.Condition()
+        self.busy = False  # Answers 503.
+        self.loses = 0.0  # Share of writes that are done and not answered.
+        self.port = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def put(self, kind, name, spec):
+        self.revision += 1
+        item = {"meta": {"name": name, "rev": self.revision}, "spec": spec, "status": None}
+        if spec is None:
+            self.objects.get(kind, {}).pop(name, None)
+        else:
+            self.objects.setdefault(kind, {})[name] = item
+        self.events.append((self.revision, kind, {"deleted": spec is None, "object": item}))
+        async with self.changed:
+            self.changed.notify_all()
+
+    def compact(self):
+        self.floor, self.events = self.revision, []
+
+    async def serve(self, reader, writer):
+        while request := await read_request(reader):
+            method, target, _, body = request
+            status, reply = await self.answer(method, target, body)
+            if status is None:
+                break
+            writer.write(answer_bytes(status, [], json.dumps(reply).encode()))
+            try:
+                await writer.drain()
+            except OSError:
+                break
+        writer.close()
+
+    async def answer(self, method, target, body):
+        path, _, query = target.partition("?")
+        kind, _, name = path.removeprefix("/objects/").partition("/")
+        values = dict(pair.split("=", 1) for pair in query.split("&") if pair)
+        if self.busy:
+            return 503, {}
+        if method != "GET":
+            spec = json.loads(body)
+            if method == "POST" and spec["meta"]["name"] in self.objects.get(kind, {}):
+                return 409, {}
+            await self.put(kind, name or spec["meta"]["name"], spec["spec"])
+            return (None, None) if random.random() < self.loses else (200, spec)
+        if "watch" not in values:
+            items = list(self.objects.get(kind, {}).values())
+            return 200, {"items": items, "has_more": False, "current_rev": self.revision}
+        since = int(values["watch"])
+        if since < self.floor:
+            return 410, {}
+
+        def news():
+            return [event for revision, k, event in self.events if k == kind and revision > since]
+
+        async with self.changed:
+            try:
+                await asyncio.wait_for(self.changed.wait_for(news), int(values["wait_ms"]) / 1000)
+            except asyncio.TimeoutError:
+                pass
+        return (410, {}) if since < self.floor else (200, {"events": news(), "current_rev": self.revision})
+
+
+class Replica:
+    """Runs requests with a service time and records what it ran."""
+
+    def __init__(self, world, name, service, domain):
+        self.world, self.name, self.service, self.domain = world, name, service, domain
+        self.slow, self.sheds, self.loses, self.twice = 1.0, 0.0, 0.0, 0.0
+        self.running = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.proxy = Proxy(server.sockets[0].getsockname()[1])
+        await self.proxy.start()
+
+    def heal(self):
+        self.slow, self.sheds, self.loses, self.twice = 1.0, 0.0, 0.0, 0.0
+        self.proxy.heal()
+
+    def entry(self, state="ready"):
+        return {"service": self.service, "address": f"127.0.0.1:{self.proxy.port}", "zone": self.domain,
+                "version": "v1", "slots": 4, "state": state, "cold_remaining_ms": 0, "seq": 1, "born": 1}
+
+    async def serve(self, reader, writer):
+        try:
+            while request := await read_request(reader):
+                await self.run(request, writer)
+        except OSError:
+            pass
+        writer.close()
+
+    async def run(self, request, writer):
+        method, target, headers, body = request
+        request_id = headers.get("x-request-id", "")
+        if headers.get("x-expect-instance") != self.name:
+            writer.write(answer_bytes(421, [("X-Instance-Id", self.name)], b""))
+            return
+        if random.random() < self.sheds or self.running >= 40:
+            writer.write(answer_bytes(503, [("X-Not-Executed", "1"), ("X-Request-Id", request_id)], b""))
+            return
+        self.world.note_run(request_id, self, method, target, body)
+        self.running += 1
+        await asyncio.sleep(0.004 * self.slow * random.uniform(0.5, 2))
+        self.running -= 1
+        if random.random() < self.loses:
+            writer.transport.abort()
+            return
+        stamp = f"{self.name}.{request_id}"
+        reply = answer_bytes(200, [("X-Server-Stamp", stamp), ("X-Request-Id", request_id),
+                                   ("X-Server-Load", f"{self.running},0,4")], self.world.body_of(stamp))
+        writer.write(reply * 2 if random.random() < self.twice else reply)
+        await writer.drain()
