--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -13,8 +13,10 @@
 using std::chrono::seconds;
 
 // Pause before a failed registration is repeated.
-constexpr Duration kRegisterPause = milliseconds(700);
-constexpr Duration kCallTimeout = milliseconds(2000);
+constexpr Duration kRegisterPause = milliseconds(500);
+// A registration is waited for at a start; the wait grows with each failure.
+constexpr Duration kCallTimeout = milliseconds(600);
+constexpr Duration kMostCallTimeout = milliseconds(3000);
 // How long a daemon that registers for the first time waits for others: all
 // VMs of a fleet start within 0.3 s.
 constexpr Duration kFleetStartPause = milliseconds(500);
@@ -190,7 +192,7 @@
   call.method_ = "POST";
   call.target_ = port.list_target_(port.kinds_.daemons_, "", false);
   call.body_ = port.encode_object_(options_.name_, EncodeOwnRecord(options_));
-  call.timeout_ = kCallTimeout;
+  call.timeout_ = CallTimeout();
   writer_.Call(std::move(call),
                [this](const http::ClientReply& reply) { OnRegistered(reply); });
 }
@@ -218,7 +220,7 @@
   call.method_ = "PUT";
   call.target_ = port.object_target_(port.kinds_.daemons_, options_.name_);
   call.body_ = port.encode_object_(options_.name_, EncodeOwnRecord(options_));
-  call.timeout_ = kCallTimeout;
+  call.timeout_ = CallTimeout();
   writer_.Call(std::move(call), [this](const http::ClientReply& reply) {
     if (IsSuccess(reply.status_)) {
       Log(LogLevel::kInfo, "daemons", "registered again",
@@ -229,7 +231,13 @@
   });
 }
 
+Duration ControlLoop::CallTimeout() const {
+  return std::min(kCallTimeout * (register_failures_ + 1),
+                  Duration(kMostCallTimeout));
+}
+
 void ControlLoop::RegisterLater(int status) {
+  ++register_failures_;
   Log(LogLevel::kWarning, "daemons", "cannot register yet",
       {{"status", status}});
   loop_.Timers().Add(http::EventLoop::Now() + kRegisterPause,
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -50,6 +50,7 @@
   void OnRegistered(const http::ClientReply& reply);
   void UpdateRegistration();
   void RegisterLater(int status);
+  [[nodiscard]] Duration CallTimeout() const;
   void PublishView();
   void Tick();
 
@@ -64,6 +65,7 @@
   std::set<std::string> evacuated_;
   std::map<std::string, mirror::DaemonRecord> daemons_;
   bool replicas_known_ = false;
+  int register_failures_ = 0;
 };
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -11,8 +11,11 @@
 
 using std::chrono::milliseconds;
 
-// A list takes milliseconds; a slow store takes up to about 60 times as long.
-constexpr Duration kListTimeout = milliseconds(2000);
+// A list takes milliseconds. A store that is silent loses the call, so the
+// first wait is short for an early return; a slow store takes up to about 60
+// times as long, so the wait grows with each failure.
+constexpr Duration kListTimeout = milliseconds(600);
+constexpr Duration kMostListTimeout = milliseconds(3000);
 // A watch answers at the end of its wait; the rest covers a slow store.
 constexpr Duration kWatchMargin = milliseconds(1500);
 // Bounds of the pause after a failed call. The store counts refused calls, so
@@ -85,7 +88,8 @@
       listed_.present_.empty() ? "" : listed_.present_.back().name_;
   http::ClientCall call;
   call.target_ = port_.list_target_(options_.kind_, after, false);
-  call.timeout_ = kListTimeout;
+  call.timeout_ =
+      std::min(kListTimeout * (failures_ + 1), Duration(kMostListTimeout));
   client_.Call(std::move(call),
                [this](const http::ClientReply& reply) { OnPage(reply); });
 }
