--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -20,8 +20,7 @@
 
 RolloutControl::RolloutControl(http::EventLoop& loop,
                                const GatewayOptions& options)
-    : loop_(loop),
-      options_(options),
+    : options_(options),
       writer_(loop, options.store_.address_, options.store_.port_) {}
 
 void RolloutControl::Take(const mirror::KindChanges& changes) {
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -37,7 +37,6 @@
     int64_t revision_ = 0;
   };
 
-  http::EventLoop& loop_;
   const GatewayOptions& options_;
   http::Client writer_;
   std::map<std::string, KnownOrder> orders_;  ///< By service.
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -6,7 +6,7 @@
 #include "base/parse_number.h"
 #include "gateway/caller_answer.h"
 #include "logging/log.h"
-#include "traffic/advance_query.h"
+#include "traffic/start_query.h"
 
 namespace clementinerill::gateway {
 namespace {
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -230,7 +230,6 @@
   last_use_ = EventLoop::Now();
   busy_ = false;
   parser_.reset();
-  ++served_;
   Handler handler = std::move(handler_);
   handler_ = nullptr;
   if (end != ExchangeEnd::kAnswer || !reusable_) {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -73,7 +73,6 @@
   }
 
   [[nodiscard]] bool IsClosed() const noexcept { return closed_; }
-  [[nodiscard]] bool IsConnected() const noexcept { return connected_; }
   [[nodiscard]] bool IsBusy() const noexcept { return busy_; }
 
   /// @brief Whether another exchange may follow the one that ended.
@@ -81,10 +80,6 @@
     return !closed_ && reusable_;
   }
   [[nodiscard]] Instant LastUse() const noexcept { return last_use_; }
-  [[nodiscard]] bool HasServed() const noexcept { return served_ > 0; }
-
-  /// @brief Whether any byte of the running request may have left.
-  [[nodiscard]] bool HasSent() const noexcept { return sent_; }
 
  private:
   using Parser =
@@ -115,7 +110,6 @@
   std::optional<Parser> parser_;
   std::function<void()> on_closed_;
   Instant last_use_{};
-  int served_ = 0;
   bool connecting_ = false;
   bool connected_ = false;
   bool closed_ = false;
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -88,13 +88,6 @@
       [](const auto& connection) { return connection->IsClosed(); });
 }
 
-void Listener::CloseAll() {
-  for (const auto& connection : connections_) {
-    connection->Close();
-  }
-  connections_.clear();
-}
-
 size_t Listener::CountServing() const {
   return static_cast<size_t>(std::count_if(
       connections_.begin(), connections_.end(),
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -32,9 +32,6 @@
 
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
-  /// @brief Closes all connections at once.
-  void CloseAll();
-
   [[nodiscard]] size_t CountServing() const;
   [[nodiscard]] size_t CountOpen() const { return connections_.size(); }
 
--- a/src/traffic/advance_query.h
+++ b/src/traffic/advance_query.h
@@ -8,16 +8,6 @@
 
 namespace clementinerill::traffic {
 
-/// @brief Begins a query on `route` of the fleet's present view.
-///
-/// `patience` is how long the caller waits. Parts without a service have
-/// failed already. `Advance` sends the first attempts.
-[[nodiscard]] Query StartQuery(FleetState& fleet,
-                               const RouteRule& route,
-                               std::string id,
-                               Duration patience,
-                               Instant now);
-
 /// @brief Takes the outcome of an attempt; a repeated outcome is ignored.
 ///
 /// `answer` is used for `kAnswered` and `kFailed`.
@@ -39,10 +29,6 @@
 /// @brief The time that an attempt of the query may take at a replica.
 [[nodiscard]] Duration TimeLeft(const Query& query, Instant now);
 
-/// @brief How long a part waits for its first attempt before a second one.
-[[nodiscard]] Duration HedgeDelay(const FleetState& fleet,
-                                  const RouteRule& route);
-
 }  // namespace clementinerill::traffic
 
 #endif  // CLEMENTINERILL_TRAFFIC_ADVANCE_QUERY_H_
--- a/src/traffic/extra_attempt_window.h
+++ b/src/traffic/extra_attempt_window.h
@@ -41,7 +41,6 @@
                               ExtraAttemptUse use,
                               Instant now);
 
-  [[nodiscard]] int64_t Requests() const noexcept { return requests_; }
   [[nodiscard]] int64_t Extras() const noexcept { return extras_; }
 
  private:
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -135,6 +135,13 @@
   return found == fleet.services_.end() ? nullptr : found->second;
 }
 
+const LatencyEstimate& RouteLatency(const FleetState& fleet,
+                                    const RouteRule& route) {
+  static const LatencyEstimate initial{kInitialLatency};
+  const auto found = fleet.routes_.find(route.name_);
+  return found == fleet.routes_.end() ? initial : found->second.latency_;
+}
+
 int ConnectionLimit(const FleetState& fleet,
                     const ServiceState& service,
                     const ReplicaState& replica) {
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -65,6 +65,10 @@
 [[nodiscard]] std::shared_ptr<ServiceState> FindService(const FleetState& fleet,
                                                         std::string_view name);
 
+/// @brief What is usual on a route; the initial latency before any answer.
+[[nodiscard]] const LatencyEstimate& RouteLatency(const FleetState& fleet,
+                                                  const RouteRule& route);
+
 /// @brief Connections that this daemon may hold to one replica.
 ///
 /// Daemons in the failure domain of a replica share most of its connections,
--- a/src/traffic/query.cc
+++ b/src/traffic/query.cc
@@ -5,27 +5,18 @@
 namespace clementinerill::traffic {
 namespace {
 
-template <typename Predicate>
-bool AnyAttempt(const Query& query, Predicate predicate) {
-  return std::any_of(query.parts_.begin(), query.parts_.end(),
-                     [&predicate](const QueryPart& part) {
-                       return std::any_of(part.attempts_.begin(),
-                                          part.attempts_.end(), predicate);
-                     });
+bool MayHaveRun(const Attempt& attempt) {
+  return attempt.is_open_ || !IsNotRun(attempt.outcome_);
 }
 
 }  // namespace
 
 bool MayHaveRun(const Query& query) {
-  return AnyAttempt(query, [](const Attempt& attempt) {
-    return attempt.is_open_ || !IsNotRun(attempt.outcome_);
-  });
-}
-
-bool WasSent(const Query& query) {
-  return AnyAttempt(query, [](const Attempt& attempt) {
-    return attempt.is_open_ || attempt.outcome_ != AttemptOutcome::kNotSent;
-  });
+  return std::any_of(
+      query.parts_.begin(), query.parts_.end(), [](const QueryPart& part) {
+        return std::any_of(part.attempts_.begin(), part.attempts_.end(),
+                           [](const Attempt& a) { return MayHaveRun(a); });
+      });
 }
 
 size_t CountParts(const Query& query, PartState state) {
--- a/src/traffic/query.h
+++ b/src/traffic/query.h
@@ -68,9 +68,6 @@
 /// @brief Whether any replica may have run the request or may still run it.
 [[nodiscard]] bool MayHaveRun(const Query& query);
 
-/// @brief Whether any attempt was handed to a replica.
-[[nodiscard]] bool WasSent(const Query& query);
-
 [[nodiscard]] size_t CountParts(const Query& query, PartState state);
 
 }  // namespace clementinerill::traffic
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -17,7 +17,7 @@
 class FakeStore {
  public:
   explicit FakeStore(http::EventLoop& loop)
-      : loop_(loop), listener_(loop, [this](auto caller, auto request) {
+      : listener_(loop, [this](auto caller, auto request) {
           OnRequest(caller, request);
         }) {
     port_ = *listener_.Listen("127.0.0.1", 0);
@@ -190,7 +190,6 @@
         {{"items", items}, {"has_more", false}, {"current_rev", revision_}});
   }
 
-  http::EventLoop& loop_;
   http::Listener listener_;
   uint16_t port_ = 0;
   std::map<std::string, std::map<std::string, Event>> objects_;
