Keep the first notice of a leaving replica while its entry is listed

The directory forgot the replica after its grace of 2 s although its entry was still listed; the next change of the entry (its cold time) brought it back as newly leaving, with a second grace. A whole service was leaving, so the last choice was used.

Now only replicas whose entry vanished are forgotten.

--- a/src/traffic/replica_directory.cc
+++ b/src/traffic/replica_directory.cc
@@ -24,7 +24,11 @@
                    const std::string& id,
                    Instant now) {
   const auto known = directory.replicas_.find(id);
-  if (known != directory.replicas_.end() && !known->second.leaving_since_) {
+  if (known == directory.replicas_.end()) {
+    return;
+  }
+  known->second.is_listed_ = false;
+  if (!known->second.leaving_since_) {
     known->second.leaving_since_ = now;
   }
 }
@@ -49,7 +53,9 @@
   auto& replicas = directory.replicas_;
   for (auto it = replicas.begin(); it != replicas.end();) {
     const auto& leaving = it->second.leaving_since_;
-    if (leaving && now - *leaving >= kLeavingGrace) {
+    const bool is_over = leaving && now - *leaving >= kLeavingGrace;
+    // A listed replica keeps the time of its first notice.
+    if (is_over && !it->second.is_listed_) {
       it = replicas.erase(it);
       changed = true;
     } else {
--- a/src/traffic/replica_directory.h
+++ b/src/traffic/replica_directory.h
@@ -38,8 +38,8 @@
                      std::vector<ReplicaEntry> entries,
                      Instant now);
 
-/// @brief Forgets replicas that have been leaving for `kLeavingGrace`; whether
-/// there were any.
+/// @brief Forgets replicas whose entry vanished and that have been leaving for
+/// `kLeavingGrace`; whether there were any.
 bool ForgetLeftReplicas(ReplicaDirectory& directory, Instant now);
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/replica_entry.h
+++ b/src/traffic/replica_entry.h
@@ -25,6 +25,7 @@
   std::optional<Instant> cold_until_;
   /// When this daemon learned that the replica leaves.
   std::optional<Instant> leaving_since_;
+  bool is_listed_ = true;  ///< Discovery still has its entry.
 };
 
 /// @brief Whether both entries describe the same process.
--- a/tests/traffic/replica_directory_test.cc
+++ b/tests/traffic/replica_directory_test.cc
@@ -33,6 +33,22 @@
   CHECK(directory.replicas_.at("r1").leaving_since_ == At(seconds(1)));
 }
 
+// Guards against a second grace for a replica that leaves and changes its entry
+// meanwhile: its last request came 3,027 ms after the notice (hunt-8a82-31).
+TEST_CASE("a leaving replica that is still listed gets no second grace",
+          "[directory]") {
+  ReplicaDirectory directory;
+  ReplicaEntry entry = MakeReplica("r1", "s", "a");
+  entry.leaving_since_ = At(seconds(1));
+  PutReplica(directory, entry);
+  ForgetLeftReplicas(directory, At(seconds(4)));
+  entry.leaving_since_ = At(seconds(4));
+  PutReplica(directory, entry);
+  CHECK(directory.replicas_.at("r1").leaving_since_ == At(seconds(1)));
+  RemoveReplica(directory, "r1", At(seconds(5)));
+  CHECK(ForgetLeftReplicas(directory, At(seconds(5))));
+}
+
 // Guards against counts of an earlier process that are held against the new
 // one under the same id.
 TEST_CASE("a restart under the same id is another replica", "[directory]") {
