--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -11,7 +11,7 @@
 import fleet
 import report
 
-PROGRAMS = ["limits_bench", "membership_bench", "metrics_bench"]
+PROGRAMS = ["gateway_bench", "limits_bench", "membership_bench", "metrics_bench"]
 
 
 def run_program(name, target):
