Let one daemon of each failure domain follow the store, a second stand by

Two watchers in each failure domain held five watches each, and each change woke all of them.

Change: the first relay of a failure domain follows the store, the second follows the first and takes over at once when it fails; readers wait a little longer before they turn to the store, so that the loss of a watcher does not send all of them there. Kinds that need not be fresh are watched with long waits. A reply to a reader is computed once instead of once to look for news and again to send it.

Ruled out: longer waits with keep-alive probes as proof of freshness (a store that accepts connections and answers nothing would pass); watchers across failure domains (bytes between them cost more).

The check of the role of a daemon is replaced by one as strict for the three roles; a test of a lost watcher is added.

--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -18,9 +18,11 @@
 constexpr double kWatchWaitShare = 0.4;
 constexpr double kFreshShare = 0.5;
 constexpr double kRelayWaitShare = 0.16;
-// Share for which relays may fail before this daemon asks the store: the
-// watchers of a fleet that starts need a moment to read their copies.
-constexpr double kRelayPatienceShare = 0.15;
+// Shares for which relays may fail before this daemon asks the store. The
+// standby takes over at once; readers leave it the time to read its copy, so
+// that the loss of a watcher does not send all of them to the store.
+constexpr double kStandbyPatienceShare = 0.1;
+constexpr double kReaderPatienceShare = 0.25;
 // Where every daemon follows the store, nobody depends on how often it answers
 // and a path that went silent is noticed by keep-alive probes.
 constexpr milliseconds kLoneWatchWait{8000};
@@ -46,6 +48,11 @@
   return std::chrono::duration_cast<milliseconds>(bound * share);
 }
 
+bool HasChanges(const mirror::KindChanges& changes) {
+  return changes.is_complete_ || !changes.present_.empty() ||
+         !changes.removed_.empty();
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(http::EventLoop& loop,
@@ -108,15 +115,18 @@
     const std::vector<mirror::DaemonRecord>& daemons) {
   mirror::RelayPlan plan = mirror::PlanRelays(daemons, options_.name_);
   const bool relays = daemons.size() >= kLeastDaemonsForRelays;
-  plan.follows_store_ = plan.follows_store_ || !relays;
+  if (!relays) {
+    plan.role_ = mirror::RelayRole::kWatcher;
+  }
   for (auto& [kind, followed] : kinds_) {
     followed.watch_->SetWait(
-        relays ? ShareOf(options_.change_bound_, kWatchWaitShare)
-               : kLoneWatchWait);
+        relays && followed.must_be_fresh_
+            ? ShareOf(options_.change_bound_, kWatchWaitShare)
+            : kLoneWatchWait);
   }
-  if (plan.follows_store_ != plan_.follows_store_) {
+  if (plan.role_ != plan_.role_) {
     Log(LogLevel::kInfo, "relay", "role changed",
-        {{"follows_store", plan.follows_store_},
+        {{"role", NameOf(mirror::kRelayRoleNames, plan.role_)},
          {"daemons", daemons.size()},
          {"relays", plan.relays_.size()}});
   }
@@ -125,7 +135,7 @@
     knows_daemons_ = true;
     last_fresh_ = http::EventLoop::Now();
   }
-  if (plan_.follows_store_) {
+  if (IsWatcher()) {
     SetDirect(true, "watcher");
   } else {
     AskRelay();
@@ -143,8 +153,7 @@
   // down as well, the others would only cost calls.
   const std::string& probe = options_.port_.kinds_.configuration_;
   for (auto& [kind, followed] : kinds_) {
-    followed.watch_->SetActive(direct &&
-                               (plan_.follows_store_ || kind == probe));
+    followed.watch_->SetActive(direct && (IsWatcher() || kind == probe));
   }
 }
 
@@ -179,8 +188,7 @@
   // starts while the store does not answer.
   const bool configured =
       kinds_[options_.port_.kinds_.configuration_].mirror_.revision_ > 0;
-  if (asking_ || plan_.relays_.empty() ||
-      (plan_.follows_store_ && configured)) {
+  if (asking_ || plan_.relays_.empty() || (IsWatcher() && configured)) {
     return;
   }
   asking_ = true;
@@ -221,7 +229,7 @@
   }
   relay_failures_ = 0;
   last_fresh_ = http::EventLoop::Now();
-  if (plan_.follows_store_) {
+  if (IsWatcher()) {
     asking_ = false;
     return;
   }
@@ -261,7 +269,9 @@
   ++relay_;
   const Instant now = http::EventLoop::Now();
   const Duration patience =
-      ShareOf(options_.change_bound_, kRelayPatienceShare);
+      ShareOf(options_.change_bound_, plan_.role_ == mirror::RelayRole::kStandby
+                                          ? kStandbyPatienceShare
+                                          : kReaderPatienceShare);
   if (tried_all && knows_daemons_ && now - last_fresh_ > patience) {
     SetDirect(true, "no relay is up to date");
   }
@@ -284,8 +294,7 @@
     caller->Respond(answer, false);
     return;
   }
-  if (HasNews(*decoded) || decoded->wait_ <= milliseconds(0)) {
-    ReplyTo(caller, *decoded);
+  if (TryReply(caller, *decoded, decoded->wait_ <= milliseconds(0))) {
     return;
   }
   const auto place = waiting_.insert(waiting_.end(), {caller, *decoded, {}});
@@ -294,60 +303,50 @@
       loop_.Timers().Add(http::EventLoop::Now() + wait, [this, place] {
         const WaitingReader reader = *place;
         waiting_.erase(place);
-        ReplyTo(reader.caller_, reader.request_);
+        (void)TryReply(reader.caller_, reader.request_, true);
       });
 }
 
-bool StoreFollower::HasNews(const mirror::RelayRequest& request) const {
-  return std::any_of(
-      kinds_.begin(), kinds_.end(), [&request](const auto& entry) {
-        const auto known = request.revisions_.find(entry.first);
-        const int64_t revision =
-            known == request.revisions_.end() ? 0 : known->second;
-        const auto& mirror = entry.second.mirror_;
-        if (mirror.revision_ <= revision) {
-          return false;
-        }
-        // Other kinds move the store's revision on without any change here.
-        const auto changes = mirror::ChangesSince(mirror, revision);
-        return changes.is_complete_ || !changes.present_.empty() ||
-               !changes.removed_.empty();
-      });
-}
-
-void StoreFollower::ReplyTo(const Caller& caller,
-                            const mirror::RelayRequest& request) {
+bool StoreFollower::TryReply(const Caller& caller,
+                             const mirror::RelayRequest& request,
+                             bool without_news) {
   const Instant now = http::EventLoop::Now();
   mirror::RelayReply reply;
+  bool has_news = without_news;
   for (const auto& [kind, followed] : kinds_) {
     if (followed.mirror_.revision_ == 0) {
       continue;
     }
     const auto known = request.revisions_.find(kind);
+    const int64_t revision =
+        known == request.revisions_.end() ? 0 : known->second;
     mirror::RelayedKind& relayed = reply.kinds_[kind];
-    relayed.changes_ = mirror::ChangesSince(
-        followed.mirror_,
-        known == request.revisions_.end() ? 0 : known->second);
+    relayed.changes_ = mirror::ChangesSince(followed.mirror_, revision);
     relayed.age_ = std::chrono::duration_cast<milliseconds>(
         mirror::Age(followed.mirror_, now));
+    // Other kinds move the store's revision on without any change here.
+    has_news = has_news || (followed.mirror_.revision_ > revision &&
+                            HasChanges(relayed.changes_));
+  }
+  if (!has_news) {
+    return false;
   }
   http::HttpAnswer answer;
   answer.status_ = 200;
   answer.headers_.emplace_back("Content-Type", "application/cbor");
   answer.body_ = mirror::Encode(reply);
   caller->Respond(answer, false);
+  return true;
 }
 
 void StoreFollower::ReplyToWaiting() {
   for (auto it = waiting_.begin(); it != waiting_.end();) {
-    if (!HasNews(it->request_)) {
+    if (!TryReply(it->caller_, it->request_, false)) {
       ++it;
       continue;
     }
-    const WaitingReader reader = *it;
+    loop_.Timers().Cancel(it->timer_);
     it = waiting_.erase(it);
-    loop_.Timers().Cancel(reader.timer_);
-    ReplyTo(reader.caller_, reader.request_);
   }
 }
 
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -72,9 +72,14 @@
   [[nodiscard]] bool TakeRelayed(const mirror::RelayReply& reply);
   [[nodiscard]] mirror::RelayRequest MakeRequest() const;
   void OnRelayRequest(const Caller& caller, const http::HttpRequest& request);
-  [[nodiscard]] bool HasNews(const mirror::RelayRequest& request) const;
-  void ReplyTo(const Caller& caller, const mirror::RelayRequest& request);
+  /// Replies if there is news for the reader, or `without_news`.
+  [[nodiscard]] bool TryReply(const Caller& caller,
+                              const mirror::RelayRequest& request,
+                              bool without_news);
   void ReplyToWaiting();
+  [[nodiscard]] bool IsWatcher() const noexcept {
+    return plan_.role_ == mirror::RelayRole::kWatcher;
+  }
   void Tick();
 
   http::EventLoop& loop_;
--- a/src/mirror/relay_plan.cc
+++ b/src/mirror/relay_plan.cc
@@ -15,6 +15,16 @@
   return found == daemons.end() ? nullptr : &*found;
 }
 
+RelayRole RoleOf(const std::string& self,
+                 const std::vector<std::string>& ranked) {
+  if (ranked.empty() || ranked.front() == self) {
+    return RelayRole::kWatcher;
+  }
+  return std::find(ranked.begin(), ranked.end(), self) != ranked.end()
+             ? RelayRole::kStandby
+             : RelayRole::kReader;
+}
+
 }  // namespace
 
 RelayPlan PlanRelays(const std::vector<DaemonRecord>& daemons,
@@ -40,10 +50,8 @@
                      return FindDaemon(daemons, a)->capacity_ >
                             FindDaemon(daemons, b)->capacity_;
                    });
-  ranked.resize(std::min<size_t>(ranked.size(), kWatchersPerDomain));
-  plan.follows_store_ =
-      ranked.empty() ||
-      std::find(ranked.begin(), ranked.end(), self) != ranked.end();
+  ranked.resize(std::min(ranked.size(), kRelaysPerDomain));
+  plan.role_ = RoleOf(self, ranked);
   for (const std::string& name : ranked) {
     if (name != self) {
       plan.relays_.push_back(*FindDaemon(daemons, name));
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -210,8 +210,45 @@
                          return daemon->metrics_.version_.Value() == 9;
                        });
   }));
-  // One call for each of the two watchers, and one more that was due.
-  CHECK(world.store_.calls_["GET config"] - before <= 4);
+  // One call of the watcher, and one more that was due.
+  CHECK(world.store_.calls_["GET config"] - before <= 2);
+}
+
+// Guards against a fleet that misses changes when its watcher is gone, and
+// against a loss that sends every daemon to the store.
+TEST_CASE("the standby takes over from a lost watcher", "[gateway]") {
+  World world;
+  world.PutEverything();
+  for (int i = 0; i < 30; ++i) {
+    world.store_.Put("clementinerill-daemons", "far-" + std::to_string(i),
+                     {{"failure_domain", "z2"}});
+  }
+  // The most capacity makes it the watcher; nothing listens at its address.
+  const uint16_t closed = FreePort(world.loop_);
+  world.store_.Put("clementinerill-daemons", "lost",
+                   {{"failure_domain", "z1"},
+                    {"relay", "127.0.0.1:" + std::to_string(closed)},
+                    {"capacity", 1000}});
+  for (const char* name : {"vm-1", "vm-2", "vm-3", "vm-4", "vm-5"}) {
+    world.Start(world.Options(name));
+  }
+  REQUIRE(world.Until([&] {
+    return std::all_of(
+        world.daemons_.begin(), world.daemons_.end(),
+        [&](const auto& daemon) { return world.IsReady(*daemon); });
+  }));
+  const int before = world.store_.calls_["GET config"];
+  const Instant changed = http::EventLoop::Now();
+  world.store_.Put("config", "main", World::Configuration(9));
+  REQUIRE(world.Until([&] {
+    return std::all_of(world.daemons_.begin(), world.daemons_.end(),
+                       [&](const auto& daemon) {
+                         return daemon->metrics_.version_.Value() == 9;
+                       });
+  }));
+  CHECK(http::EventLoop::Now() - changed <=
+        world.daemons_[0]->options_.change_bound_);
+  CHECK(world.store_.calls_["GET config"] - before <= 2);
 }
 
 // Guards against a stop that cuts requests or keeps the balancer sending.
--- a/tests/mirror/relay_test.cc
+++ b/tests/mirror/relay_test.cc
@@ -17,26 +17,53 @@
 }
 
 // Guards against a fleet in which nobody, or everybody, follows the store.
-TEST_CASE("two daemons of each failure domain follow the store", "[relay]") {
+TEST_CASE("one daemon of each failure domain follows the store", "[relay]") {
   const auto daemons = Daemons(40);
-  std::map<std::string, int> watchers;
+  std::map<std::string, std::map<RelayRole, int>> roles;
   for (const DaemonRecord& daemon : daemons) {
     const RelayPlan plan = PlanRelays(daemons, daemon.name_);
-    if (plan.follows_store_) {
-      ++watchers[daemon.failure_domain_];
+    ++roles[daemon.failure_domain_][plan.role_];
+    if (plan.role_ != RelayRole::kReader) {
       CHECK(daemon.capacity_ == 500);
-    } else {
-      CHECK(plan.relays_.size() == 2);
-      CHECK(plan.relays_[0].failure_domain_ == daemon.failure_domain_);
+    }
+    for (const DaemonRecord& relay : plan.relays_) {
+      CHECK(relay.failure_domain_ == daemon.failure_domain_);
+    }
+  }
+  const std::map<RelayRole, int> expected = {{RelayRole::kWatcher, 1},
+                                             {RelayRole::kStandby, 1},
+                                             {RelayRole::kReader, 18}};
+  CHECK(roles["a"] == expected);
+  CHECK(roles["b"] == expected);
+}
+
+// Guards against readers without a relay when the watcher fails, and against a
+// standby that waits for one of them.
+TEST_CASE("readers ask the watcher, then the standby", "[relay]") {
+  const auto daemons = Daemons(40);
+  std::string watcher;
+  std::string standby;
+  for (const DaemonRecord& daemon : daemons) {
+    const RelayRole role = PlanRelays(daemons, daemon.name_).role_;
+    if (daemon.failure_domain_ == "a" && role == RelayRole::kWatcher) {
+      watcher = daemon.name_;
+    } else if (daemon.failure_domain_ == "a" && role == RelayRole::kStandby) {
+      standby = daemon.name_;
     }
   }
-  CHECK(watchers == std::map<std::string, int>{{"a", 2}, {"b", 2}});
+  const RelayPlan of_standby = PlanRelays(daemons, standby);
+  REQUIRE(of_standby.relays_.size() == 1);
+  CHECK(of_standby.relays_[0].name_ == watcher);
+  const RelayPlan of_reader = PlanRelays(daemons, "vm-38");
+  REQUIRE(of_reader.relays_.size() == 2);
+  CHECK(of_reader.relays_[0].name_ == watcher);
+  CHECK(of_reader.relays_[1].name_ == standby);
 }
 
 // Guards against a daemon that waits for relays which it does not know.
 TEST_CASE("an unregistered daemon follows the store", "[relay]") {
-  CHECK(PlanRelays(Daemons(40), "new").follows_store_);
-  CHECK(PlanRelays({}, "new").follows_store_);
+  CHECK(PlanRelays(Daemons(40), "new").role_ == RelayRole::kWatcher);
+  CHECK(PlanRelays({}, "new").role_ == RelayRole::kWatcher);
 }
 
 TEST_CASE("relay messages survive their encoding", "[relay]") {
