Keep connections to one replica elsewhere when a failure domain has none

Daemons of a failure domain without a replica of the shard (a quarter of them there) may keep no idle connection anywhere, since their share of each replica is below one.

Change: each daemon prefers the replicas of its own failure domain, and where there is none one replica that its name picks; shares of connections follow the number of daemons that prefer a replica. The expected cost of a replica includes a new connection where none is idle. The shares move to a file of their own.

Ruled out: the idle timeout of replicas (they state 10 s).

--- a/src/gateway/connection_pool.cc
+++ b/src/gateway/connection_pool.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "traffic/connection_shares.h"
+
 namespace clementinerill::gateway {
 namespace {
 
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -50,6 +50,7 @@
           [this](const Caller& caller, const http::HttpRequest& request) {
             OnMetrics(caller, request);
           }) {
+  fleet_.name_ = options.name_;
   fleet_.failure_domain_ = options.failure_domain_;
   fleet_.limits_ = options.limits_;
   fleet_.view_ = std::make_shared<traffic::TrafficView>();
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "traffic/connection_shares.h"
 #include "traffic/replica_directory.h"
 
 namespace clementinerill::traffic {
@@ -13,6 +14,9 @@
 // latency objective: bytes between failure domains are priced at about a
 // seventh of what a part earns.
 constexpr double kCrossingShareOfObjective = 0.2;
+// A new connection takes a round trip, and a slot of the replica for as long as
+// the users' services state, 1 to 6 ms.
+constexpr Duration kConnectCost = std::chrono::milliseconds(6);
 // A failed attempt costs a second one from a budget of a fifth of the requests;
 // without it the part is lost. Certain failure costs twice the objective, more
 // than any wait that still meets it.
@@ -108,20 +112,6 @@
   return recent < share;
 }
 
-// Whether a healthy replica runs in the failure domain of this daemon.
-bool HasLocalReplica(const FleetState& fleet,
-                     const ServiceState& service,
-                     Instant now) {
-  return std::any_of(
-      service.replicas_.begin(), service.replicas_.end(),
-      [&fleet, now](const std::shared_ptr<ReplicaState>& replica) {
-        const ReplicaEntry& entry = replica->entry_;
-        return entry.failure_domain_ == fleet.failure_domain_ &&
-               !entry.leaving_since_ && !replica->misdirected_ &&
-               !IsAvoided(*replica, now) && !IsOnProbation(*replica);
-      });
-}
-
 bool HasConnection(const FleetState& fleet,
                    const ServiceState& service,
                    const ReplicaState& replica,
@@ -129,7 +119,7 @@
   return replica.idle_connections_ > 0 ||
          replica.open_connections_ <
              ConnectionLimit(fleet, service, replica,
-                             HasLocalReplica(fleet, service, now));
+                             HasHealthyHome(service, now));
 }
 
 // How long a request waits for a slot of the replica. The queue holds requests
@@ -167,6 +157,9 @@
   if (replica.entry_.failure_domain_ != fleet.failure_domain_) {
     candidate.cost_ms_ += kCrossingShareOfObjective * objective;
   }
+  if (replica.idle_connections_ == 0) {
+    candidate.cost_ms_ += Milliseconds(kConnectCost);
+  }
   candidate.cost_ms_ +=
       FailureShare(replica, now) * kFailureShareOfObjective * objective;
   return candidate;
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -3,19 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "traffic/connection_shares.h"
+
 namespace clementinerill::traffic {
 namespace {
 
-// Connections to one replica when the configuration states no limit.
-constexpr int kConnectionsWithoutLimit = 16;
-// Parts of the connections of a replica for daemons in its failure domain and
-// elsewhere; the rest is for connections that are closing while others open.
-constexpr double kLocalConnections = 0.85;
-constexpr double kRemoteConnections = 0.2;
-// Part of the connections that is shared equally by daemons that have lost the
-// replica of their own failure domain.
-constexpr double kEqualConnections = 0.85;
-
 // Evidence is kept while the order stays the same.
 void ApplyRollout(ServiceState& service, const TrafficView& view) {
   const auto order = std::find_if(view.rollouts_.begin(), view.rollouts_.end(),
@@ -90,43 +82,6 @@
   }
 }
 
-struct DaemonCounts {
-  int local_ = 0;  ///< In the failure domain of the replica.
-  int remote_ = 0;
-};
-
-DaemonCounts CountAround(const FleetState& fleet, const ReplicaState& replica) {
-  const auto& by_domain = fleet.view_->daemons_;
-  const auto found = by_domain.find(replica.entry_.failure_domain_);
-  const int local = found == by_domain.end() ? 0 : found->second;
-  return {local, CountDaemons(*fleet.view_) - local};
-}
-
-// The connections to one replica that fall to this daemon; may be below one.
-double ConnectionShare(const FleetState& fleet,
-                       const ServiceState& service,
-                       const ReplicaState& replica) {
-  const int most = service.rule_.max_connections_;
-  if (most <= 0) {
-    return kConnectionsWithoutLimit;
-  }
-  const DaemonCounts daemons = CountAround(fleet, replica);
-  if (fleet.view_->daemons_.empty()) {
-    return kLocalConnections * most / daemons.remote_;
-  }
-  if (replica.entry_.failure_domain_ == fleet.failure_domain_) {
-    return kLocalConnections * most / std::max(daemons.local_, 1);
-  }
-  return kRemoteConnections * most / std::max(daemons.remote_, 1);
-}
-
-// An equal share for all daemons.
-double EqualConnectionShare(const FleetState& fleet,
-                            const ServiceState& service) {
-  return kEqualConnections * service.rule_.max_connections_ /
-         CountDaemons(*fleet.view_);
-}
-
 }  // namespace
 
 void ApplyView(FleetState& fleet, std::shared_ptr<const TrafficView> view) {
@@ -142,10 +97,11 @@
   for (const ReplicaEntry& entry : view->replicas_) {
     ServiceOf(fleet, entry.service_).replicas_.push_back(Adopt(known, entry));
   }
+  fleet.view_ = std::move(view);
   for (auto& [name, service] : fleet.services_) {
-    ApplyRollout(*service, *view);
+    ApplyRollout(*service, *fleet.view_);
+    AssignHomes(fleet, *service);
   }
-  fleet.view_ = std::move(view);
 }
 
 std::shared_ptr<ServiceState> FindService(const FleetState& fleet,
@@ -161,20 +117,4 @@
   return found == fleet.routes_.end() ? initial : found->second.latency_;
 }
 
-int ConnectionLimit(const FleetState& fleet,
-                    const ServiceState& service,
-                    const ReplicaState& replica,
-                    bool has_local_replica) {
-  const double share = ConnectionShare(fleet, service, replica);
-  const double least =
-      has_local_replica ? 1.0 : EqualConnectionShare(fleet, service);
-  return static_cast<int>(std::max({1.0, share, least}));
-}
-
-bool MayKeepIdle(const FleetState& fleet,
-                 const ServiceState& service,
-                 const ReplicaState& replica) {
-  return ConnectionShare(fleet, service, replica) >= 1.0;
-}
-
 }  // namespace clementinerill::traffic
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -49,6 +49,7 @@
 
 /// @brief The mutable state of the traffic thread.
 struct FleetState {
+  std::string name_;            ///< Of this daemon.
   std::string failure_domain_;  ///< Where this daemon runs.
   FleetLimits limits_;
   std::shared_ptr<const TrafficView> view_;
@@ -69,23 +70,6 @@
 [[nodiscard]] const LatencyEstimate& RouteLatency(const FleetState& fleet,
                                                   const RouteRule& route);
 
-/// @brief Connections that this daemon may hold to one replica.
-///
-/// Daemons in the failure domain of a replica share most of its connections,
-/// because they send it most of its requests. A daemon whose own failure domain
-/// has no healthy replica of the service gets an equal share, since it sends
-/// all requests elsewhere.
-[[nodiscard]] int ConnectionLimit(const FleetState& fleet,
-                                  const ServiceState& service,
-                                  const ReplicaState& replica,
-                                  bool has_local_replica);
-
-/// @brief Whether this daemon may keep an idle connection to the replica, so
-/// that all daemons together stay within the connections of the replica.
-[[nodiscard]] bool MayKeepIdle(const FleetState& fleet,
-                               const ServiceState& service,
-                               const ReplicaState& replica);
-
 }  // namespace clementinerill::traffic
 
 #endif  // CLEMENTINERILL_TRAFFIC_FLEET_STATE_H_
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -7,6 +7,7 @@
 #include "traffic/advance_query.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/choose_replica.h"
+#include "traffic/connection_shares.h"
 #include "traffic/extra_attempt_window.h"
 #include "traffic/fleet_state.h"
 #include "traffic/forward_declarations.h"
