--- a/src/platform/backoff.cc
+++ b/src/base/backoff.cc
@@ -1,4 +1,4 @@
-#include "platform/backoff.h"
+#include "base/backoff.h"
 
 #include <algorithm>
 
--- a/src/platform/backoff.h
+++ b/src/base/backoff.h
@@ -1,5 +1,5 @@
-#ifndef CLEMENTINERILL_PLATFORM_BACKOFF_H_
-#define CLEMENTINERILL_PLATFORM_BACKOFF_H_
+#ifndef CLEMENTINERILL_BASE_BACKOFF_H_
+#define CLEMENTINERILL_BASE_BACKOFF_H_
 
 #include <chrono>
 #include <cstdint>
@@ -24,4 +24,4 @@
 
 }  // namespace clementinerill
 
-#endif  // CLEMENTINERILL_PLATFORM_BACKOFF_H_
+#endif  // CLEMENTINERILL_BASE_BACKOFF_H_
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -3,6 +3,7 @@
 
 // Includes the whole base library.
 
+#include "base/backoff.h"
 #include "base/caller_limits.h"
 #include "base/error.h"
 #include "base/forward_declarations.h"
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -20,6 +20,29 @@
       .count();
 }
 
+/// @brief Milliseconds of `duration` with their fraction.
+[[nodiscard]] constexpr double InMilliseconds(Duration duration) noexcept {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+/// @brief `duration` times `factor`, rounded towards zero.
+[[nodiscard]] constexpr Duration Scale(Duration duration,
+                                       double factor) noexcept {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+/// @brief A span of `seconds`, rounded towards zero.
+[[nodiscard]] constexpr Duration FromSeconds(double seconds) noexcept {
+  return Scale(std::chrono::seconds(1), seconds);
+}
+
+/// @brief A span of `milliseconds`, rounded towards zero.
+[[nodiscard]] constexpr Duration FromMilliseconds(
+    double milliseconds) noexcept {
+  return Scale(std::chrono::milliseconds(1), milliseconds);
+}
+
 }  // namespace clementinerill
 
 #endif  // CLEMENTINERILL_BASE_TIME_H_
--- a/src/control/store_schedule.cc
+++ b/src/control/store_schedule.cc
@@ -14,11 +14,6 @@
   return static_cast<double>(step) / static_cast<double>(kSteps);
 }
 
-Duration Scale(Duration duration, double factor) noexcept {
-  const auto ticks = static_cast<double>(duration.count()) * factor;
-  return Duration(static_cast<Duration::rep>(ticks));
-}
-
 // Between half and one and a half times `mean`, different after each attempt.
 Duration Jitter(const ConfigurationState& state, Duration mean) noexcept {
   const auto seed = state.store_.last_attempt_->time_since_epoch().count();
--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -188,13 +188,23 @@
 
 void ControlLoop::Register() {
   const auto& port = options_.port_;
+  WriteOwnRecord(
+      "POST", port.list_target_(port.kinds_.daemons_, "", false),
+      [this](const http::ClientReply& reply) { OnRegistered(reply); });
+}
+
+void ControlLoop::WriteOwnRecord(
+    const std::string& method,
+    const std::string& target,
+    std::function<void(const http::ClientReply&)> handler) {
   http::ClientCall call;
-  call.method_ = "POST";
-  call.target_ = port.list_target_(port.kinds_.daemons_, "", false);
-  call.body_ = port.encode_object_(options_.name_, EncodeOwnRecord(options_));
-  call.timeout_ = CallTimeout();
-  writer_.Call(std::move(call),
-               [this](const http::ClientReply& reply) { OnRegistered(reply); });
+  call.method_ = method;
+  call.target_ = target;
+  call.body_ =
+      options_.port_.encode_object_(options_.name_, EncodeOwnRecord(options_));
+  call.timeout_ = std::min(kCallTimeout * (register_failures_ + 1),
+                           Duration(kMostCallTimeout));
+  writer_.Call(std::move(call), std::move(handler));
 }
 
 void ControlLoop::OnRegistered(const http::ClientReply& reply) {
@@ -216,12 +226,9 @@
 // another one. A write of the same content changes nothing in the store.
 void ControlLoop::UpdateRegistration() {
   const auto& port = options_.port_;
-  http::ClientCall call;
-  call.method_ = "PUT";
-  call.target_ = port.object_target_(port.kinds_.daemons_, options_.name_);
-  call.body_ = port.encode_object_(options_.name_, EncodeOwnRecord(options_));
-  call.timeout_ = CallTimeout();
-  writer_.Call(std::move(call), [this](const http::ClientReply& reply) {
+  const std::string target =
+      port.object_target_(port.kinds_.daemons_, options_.name_);
+  WriteOwnRecord("PUT", target, [this](const http::ClientReply& reply) {
     if (IsSuccess(reply.status_)) {
       Log(LogLevel::kInfo, "daemons", "registered again",
           {{"name", options_.name_}});
@@ -231,11 +238,6 @@
   });
 }
 
-Duration ControlLoop::CallTimeout() const {
-  return std::min(kCallTimeout * (register_failures_ + 1),
-                  Duration(kMostCallTimeout));
-}
-
 void ControlLoop::RegisterLater(int status) {
   ++register_failures_;
   Log(LogLevel::kWarning, "daemons", "cannot register yet",
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -50,7 +50,9 @@
   void OnRegistered(const http::ClientReply& reply);
   void UpdateRegistration();
   void RegisterLater(int status);
-  [[nodiscard]] Duration CallTimeout() const;
+  void WriteOwnRecord(const std::string& method,
+                      const std::string& target,
+                      std::function<void(const http::ClientReply&)> handler);
   void PublishView();
   void Tick();
 
--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/backoff.h"
 #include "base/hash.h"
 #include "logging/log.h"
 
@@ -18,19 +19,14 @@
 constexpr Duration kMostListTimeout = milliseconds(3000);
 // A watch answers at the end of its wait; the rest covers a slow store.
 constexpr Duration kWatchMargin = milliseconds(1500);
-// Bounds of the pause after a failed call. The store counts refused calls, so
-// the pause doubles; it stays below the time in which changes must be known.
-constexpr Duration kLeastPause = milliseconds(150);
-constexpr Duration kMostPause = milliseconds(800);
+// Pause after a failed call. The store counts refused calls, so the pause
+// doubles; it stays below the time in which changes must be known.
+constexpr BackoffPolicy kBackoff{milliseconds(200), milliseconds(1000)};
 
+// Differs between daemons, so that they do not call in step.
 Duration PauseAfter(int failures, const std::string& kind, Instant now) {
-  const int doublings = std::min(failures - 1, 4);
-  const Duration pause =
-      std::min(kLeastPause * (1 << doublings), Duration(kMostPause));
-  // Between 75% and 125%, so that daemons do not call in step.
   const auto turn = static_cast<uint64_t>(now.time_since_epoch().count());
-  const auto percent = static_cast<int64_t>(75 + Hash64(kind, turn) % 51);
-  return pause * percent / 100;
+  return BackoffDelay(kBackoff, failures, Hash64(kind, turn));
 }
 
 }  // namespace
--- a/src/peer/mesh_core.cc
+++ b/src/peer/mesh_core.cc
@@ -6,13 +6,18 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "base/backoff.h"
 #include "logging/log.h"
-#include "peer/backoff.h"
 #include "peer/codec.h"
 
 namespace clementinerill {
 namespace {
 
+// Delays between attempts to reach a peer; jittered, so that daemons do not
+// dial a restarted peer at once.
+constexpr BackoffPolicy kRedialBackoff{std::chrono::milliseconds(100),
+                                       std::chrono::seconds(5)};
+
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 // Pings are answered by every peer, so three in a row are missed before a link
 // counts as silent.
@@ -228,8 +233,8 @@
 void MeshCore::DialFailed(DialTarget& target, Instant now) {
   target.dialing_ = false;
   ++target.failures_;
-  std::uniform_real_distribution<double> jitter(0.0, 1.0);
-  target.next_dial_ = now + RedialDelay(target.failures_, jitter(random_));
+  target.next_dial_ =
+      now + BackoffDelay(kRedialBackoff, target.failures_, random_());
 }
 
 std::shared_ptr<PeerLink> MeshCore::FindLink(
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -3,7 +3,6 @@
 
 // Includes the whole platform library.
 
-#include "platform/backoff.h"
 #include "platform/change_id.h"
 #include "platform/forward_declarations.h"
 #include "platform/http_call.h"
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_settings.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-#include "platform/backoff.h"
+#include "base/backoff.h"
 #include "platform/retry_budget.h"
 
 namespace clementinerill {
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -49,19 +49,14 @@
   double cost_ms_ = 0;  ///< The same and what the choice costs besides.
 };
 
-double Milliseconds(Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 // What waiting for a replica that has stopped answering costs.
 double StallCost(const ServiceState& service,
                  const ReplicaState& replica,
                  Instant now) {
   const Duration stalled = StalledFor(replica, now);
   const Duration limit =
-      std::max(kLeastStall, std::chrono::duration_cast<Duration>(
-                                service.latency_.P90() * kStallFactor));
-  return stalled > limit ? kStallCost * Milliseconds(stalled) : 0.0;
+      std::max(kLeastStall, Scale(service.latency_.P90(), kStallFactor));
+  return stalled > limit ? kStallCost * InMilliseconds(stalled) : 0.0;
 }
 
 bool MayUse(const FleetState& fleet,
@@ -130,7 +125,7 @@
               Instant now) {
   const double slots = std::max(replica.entry_.slots_, 1);
   const double waiting = EstimatedBusy(replica, now) + 1 - slots;
-  const double queued_ms = std::clamp(Milliseconds(service.latency_.Median()),
+  const double queued_ms = std::clamp(InMilliseconds(service.latency_.Median()),
                                       work_ms, work_ms * kMostQueuedWork);
   return std::max(0.0, waiting) / slots * queued_ms;
 }
@@ -146,9 +141,9 @@
   } else if (IsOnProbation(replica) && !replica.outstanding_.empty()) {
     candidate.tier_ = Tier::kOnProbation;
   }
-  const double work = Milliseconds(request.usual_) * Slowness(replica, now) *
+  const double work = InMilliseconds(request.usual_) * Slowness(replica, now) *
                       (IsCold(replica, now) ? kColdSlowdown : 1.0);
-  const double objective = Milliseconds(request.route_->objective_);
+  const double objective = InMilliseconds(request.route_->objective_);
   const double busy = EstimatedBusy(replica, now);
   const double slots = std::max(replica.entry_.slots_, 1);
   candidate.latency_ms_ = work * (1 + kSlowdownWhenBusy * busy / slots) +
@@ -158,7 +153,7 @@
     candidate.cost_ms_ += kCrossingShareOfObjective * objective;
   }
   if (replica.idle_connections_ == 0) {
-    candidate.cost_ms_ += Milliseconds(kConnectCost);
+    candidate.cost_ms_ += InMilliseconds(kConnectCost);
   }
   candidate.cost_ms_ +=
       FailureShare(replica, now) * kFailureShareOfObjective * objective;
@@ -202,8 +197,7 @@
   }
   if (best) {
     choice.failure_chance_ = FailureShare(*choice.replica_, now);
-    choice.expected_ = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(best->latency_ms_));
+    choice.expected_ = FromMilliseconds(best->latency_ms_);
   }
   return choice;
 }
--- a/src/traffic/skip_overloaded_parts.cc
+++ b/src/traffic/skip_overloaded_parts.cc
@@ -32,8 +32,7 @@
   if (spare == 0) {
     return;
   }
-  const auto limit = std::chrono::duration_cast<Duration>(
-      (query.answer_by_ - now) * kExpectedShareOfTime);
+  const auto limit = Scale(query.answer_by_ - now, kExpectedShareOfTime);
   std::vector<size_t> slow;
   for (size_t i = 0; i < choices.size(); ++i) {
     if (choices[i].replica_ && choices[i].expected_ > limit) {
--- a/src/traffic/start_query.cc
+++ b/src/traffic/start_query.cc
@@ -53,17 +53,14 @@
 }
 
 Duration AnswerMargin(const RouteRule& route) {
-  return kAnswerMargin + std::chrono::duration_cast<Duration>(
-                             route.objective_ * kAnswerMarginOfObjective);
+  return kAnswerMargin + Scale(route.objective_, kAnswerMarginOfObjective);
 }
 
 }  // namespace
 
 Duration HedgeDelay(const FleetState& fleet, const RouteRule& route) {
-  const Duration most = std::chrono::duration_cast<Duration>(
-      route.objective_ * kMostHedgeDelayOfObjective);
-  const Duration usual = std::chrono::duration_cast<Duration>(
-      RouteLatency(fleet, route).P90() * kHedgeFactor);
+  const Duration most = Scale(route.objective_, kMostHedgeDelayOfObjective);
+  const Duration usual = Scale(RouteLatency(fleet, route).P90(), kHedgeFactor);
   return std::max(kLeastHedgeDelay, std::min(usual, most));
 }
 
