Show what a daemon believes of each replica; take changed settings while running

Cause: an operator could not see why a replica gets no requests without reading the log, and settings that change, with SIGHUP or without a signal, were logged and not used.

Change: /status and /status/SERVICE on the metrics address give configuration, daemons, evacuations, rollouts and each replica with its standing. The standing is one decision (traffic/replica_standing.h), used by the choice of a replica, by the shares of connections and by the page. Settings are compared every 2 s; the limits of extra attempts and cold replicas and the stop time of changed ones come into force. Addresses stay.

Ruled out: the modification time of the file (the content says the same and needs no support of the file system).

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,15 +15,71 @@
 namespace clementinerill::gateway {
 namespace {
 
+// The platform may change the settings without a signal; they are compared in
+// this period.
+constexpr Duration kSettingsPeriod = std::chrono::seconds(2);
+
+/// Takes changed settings while the process runs, on SIGHUP and without one.
+///
+/// Addresses of listeners and of the store cannot change then; limits can.
+class SettingsReloader {
+ public:
+  SettingsReloader(http::EventLoop& loop,
+                   TrafficServer& traffic,
+                   const GatewayOptions& options)
+      : loop_(loop), traffic_(traffic), options_(options) {
+    if (options_.read_settings_) {
+      text_ = options_.read_settings_();
+      CheckLater();
+    }
+  }
+
+  void Reload() {
+    if (!options_.reload_) {
+      return;
+    }
+    if (options_.read_settings_) {
+      text_ = options_.read_settings_();
+    }
+    const auto settings = options_.reload_();
+    if (!settings) {
+      Log(LogLevel::kError, "gateway", "settings are wrong, kept the last ones",
+          {{"error", Format(settings.error())}});
+      return;
+    }
+    traffic_.SetSettings(*settings);
+    Log(LogLevel::kInfo, "gateway", "settings read again",
+        {{"name", settings->name_},
+         {"extra_attempt_ratio", settings->limits_.extra_attempts_.ratio_},
+         {"extra_attempt_slack", settings->limits_.extra_attempts_.slack_},
+         {"stop_grace_ms", settings->stop_grace_}});
+  }
+
+ private:
+  void CheckLater() {
+    loop_.Timers().Add(http::EventLoop::Now() + kSettingsPeriod, [this] {
+      if (options_.read_settings_() != text_) {
+        Reload();
+      }
+      CheckLater();
+    });
+  }
+
+  http::EventLoop& loop_;
+  TrafficServer& traffic_;
+  const GatewayOptions& options_;
+  std::string text_;
+};
+
 /// Signals as events of the traffic loop.
 class SignalHandler {
  public:
   SignalHandler(http::EventLoop& loop,
                 TrafficServer& traffic,
-                const GatewayOptions& options)
+                SettingsReloader& settings)
       : loop_(loop),
         traffic_(traffic),
-        options_(options),
+        settings_(settings),
         signals_(loop.Context(), SIGTERM, SIGINT, SIGHUP) {
     Wait();
   }
@@ -42,32 +98,16 @@
 
   void OnSignal(int signal) {
     if (signal == SIGHUP) {
-      Reload();
+      settings_.Reload();
       return;
     }
     Log(LogLevel::kInfo, "gateway", "shutting down", {{"signal", signal}});
     traffic_.Drain([this] { loop_.Stop(); });
   }
 
-  // Addresses of listeners cannot change while the process runs; what was read
-  // at the start stays in force.
-  void Reload() {
-    if (!options_.reload_) {
-      return;
-    }
-    const auto settings = options_.reload_();
-    if (settings) {
-      Log(LogLevel::kInfo, "gateway", "settings read again",
-          {{"name", settings->name_}});
-    } else {
-      Log(LogLevel::kError, "gateway", "settings are wrong, kept the last ones",
-          {{"error", Format(settings.error())}});
-    }
-  }
-
   http::EventLoop& loop_;
   TrafficServer& traffic_;
-  const GatewayOptions& options_;
+  SettingsReloader& settings_;
   boost::asio::signal_set signals_;
 };
 
@@ -89,7 +129,8 @@
       {{"name", options.name_},
        {"failure_domain", options.failure_domain_},
        {"callers", ToText(options.caller_listen_)}});
-  const SignalHandler signals(traffic_loop, traffic, options);
+  SettingsReloader settings(traffic_loop, traffic, options);
+  const SignalHandler signals(traffic_loop, traffic, settings);
   ControlLoop control(
       control_loop, options, metrics, [&traffic_loop, &traffic](auto view) {
         traffic_loop.Post(
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -34,6 +34,8 @@
   traffic::FleetLimits limits_;
   WireNames names_;
   StorePort port_;
+  /// The text of the settings as they are now, to notice a change.
+  std::function<std::string()> read_settings_;
   /// Reads the settings again; logged when they are wrong.
   std::function<Result<GatewayOptions>()> reload_;
 };
--- /dev/null
+++ b/src/gateway/status_page.cc
@@ -0,0 +1,93 @@
+#include "gateway/status_page.h"
+
+#include "traffic/replica_standing.h"
+
+namespace clementinerill::gateway {
+namespace {
+
+using nlohmann::json;
+using traffic::FleetState;
+using traffic::ReplicaState;
+using traffic::ServiceState;
+
+std::string TextOf(std::string_view text) {
+  return std::string(text);
+}
+
+json ReplicaStatus(const FleetState& fleet,
+                   const ReplicaState& replica,
+                   Instant now) {
+  const auto standing = traffic::StandingOf(*fleet.view_, replica, now);
+  return {
+      {"id", replica.entry_.id_},
+      {"address",
+       replica.entry_.address_ + ":" + std::to_string(replica.entry_.port_)},
+      {"failure_domain", replica.entry_.failure_domain_},
+      {"version", replica.entry_.version_},
+      {"standing", TextOf(NameOf(traffic::kReplicaStandingNames, standing))},
+      {"preferred", replica.is_home_},
+      {"cold", traffic::IsCold(replica, now)},
+      {"slowness", traffic::Slowness(replica, now)},
+      {"failure_share", traffic::FailureShare(replica, now)},
+      {"failures_in_row", replica.failures_in_row_},
+      {"requests", replica.outstanding_.size()},
+      {"estimated_busy", traffic::EstimatedBusy(replica, now)},
+      {"connections", replica.open_connections_}};
+}
+
+json ServiceStatus(const FleetState& fleet,
+                   const ServiceState& service,
+                   Instant now) {
+  json replicas = json::array();
+  for (const auto& replica : service.replicas_) {
+    replicas.push_back(ReplicaStatus(fleet, *replica, now));
+  }
+  return {{"routed", service.is_routed_},
+          {"extra_attempts", service.extras_.Extras()},
+          {"replicas", std::move(replicas)}};
+}
+
+json RolloutStatus(const FleetState& fleet) {
+  json rollouts = json::array();
+  for (const traffic::RolloutOrder& order : fleet.view_->rollouts_) {
+    json rollout = {
+        {"service", order.service_},
+        {"target_version", order.target_version_},
+        {"state", TextOf(NameOf(traffic::kRolloutStateNames, order.state_))}};
+    const auto service = traffic::FindService(fleet, order.service_);
+    if (service && service->rollout_) {
+      const traffic::VersionComparison& seen = *service->rollout_;
+      rollout["target_attempts"] = seen.target_.attempts_;
+      rollout["target_bad"] = seen.target_.bad_;
+      rollout["present_attempts"] = seen.present_.attempts_;
+      rollout["present_bad"] = seen.present_.bad_;
+      rollout["found_bad"] = seen.is_bad_;
+    }
+    rollouts.push_back(std::move(rollout));
+  }
+  return rollouts;
+}
+
+}  // namespace
+
+json StatusOf(const FleetState& fleet,
+              const std::string& service,
+              Instant now) {
+  const auto& configuration = fleet.view_->configuration_;
+  json services = json::object();
+  for (const auto& [name, state] : fleet.services_) {
+    if (service.empty() || service == name) {
+      services[name] = ServiceStatus(fleet, *state, now);
+    }
+  }
+  return {
+      {"daemon", fleet.name_},
+      {"failure_domain", fleet.failure_domain_},
+      {"configuration_version", configuration ? configuration->version_ : 0},
+      {"daemons", fleet.view_->daemons_},
+      {"evacuated", fleet.view_->evacuated_},
+      {"rollouts", RolloutStatus(fleet)},
+      {"services", std::move(services)}};
+}
+
+}  // namespace clementinerill::gateway
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -5,6 +5,7 @@
 
 #include "base/parse_number.h"
 #include "gateway/caller_answer.h"
+#include "gateway/status_page.h"
 #include "logging/log.h"
 #include "traffic/start_query.h"
 
@@ -27,6 +28,14 @@
 // usually have one.
 constexpr double kUnconfiguredRetryS = 0.1;
 
+// What operators read besides the metrics: everything, or one service.
+constexpr std::string_view kStatusPath = "/status";
+constexpr std::string_view kServiceStatusPath = "/status/";
+
+bool IsPrefix(std::string_view prefix, std::string_view text) {
+  return text.substr(0, prefix.size()) == prefix;
+}
+
 }  // namespace
 
 TrafficServer::TrafficServer(http::EventLoop& loop,
@@ -48,11 +57,11 @@
       operators_(
           loop,
           [this](const Caller& caller, const http::HttpRequest& request) {
-            OnMetrics(caller, request);
+            OnOperatorRequest(caller, request);
           }) {
   fleet_.name_ = options.name_;
   fleet_.failure_domain_ = options.failure_domain_;
-  fleet_.limits_ = options.limits_;
+  SetSettings(options);
   fleet_.view_ = std::make_shared<traffic::TrafficView>();
 }
 
@@ -86,6 +95,11 @@
   pool_.Maintain(fleet_, http::EventLoop::Now());
 }
 
+void TrafficServer::SetSettings(const GatewayOptions& settings) {
+  fleet_.limits_ = settings.limits_;
+  stop_grace_ = settings.stop_grace_;
+}
+
 bool TrafficServer::IsReady() const {
   return !draining_ && fleet_.view_->configuration_ &&
          !fleet_.view_->replicas_.empty();
@@ -109,14 +123,23 @@
   caller->Respond(answer, false);
 }
 
-void TrafficServer::OnMetrics(const Caller& caller,
-                              const http::HttpRequest& request) {
+void TrafficServer::OnOperatorRequest(const Caller& caller,
+                                      const http::HttpRequest& request) {
   http::HttpAnswer answer;
   answer.status_ = 404;
-  if (request.target_ == "/metrics") {
+  const std::string_view target = request.target_;
+  if (target == "/metrics") {
     answer.status_ = 200;
     answer.headers_.emplace_back("Content-Type", "text/plain; version=0.0.4");
     answer.body_ = metrics_.registry_.PrometheusText();
+  } else if (target == kStatusPath || IsPrefix(kServiceStatusPath, target)) {
+    const std::string service(target == kStatusPath
+                                  ? std::string_view()
+                                  : target.substr(kServiceStatusPath.size()));
+    answer.status_ = 200;
+    answer.headers_.emplace_back("Content-Type", "application/json");
+    answer.body_ =
+        StatusOf(fleet_, service, http::EventLoop::Now()).dump() + "\n";
   }
   caller->Respond(answer, false);
 }
@@ -243,8 +266,7 @@
     return;
   }
   callers_.StopAccepting();
-  const bool must_end =
-      now - *drain_began_ >= options_.stop_grace_ - kStopMargin;
+  const bool must_end = now - *drain_began_ >= stop_grace_ - kStopMargin;
   if (must_end) {
     for (const auto& weak : sessions_) {
       if (const auto session = weak.lock()) {
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -29,6 +29,10 @@
   /// @brief Takes a newer view of configuration and replicas.
   void SetView(std::shared_ptr<const traffic::TrafficView> view);
 
+  /// @brief Takes the limits and the stop time of settings that were read
+  /// again; addresses stay as they are.
+  void SetSettings(const GatewayOptions& settings);
+
   /// @brief Called with what the traffic shows about a rollout, again as long
   /// as the order stays in progress.
   using OnVerdict =
@@ -48,7 +52,8 @@
 
   void OnRequest(const Caller& caller, http::HttpRequest request);
   void OnReadyCheck(const Caller& caller, const http::HttpRequest& request);
-  void OnMetrics(const Caller& caller, const http::HttpRequest& request);
+  void OnOperatorRequest(const Caller& caller,
+                         const http::HttpRequest& request);
   void Refuse(const Caller& caller, const http::HttpRequest& request);
   void RejectUnrouted(const Caller& caller, const http::HttpRequest& request);
   void Serve(const Caller& caller,
@@ -73,6 +78,7 @@
   http::Listener balancer_;
   http::Listener operators_;
   std::list<std::weak_ptr<QuerySession>> sessions_;
+  Duration stop_grace_;  ///< From SIGTERM to SIGKILL.
   std::optional<Instant> drain_began_;
   std::function<void()> stopped_;
   OnVerdict on_verdict_;
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "traffic/connection_shares.h"
-#include "traffic/replica_directory.h"
+#include "traffic/replica_standing.h"
 
 namespace clementinerill::traffic {
 namespace {
@@ -63,16 +63,9 @@
             const ReplicaState& replica,
             const ReplicaRequest& request,
             Instant now) {
-  const auto& leaving = replica.entry_.leaving_since_;
-  if (replica.misdirected_ || IsAvoided(replica, now) ||
-      (leaving && now - *leaving >= kLeavingGrace)) {
-    return false;
-  }
-  if (fleet.view_->evacuated_.count(replica.entry_.failure_domain_) > 0) {
-    return false;
-  }
-  return std::find(request.tried_.begin(), request.tried_.end(), &replica) ==
-         request.tried_.end();
+  return MayGetRequests(StandingOf(*fleet.view_, replica, now)) &&
+         std::find(request.tried_.begin(), request.tried_.end(), &replica) ==
+             request.tried_.end();
 }
 
 // Replicas of the target version take the share of the rollout and no more.
@@ -114,7 +107,7 @@
   return replica.idle_connections_ > 0 ||
          replica.open_connections_ <
              ConnectionLimit(fleet, service, replica,
-                             HasHealthyHome(service, now));
+                             HasHealthyHome(fleet, service, now));
 }
 
 // How long a request waits for a slot of the replica. The queue holds requests
--- a/src/traffic/connection_shares.cc
+++ b/src/traffic/connection_shares.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/hash.h"
+#include "traffic/replica_standing.h"
 
 namespace clementinerill::traffic {
 namespace {
@@ -87,14 +88,15 @@
   }
 }
 
-bool HasHealthyHome(const ServiceState& service, Instant now) {
-  return std::any_of(service.replicas_.begin(), service.replicas_.end(),
-                     [now](const std::shared_ptr<ReplicaState>& replica) {
-                       return replica->is_home_ && !replica->misdirected_ &&
-                              !replica->entry_.leaving_since_ &&
-                              !IsAvoided(*replica, now) &&
-                              !IsOnProbation(*replica);
-                     });
+bool HasHealthyHome(const FleetState& fleet,
+                    const ServiceState& service,
+                    Instant now) {
+  return std::any_of(
+      service.replicas_.begin(), service.replicas_.end(),
+      [&fleet, now](const std::shared_ptr<ReplicaState>& replica) {
+        return replica->is_home_ && StandingOf(*fleet.view_, *replica, now) ==
+                                        ReplicaStanding::kUsable;
+      });
 }
 
 int ConnectionLimit(const FleetState& fleet,
--- a/src/traffic/connection_shares.h
+++ b/src/traffic/connection_shares.h
@@ -16,7 +16,9 @@
 void AssignHomes(const FleetState& fleet, ServiceState& service);
 
 /// @brief Whether a replica that this daemon prefers is healthy.
-[[nodiscard]] bool HasHealthyHome(const ServiceState& service, Instant now);
+[[nodiscard]] bool HasHealthyHome(const FleetState& fleet,
+                                  const ServiceState& service,
+                                  Instant now);
 
 /// @brief Connections that this daemon may hold to one replica.
 ///
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -18,6 +18,7 @@
 #include "traffic/replica_answer.h"
 #include "traffic/replica_directory.h"
 #include "traffic/replica_entry.h"
+#include "traffic/replica_standing.h"
 #include "traffic/replica_state.h"
 #include "traffic/reported_load.h"
 #include "traffic/rollout_order.h"
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -251,6 +251,63 @@
   CHECK(world.store_.calls_["GET config"] - before <= 2);
 }
 
+// Guards against an operator who cannot see why a replica gets no requests.
+TEST_CASE("the status names the replicas and their standing", "[gateway]") {
+  World world;
+  world.PutEverything();
+  GatewayOptions options = world.Options("vm-1");
+  options.metrics_listen_ = Endpoint{"127.0.0.1", FreePort(world.loop_)};
+  Daemon& daemon = world.Start(options);
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  world.store_.Put("evacuations", "z1", nlohmann::json::object());
+  const auto status = [&](const std::string& path) {
+    return nlohmann::json::parse(
+        world.Get(*options.metrics_listen_, "", path).body_);
+  };
+  REQUIRE(
+      world.Until([&] { return status("/status")["evacuated"].size() == 1; }));
+  const auto all = status("/status");
+  CHECK(all["configuration_version"] == 5);
+  CHECK(all["services"].size() == 3);
+  const auto one = status("/status/shard-a");
+  REQUIRE(one["services"].size() == 1);
+  const auto& replica = one["services"]["shard-a"]["replicas"][0];
+  CHECK(replica["id"] == "a1");
+  CHECK(replica["standing"] == "evacuated");
+  CHECK(status("/status/none")["services"].empty());
+  CHECK(world.Get(*options.metrics_listen_, "", "/other").status_ == 404);
+}
+
+// Guards against limits that stay as they were at the start.
+TEST_CASE("settings that are read again change the limits", "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  world.store_.Put("servers", "c2", world.replicas_[1]->Entry("hold"));
+  REQUIRE(world.Until([&] { return daemon.metrics_.replicas_.Value() == 4; }));
+  // Both replicas refuse; without extra attempts only one of them is asked.
+  int asked = 0;
+  for (const size_t replica : {1, 2}) {
+    world.replicas_[replica]->behave_ = [&asked](const auto& caller,
+                                                 const auto&) {
+      ++asked;
+      caller->Respond({503, {{"X-Not-Executed", "1"}}, "", true}, false);
+    };
+  }
+  const auto hold = [&] {
+    return world.Get(daemon.options_.caller_listen_, "hold.example", "/h5/1");
+  };
+  CHECK(hold().status_ == 503);
+  CHECK(asked == 2);
+  asked = 0;
+  GatewayOptions changed = daemon.options_;
+  changed.limits_.extra_attempts_ = {0, 0, std::chrono::seconds(10)};
+  daemon.traffic_.SetSettings(changed);
+  CHECK(hold().status_ == 503);
+  CHECK(asked == 1);
+}
+
 // Guards against a stop that cuts requests or keeps the balancer sending.
 TEST_CASE("a stop answers what is served and then ends", "[gateway]") {
   World world;
