Judge a rollout by what all daemons of a failure domain saw

Cause: each daemon judged a target version by its own answers and needed four bad ones.

Change: readers send their evidence with the requests to the relay, which they make anyway. The watcher sums what its failure domain saw and writes the verdict; any daemon still rolls back for what it saw alone. Only a daemon that follows the store completes a good version. The judgement moves from the traffic thread to the control thread (traffic/fleet_comparison.h is the decision).

Ruled out: evidence in the store (a write for each daemon and second); the rollout library of the older daemon, whose steps take 30 s at least while orders here are decided within seconds.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -47,6 +47,10 @@
       writer_(loop, options.store_.address_, options.store_.port_) {}
 
 void ControlLoop::Start() {
+  follower_.SetEvidence([this] { return rollouts_.OwnEvidence(); },
+                        [this](const mirror::RelayRequest& request) {
+                          TakeReaderEvidence(request);
+                        });
   follower_.Start();
   Register();
   Tick();
@@ -186,6 +190,24 @@
   PublishView();
 }
 
+void ControlLoop::TakeEvidenceOf(const std::string& daemon,
+                                 const traffic::VersionComparison& evidence) {
+  rollouts_.TakeEvidence(daemon, evidence, follower_.IsWatcher(),
+                         http::EventLoop::Now());
+}
+
+void ControlLoop::TakeReaderEvidence(const mirror::RelayRequest& request) {
+  for (const mirror::RolloutEvidence& entry : request.evidence_) {
+    traffic::VersionComparison evidence;
+    evidence.order_.service_ = entry.service_;
+    evidence.order_.target_version_ = entry.target_version_;
+    evidence.order_.length_ = entry.length_;
+    evidence.target_ = {entry.target_attempts_, entry.target_bad_};
+    evidence.present_ = {entry.present_attempts_, entry.present_bad_};
+    TakeEvidenceOf(request.daemon_, evidence);
+  }
+}
+
 void ControlLoop::Register() {
   const auto& port = options_.port_;
   WriteOwnRecord(
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -33,9 +33,9 @@
 
   void Start();
 
-  /// @brief Takes what this daemon's traffic found out about a rollout.
-  void DecideRollout(const std::string& service, traffic::RolloutState state) {
-    rollouts_.Decide(service, state);
+  /// @brief Takes what this daemon's traffic shows about a rollout.
+  void TakeEvidence(const traffic::VersionComparison& evidence) {
+    TakeEvidenceOf(options_.name_, evidence);
   }
 
  private:
@@ -46,6 +46,9 @@
   void TakeReplica(const StoredObject& object);
   void TakeEvacuations(const mirror::KindChanges& changes);
   void TakeDaemons(const mirror::KindChanges& changes);
+  void TakeEvidenceOf(const std::string& daemon,
+                      const traffic::VersionComparison& evidence);
+  void TakeReaderEvidence(const mirror::RelayRequest& request);
   void Register();
   void OnRegistered(const http::ClientReply& reply);
   void UpdateRegistration();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -136,10 +136,9 @@
         traffic_loop.Post(
             [&traffic, view = std::move(view)] { traffic.SetView(view); });
       });
-  traffic.SetOnVerdict([&control_loop, &control](const std::string& service,
-                                                 traffic::RolloutState state) {
-    control_loop.Post(
-        [&control, service, state] { control.DecideRollout(service, state); });
+  traffic.SetOnEvidence([&control_loop,
+                         &control](const traffic::VersionComparison& evidence) {
+    control_loop.Post([&control, evidence] { control.TakeEvidence(evidence); });
   });
   std::thread control_thread([&control_loop, &control] {
     control.Start();
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -43,7 +43,12 @@
          {"target_version", order->target_version_},
          {"length_ms", order->length_},
          {"state", StateName(order->state_)}});
-    orders_[order->service_] = {*order, object.revision_};
+    KnownOrder& taken = orders_[order->service_];
+    taken.order_ = *order;
+    taken.revision_ = object.revision_;
+    if (known != before.end()) {
+      taken.evidence_ = known->second.evidence_;
+    }
   }
   for (const std::string& name : changes.removed_) {
     Log(LogLevel::kInfo, "rollout", "order removed", {{"service", name}});
@@ -59,13 +64,59 @@
   return orders;
 }
 
-void RolloutControl::Decide(const std::string& service, RolloutState state) {
-  const auto found = orders_.find(service);
-  if (writing_ || found == orders_.end() ||
-      found->second.order_.state_ != RolloutState::kInProgress) {
+void RolloutControl::TakeEvidence(const std::string& daemon,
+                                  const traffic::VersionComparison& evidence,
+                                  bool may_complete,
+                                  Instant now) {
+  const auto found = orders_.find(evidence.order_.service_);
+  if (found == orders_.end()) {
+    return;
+  }
+  KnownOrder& known = found->second;
+  traffic::TakeEvidence(known.evidence_, daemon, evidence);
+  const auto sum = traffic::SumOf(known.evidence_, known.order_);
+  if (sum.is_bad_) {
+    Decide(known, sum, RolloutState::kRolledBack);
+  } else if (may_complete && traffic::MayComplete(sum, now)) {
+    Decide(known, sum, RolloutState::kCompleted);
+  }
+}
+
+std::vector<mirror::RolloutEvidence> RolloutControl::OwnEvidence() const {
+  std::vector<mirror::RolloutEvidence> all;
+  for (const auto& [service, known] : orders_) {
+    const auto own = known.evidence_.by_daemon_.find(options_.name_);
+    if (known.order_.state_ != RolloutState::kInProgress ||
+        own == known.evidence_.by_daemon_.end()) {
+      continue;
+    }
+    const traffic::VersionComparison& seen = own->second;
+    all.push_back(
+        {service, seen.order_.target_version_,
+         std::chrono::milliseconds(ToMilliseconds(seen.order_.length_)),
+         seen.target_.attempts_, seen.target_.bad_, seen.present_.attempts_,
+         seen.present_.bad_});
+  }
+  return all;
+}
+
+void RolloutControl::Decide(const KnownOrder& known,
+                            const traffic::VersionComparison& sum,
+                            RolloutState state) {
+  if (writing_ || known.order_.state_ != RolloutState::kInProgress) {
     return;
   }
-  const KnownOrder& known = found->second;
+  const std::string service = known.order_.service_;
+  Log(state == RolloutState::kRolledBack ? LogLevel::kWarning : LogLevel::kInfo,
+      "rollout", "verdict",
+      {{"service", service},
+       {"target_version", known.order_.target_version_},
+       {"state", StateName(state)},
+       {"daemons", known.evidence_.by_daemon_.size()},
+       {"target_attempts", sum.target_.attempts_},
+       {"target_bad", sum.target_.bad_},
+       {"present_attempts", sum.present_.attempts_},
+       {"present_bad", sum.present_.bad_}});
   writing_ = true;
   http::ClientCall call;
   call.method_ = "PUT";
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -9,7 +9,8 @@
 #include "gateway/gateway_options.h"
 #include "http/client.h"
 #include "mirror/kind_changes.h"
-#include "traffic/rollout_order.h"
+#include "mirror/rollout_evidence.h"
+#include "traffic/fleet_comparison.h"
 
 namespace clementinerill::gateway {
 
@@ -26,17 +27,30 @@
 
   [[nodiscard]] std::vector<traffic::RolloutOrder> Orders() const;
 
-  /// @brief Writes that a rollout is completed or rolled back, unless it is
-  /// decided already or a write is on its way. Repeated by the caller while
-  /// the order stays in progress.
-  void Decide(const std::string& service, traffic::RolloutState state);
+  /// @brief Takes what a daemon saw of a rollout, and writes a verdict when the
+  /// evidence of all daemons that report here allows one.
+  ///
+  /// Repeated while the order stays in progress, so a write that fails is
+  /// repeated too. Only with `may_complete` is a good version completed.
+  void TakeEvidence(const std::string& daemon,
+                    const traffic::VersionComparison& evidence,
+                    bool may_complete,
+                    Instant now);
+
+  /// @brief Evidence of this daemon about the rollouts in progress.
+  [[nodiscard]] std::vector<mirror::RolloutEvidence> OwnEvidence() const;
 
  private:
   struct KnownOrder {
     traffic::RolloutOrder order_;
     int64_t revision_ = 0;
+    traffic::FleetComparison evidence_;
   };
 
+  void Decide(const KnownOrder& known,
+              const traffic::VersionComparison& sum,
+              traffic::RolloutState state);
+
   const GatewayOptions& options_;
   http::Client writer_;
   std::map<std::string, KnownOrder> orders_;  ///< By service.
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -180,6 +180,10 @@
   for (const auto& [kind, followed] : kinds_) {
     request.revisions_[kind] = followed.mirror_.revision_;
   }
+  request.daemon_ = options_.name_;
+  if (own_evidence_) {
+    request.evidence_ = own_evidence_();
+  }
   return request;
 }
 
@@ -294,6 +298,9 @@
     caller->Respond(answer, false);
     return;
   }
+  if (take_evidence_ && !decoded->evidence_.empty()) {
+    take_evidence_(*decoded);
+  }
   if (TryReply(caller, *decoded, decoded->wait_ <= milliseconds(0))) {
     return;
   }
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -35,6 +35,19 @@
                 GatewayMetrics& metrics,
                 OnChanges on_changes);
 
+  /// @brief Evidence about rollouts travels with the requests of readers: `own`
+  /// gives that of this daemon, `take` gets the requests that hold some.
+  void SetEvidence(std::function<std::vector<mirror::RolloutEvidence>()> own,
+                   std::function<void(const mirror::RelayRequest&)> take) {
+    own_evidence_ = std::move(own);
+    take_evidence_ = std::move(take);
+  }
+
+  /// @brief Whether this daemon follows the store on behalf of others.
+  [[nodiscard]] bool IsWatcher() const noexcept {
+    return plan_.role_ == mirror::RelayRole::kWatcher;
+  }
+
   /// @brief Listens for other daemons and asks the seeds.
   void Start();
 
@@ -77,15 +90,14 @@
                               const mirror::RelayRequest& request,
                               bool without_news);
   void ReplyToWaiting();
-  [[nodiscard]] bool IsWatcher() const noexcept {
-    return plan_.role_ == mirror::RelayRole::kWatcher;
-  }
   void Tick();
 
   http::EventLoop& loop_;
   const GatewayOptions& options_;
   GatewayMetrics& metrics_;
   const OnChanges on_changes_;
+  std::function<std::vector<mirror::RolloutEvidence>()> own_evidence_;
+  std::function<void(const mirror::RelayRequest&)> take_evidence_;
   std::map<std::string, FollowedKind> kinds_;
   http::Listener relay_listener_;
   std::list<WaitingReader> waiting_;
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -225,29 +225,16 @@
   pool_.Maintain(fleet_, now);
   Forget();
   CheckDrain(now);
-  JudgeRollouts(now);
+  ReportRollouts();
   loop_.Timers().Add(now + kTick, [this] { Tick(); });
 }
 
-void TrafficServer::JudgeRollouts(Instant now) {
+void TrafficServer::ReportRollouts() {
   for (const auto& [name, service] : fleet_.services_) {
-    if (!on_verdict_ || !service->rollout_ ||
-        service->rollout_->order_.state_ !=
+    if (on_evidence_ && service->rollout_ &&
+        service->rollout_->order_.state_ ==
             traffic::RolloutState::kInProgress) {
-      continue;
-    }
-    const traffic::VersionComparison& rollout = *service->rollout_;
-    if (rollout.is_bad_) {
-      Log(LogLevel::kWarning, "rollout", "target version is bad",
-          {{"service", name},
-           {"target_version", rollout.order_.target_version_},
-           {"target_attempts", rollout.target_.attempts_},
-           {"target_bad", rollout.target_.bad_},
-           {"present_attempts", rollout.present_.attempts_},
-           {"present_bad", rollout.present_.bad_}});
-      on_verdict_(name, traffic::RolloutState::kRolledBack);
-    } else if (traffic::MayComplete(rollout, now)) {
-      on_verdict_(name, traffic::RolloutState::kCompleted);
+      on_evidence_(*service->rollout_);
     }
   }
 }
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -33,12 +33,11 @@
   /// again; addresses stay as they are.
   void SetSettings(const GatewayOptions& settings);
 
-  /// @brief Called with what the traffic shows about a rollout, again as long
-  /// as the order stays in progress.
-  using OnVerdict =
-      std::function<void(const std::string& service, traffic::RolloutState)>;
-  void SetOnVerdict(OnVerdict on_verdict) {
-    on_verdict_ = std::move(on_verdict);
+  /// @brief Called with what the traffic shows about each rollout in progress,
+  /// again and again.
+  using OnEvidence = std::function<void(const traffic::VersionComparison&)>;
+  void SetOnEvidence(OnEvidence on_evidence) {
+    on_evidence_ = std::move(on_evidence);
   }
 
   /// @brief Begins a graceful shutdown; `stopped` is called at its end.
@@ -64,7 +63,7 @@
   [[nodiscard]] bool IsReady() const;
   void Tick();
   void CheckDrain(Instant now);
-  void JudgeRollouts(Instant now);
+  void ReportRollouts();
   void Forget();
 
   http::EventLoop& loop_;
@@ -81,7 +80,7 @@
   Duration stop_grace_;  ///< From SIGTERM to SIGKILL.
   std::optional<Instant> drain_began_;
   std::function<void()> stopped_;
-  OnVerdict on_verdict_;
+  OnEvidence on_evidence_;
   bool was_ready_ = false;
 };
 
--- a/src/mirror/forward_declarations.h
+++ b/src/mirror/forward_declarations.h
@@ -8,6 +8,7 @@
 struct KindMirror;
 struct RelayReply;
 struct RelayRequest;
+struct RolloutEvidence;
 struct StoredObject;
 
 }  // namespace clementinerill::mirror
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -9,6 +9,7 @@
 #include "mirror/kind_mirror.h"
 #include "mirror/relay_message.h"
 #include "mirror/relay_plan.h"
+#include "mirror/rollout_evidence.h"
 #include "mirror/stored_object.h"
 
 #endif  // CLEMENTINERILL_MIRROR_MIRROR_H_
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -44,6 +44,28 @@
   return kind;
 }
 
+json EncodeEvidence(const RolloutEvidence& evidence) {
+  return {{"service", evidence.service_},
+          {"target_version", evidence.target_version_},
+          {"length_ms", evidence.length_.count()},
+          {"target_attempts", evidence.target_attempts_},
+          {"target_bad", evidence.target_bad_},
+          {"present_attempts", evidence.present_attempts_},
+          {"present_bad", evidence.present_bad_}};
+}
+
+RolloutEvidence DecodeEvidence(const json& message) {
+  RolloutEvidence evidence;
+  evidence.service_ = message.at("service").get<std::string>();
+  evidence.target_version_ = message.at("target_version").get<std::string>();
+  evidence.length_ = milliseconds(message.at("length_ms").get<int64_t>());
+  evidence.target_attempts_ = message.at("target_attempts").get<int64_t>();
+  evidence.target_bad_ = message.at("target_bad").get<int64_t>();
+  evidence.present_attempts_ = message.at("present_attempts").get<int64_t>();
+  evidence.present_bad_ = message.at("present_bad").get<int64_t>();
+  return evidence;
+}
+
 // Decodes with `decode`, which may throw what the JSON library throws.
 template <typename T, typename Decode>
 Result<T> DecodeMessage(const std::string& body, Decode decode) {
@@ -61,8 +83,14 @@
 }  // namespace
 
 std::string Encode(const RelayRequest& request) {
-  return ToCbor(
-      {{"wait_ms", request.wait_.count()}, {"revisions", request.revisions_}});
+  json evidence = json::array();
+  for (const RolloutEvidence& entry : request.evidence_) {
+    evidence.push_back(EncodeEvidence(entry));
+  }
+  return ToCbor({{"wait_ms", request.wait_.count()},
+                 {"revisions", request.revisions_},
+                 {"daemon", request.daemon_},
+                 {"evidence", std::move(evidence)}});
 }
 
 std::string Encode(const RelayReply& reply) {
@@ -79,6 +107,10 @@
     request.wait_ = milliseconds(message.at("wait_ms").get<int64_t>());
     request.revisions_ =
         message.at("revisions").get<std::map<std::string, int64_t>>();
+    request.daemon_ = message.at("daemon").get<std::string>();
+    for (const json& entry : message.at("evidence")) {
+      request.evidence_.push_back(DecodeEvidence(entry));
+    }
     return request;
   });
 }
--- a/src/mirror/relay_message.h
+++ b/src/mirror/relay_message.h
@@ -5,10 +5,12 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "base/time.h"
 #include "mirror/kind_changes.h"
+#include "mirror/rollout_evidence.h"
 
 namespace clementinerill::mirror {
 
@@ -16,6 +18,8 @@
 struct RelayRequest {
   std::chrono::milliseconds wait_{};  ///< Longest time to wait for news.
   std::map<std::string, int64_t> revisions_;  ///< Of the asker, by kind.
+  std::string daemon_;                        ///< Name of the asker.
+  std::vector<RolloutEvidence> evidence_;     ///< Of rollouts in progress.
 };
 
 /// @brief News of one kind and how old the relay's copy is.
--- a/src/traffic/forward_declarations.h
+++ b/src/traffic/forward_declarations.h
@@ -6,6 +6,7 @@
 class ExtraAttemptWindow;
 class LatencyEstimate;
 struct Attempt;
+struct FleetComparison;
 struct FleetState;
 struct Query;
 struct QueryPart;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -9,6 +9,7 @@
 #include "traffic/choose_replica.h"
 #include "traffic/connection_shares.h"
 #include "traffic/extra_attempt_window.h"
+#include "traffic/fleet_comparison.h"
 #include "traffic/fleet_state.h"
 #include "traffic/forward_declarations.h"
 #include "traffic/latency_estimate.h"
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -73,8 +73,8 @@
         control_(loop, options_, metrics_, [this](auto view) {
           traffic_.SetView(view);
         }) {
-    traffic_.SetOnVerdict([this](const std::string& service, auto state) {
-      control_.DecideRollout(service, state);
+    traffic_.SetOnEvidence([this](const traffic::VersionComparison& seen) {
+      control_.TakeEvidence(seen);
     });
     REQUIRE(traffic_.Listen());
     control_.Start();
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -351,5 +351,47 @@
   CHECK(status["target_version"] == "v2");
 }
 
+// Guards against a bad version in a large fleet, of which each daemon sees too
+// few answers to judge it.
+TEST_CASE("daemons judge a version by what all of them saw", "[gateway]") {
+  World world;
+  world.PutEverything();
+  for (int i = 0; i < 30; ++i) {
+    world.store_.Put("clementinerill-daemons", "far-" + std::to_string(i),
+                     {{"failure_domain", "z2"}});
+  }
+  FakeReplica target(world.loop_, "t1");
+  auto entry = target.Entry("hold");
+  entry["version"] = "v2";
+  world.store_.Put("servers", "t1", entry);
+  world.store_.Put(
+      "rollouts", "hold",
+      {{"service", "hold"}, {"target_version", "v2"}, {"duration_s", 60}});
+  target.behave_ = [](const FakeReplica::Caller& caller,
+                      const http::HttpRequest&) {
+    caller->Respond({500, {{"X-Server-Stamp", "s"}}, "", true}, false);
+  };
+  for (int i = 0; i < 6; ++i) {
+    world.Start(world.Options("vm-" + std::to_string(i)));
+  }
+  REQUIRE(world.Until([&] {
+    return std::all_of(
+        world.daemons_.begin(), world.daemons_.end(),
+        [&](const auto& daemon) { return world.IsReady(*daemon); });
+  }));
+  // Two answers of the target version for each daemon.
+  for (int i = 0; i < 400; ++i) {
+    const size_t daemon = target.requests_.size() / 2;
+    if (daemon >= world.daemons_.size()) {
+      break;
+    }
+    world.Get(world.daemons_[daemon]->options_.caller_listen_, "hold.example",
+              "/h5/1", "id-" + std::to_string(i));
+  }
+  CHECK(target.requests_.size() <= 12);
+  REQUIRE(world.Until([&] { return !world.store_.statuses_.empty(); }));
+  CHECK(world.store_.statuses_.at("rollouts/hold")["state"] == "rolled_back");
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
--- a/tests/mirror/relay_test.cc
+++ b/tests/mirror/relay_test.cc
@@ -67,11 +67,21 @@
 }
 
 TEST_CASE("relay messages survive their encoding", "[relay]") {
-  RelayRequest request{std::chrono::milliseconds(480), {{"config", 12}}};
+  RelayRequest request{
+      std::chrono::milliseconds(480),
+      {{"config", 12}},
+      "vm-1",
+      {{"docket", "v2", std::chrono::seconds(20), 9, 3, 200, 4}}};
   const auto decoded = DecodeRelayRequest(Encode(request));
   REQUIRE(decoded);
   CHECK(decoded->wait_ == request.wait_);
   CHECK(decoded->revisions_ == request.revisions_);
+  CHECK(decoded->daemon_ == "vm-1");
+  REQUIRE(decoded->evidence_.size() == 1);
+  CHECK(decoded->evidence_[0].target_version_ == "v2");
+  CHECK(decoded->evidence_[0].length_ == std::chrono::seconds(20));
+  CHECK(decoded->evidence_[0].target_bad_ == 3);
+  CHECK(decoded->evidence_[0].present_attempts_ == 200);
   RelayReply reply;
   reply.kinds_["config"] = {{7, true, {{"main", {{"version", 3}}}}, {}},
                             std::chrono::milliseconds(15)};
