Count and log why a part failed and what a retry followed

Cause: a refused or failed request showed its attempts, but not whether the shared limit, the route or the lack of a replica ended it; retries were one counter whatever they followed.

Change: each failed part keeps its reason, which its log line prints after the attempts and gateway_failed_parts_total counts; gateway_retries_total is labelled with the outcome of the attempt before.

Ruled out: a reason for each step of a query (more lines than the bound of the log allows).

Conclusion: behaviour towards callers as before.

--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -3,6 +3,7 @@
 
 #include "metrics/registry.h"
 #include "traffic/attempt_outcome.h"
+#include "traffic/part_failure.h"
 #include "traffic/query_outcome.h"
 
 namespace clementinerill::gateway {
@@ -19,8 +20,14 @@
         hedges_(registry_.AddCounter("gateway_hedges_total",
                                      "Second attempts sent while the first "
                                      "one was open.")),
-        retries_(registry_.AddCounter("gateway_retries_total",
-                                      "Attempts sent after a failed one.")),
+        retries_(registry_.AddReasonCounters(
+            "gateway_retries_total",
+            "Attempts sent after another one, by the outcome of that one.",
+            traffic::kAttemptOutcomeNames)),
+        failed_parts_(registry_.AddReasonCounters(
+            "gateway_failed_parts_total",
+            "Parts without an answer, by why no further attempt was made.",
+            traffic::kPartFailureNames)),
         skipped_parts_(registry_.AddCounter(
             "gateway_skipped_parts_total",
             "Parts left out of sweeps because their replicas were "
@@ -42,7 +49,8 @@
   ReasonCounters<traffic::QueryOutcome, 7> queries_;
   ReasonCounters<traffic::AttemptOutcome, 9> attempts_;
   Counter& hedges_;
-  Counter& retries_;
+  ReasonCounters<traffic::AttemptOutcome, 9> retries_;
+  ReasonCounters<traffic::PartFailure, 5> failed_parts_;
   Counter& skipped_parts_;
   Counter& unrouted_;
   Counter& unconfigured_;
--- a/src/gateway/query_log.cc
+++ b/src/gateway/query_log.cc
@@ -51,8 +51,8 @@
       text += AttemptText(attempt, now);
     }
     text += "]";
-    if (part.state_ == PartState::kFailed && part.attempts_.empty()) {
-      text += "no_replica";
+    if (part.state_ == PartState::kFailed) {
+      text += NameOf(traffic::kPartFailureNames, part.why_failed_);
     } else if (part.state_ == PartState::kSkipped) {
       text += "skipped";
     }
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -141,7 +141,8 @@
   if (attempt.is_hedge_) {
     context_.metrics_.hedges_.Increment();
   } else if (action.attempt_ > 0) {
-    context_.metrics_.retries_.Increment();
+    context_.metrics_.retries_.Increment(
+        part.attempts_[action.attempt_ - 1].outcome_);
   }
   const bool idempotent =
       query_.route_->kind_ == traffic::RequestKind::kIdempotent;
@@ -274,12 +275,21 @@
   const auto answer = AnswerOf(query_, context_.names_, now);
   caller_->Respond(answer, context_.draining_);
   context_.metrics_.queries_.Increment(query_.outcome_);
-  context_.metrics_.skipped_parts_.Increment(
-      CountParts(query_, traffic::PartState::kSkipped));
+  CountUnansweredParts();
   context_.metrics_.latency_.Record(now - query_.started_);
   LogEnd(answer.status_, now);
 }
 
+void QuerySession::CountUnansweredParts() {
+  for (const traffic::QueryPart& part : query_.parts_) {
+    if (part.state_ == traffic::PartState::kFailed) {
+      context_.metrics_.failed_parts_.Increment(part.why_failed_);
+    } else if (part.state_ == traffic::PartState::kSkipped) {
+      context_.metrics_.skipped_parts_.Increment();
+    }
+  }
+}
+
 void QuerySession::LogEnd(int status, Instant now) const {
   LogQueryEnd(query_, status, now);
 }
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -70,6 +70,7 @@
   void OnCallerLeft();
   void Answer(Instant now);
   void AbandonOpen(traffic::AttemptOutcome outcome, Instant now);
+  void CountUnansweredParts();
   void LogEnd(int status, Instant now) const;
 
   SessionContext& context_;
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -130,6 +130,11 @@
                                          CountDaemons(*fleet.view_), use, now);
 }
 
+void FailPart(QueryPart& part, PartFailure why) {
+  part.state_ = PartState::kFailed;
+  part.why_failed_ = why;
+}
+
 // Sends the first attempt of a part, or the next one after a failure, to the
 // chosen replica; whether an attempt was added.
 bool TryAttempt(FleetState& fleet,
@@ -139,10 +144,13 @@
   if (choice.reason_ == NoReplicaReason::kNoConnection) {
     return false;
   }
-  if (choice.reason_ == NoReplicaReason::kUnavailable ||
-      (CountSent(part) > 0 &&
-       !SpendExtra(fleet, part, ExtraAttemptUse::kRetry, now))) {
-    part.state_ = PartState::kFailed;
+  if (choice.reason_ == NoReplicaReason::kUnavailable) {
+    FailPart(part, PartFailure::kNoReplica);
+    return false;
+  }
+  if (CountSent(part) > 0 &&
+      !SpendExtra(fleet, part, ExtraAttemptUse::kRetry, now)) {
+    FailPart(part, PartFailure::kLimitReached);
     return false;
   }
   AddAttempt(part, choice.replica_, false, now);
@@ -200,7 +208,7 @@
   bool added = false;
   if (!HasOpenAttempt(part)) {
     if (!MayAttempt(query, part)) {
-      part.state_ = PartState::kFailed;
+      FailPart(part, PartFailure::kAttemptsUsed);
       return;
     }
     added = TryAttempt(fleet, part,
--- /dev/null
+++ b/src/traffic/part_failure.h
@@ -0,0 +1,29 @@
+#ifndef CLEMENTINERILL_TRAFFIC_PART_FAILURE_H_
+#define CLEMENTINERILL_TRAFFIC_PART_FAILURE_H_
+
+#include <array>
+
+#include "base/name_table.h"
+
+namespace clementinerill::traffic {
+
+/// @brief Why nothing more can be had from the service of a part.
+enum class PartFailure {
+  kNone,
+  kUnknownService,  ///< No configuration or replica names the service.
+  kNoReplica,       ///< No replica is left that may take the request.
+  kAttemptsUsed,    ///< The route allows no further attempt.
+  kLimitReached,    ///< The shared limit of extra attempts is used up.
+};
+
+inline constexpr std::array<NameEntry<PartFailure>, 5> kPartFailureNames = {{
+    {PartFailure::kNone, "none"},
+    {PartFailure::kUnknownService, "unknown_service"},
+    {PartFailure::kNoReplica, "no_replica"},
+    {PartFailure::kAttemptsUsed, "attempts_used"},
+    {PartFailure::kLimitReached, "limit_reached"},
+}};
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_PART_FAILURE_H_
--- a/src/traffic/query.h
+++ b/src/traffic/query.h
@@ -10,6 +10,7 @@
 #include "traffic/attempt_outcome.h"
 #include "traffic/choose_replica.h"
 #include "traffic/fleet_state.h"
+#include "traffic/part_failure.h"
 #include "traffic/query_outcome.h"
 #include "traffic/replica_answer.h"
 
@@ -43,6 +44,7 @@
   /// nothing better comes.
   ReplicaAnswer failure_;
   bool hedge_refused_ = false;  ///< The budget allowed no hedge.
+  PartFailure why_failed_ = PartFailure::kNone;  ///< Once failed.
 };
 
 /// @brief One request of a caller while it is served.
--- a/src/traffic/start_query.cc
+++ b/src/traffic/start_query.cc
@@ -47,6 +47,7 @@
     service->extras_.RecordRequest(now);
   } else {
     part.state_ = PartState::kFailed;
+    part.why_failed_ = PartFailure::kUnknownService;
   }
   part.service_ = std::move(service);
   query.parts_.push_back(std::move(part));
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -14,6 +14,7 @@
 #include "traffic/forward_declarations.h"
 #include "traffic/latency_estimate.h"
 #include "traffic/merge_records.h"
+#include "traffic/part_failure.h"
 #include "traffic/query.h"
 #include "traffic/query_outcome.h"
 #include "traffic/replica_answer.h"
--- a/tests/traffic/query_test.cc
+++ b/tests/traffic/query_test.cc
@@ -148,5 +148,30 @@
   CHECK(run.query_.outcome_ == QueryOutcome::kComplete);
 }
 
+// Guards against a failure that nobody can explain: the reason is kept for the
+// log and the counters.
+TEST_CASE("a failed part says why no further attempt was made", "[query]") {
+  const auto why = [](Run& run, int failures) {
+    for (int i = 0; i < failures; ++i) {
+      for (const SendAction& send : run.Advance(milliseconds(i))) {
+        run.End(send, AttemptOutcome::kBroken, milliseconds(i));
+      }
+    }
+    (void)run.Advance(milliseconds(failures));
+    return run.query_.parts_[0].why_failed_;
+  };
+  Run used(MakeSingleRoute(RequestKind::kIdempotent));
+  CHECK(why(used, 2) == PartFailure::kAttemptsUsed);
+  Run limited(MakeSingleRoute(RequestKind::kIdempotent));
+  limited.fleet_.state_.limits_.extra_attempts_ = {0, 0, seconds(10)};
+  CHECK(why(limited, 1) == PartFailure::kLimitReached);
+  Run lost(MakeSingleRoute(RequestKind::kIdempotent));
+  for (size_t i = 0; i < 3; ++i) {
+    lost.fleet_.Replica("docket", i).misdirected_ = true;
+  }
+  CHECK(why(lost, 0) == PartFailure::kNoReplica);
+  CHECK(lost.query_.outcome_ == QueryOutcome::kRefused);
+}
+
 }  // namespace
 }  // namespace clementinerill::traffic
