Delete the records of daemons that are gone for good

Cause: daemons that were removed stayed in the list of daemons. Limits are divided by its length, and the relays of a failure domain are the first two by capacity, so two removed ones would have sent every reader to the store for good.

Change: the first relay of each failure domain probes its other daemons one by one, the second relay the first; a daemon that answers no probe for 5 minutes is deleted under the revision of its record. One that lives and finds its record deleted registers again.

Ruled out: heartbeats in the store (a write for each daemon and period); to judge by relay requests alone (small fleets make none).

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -44,7 +44,11 @@
             OnChanges(kind, changes);
           }),
       rollouts_(loop, options),
-      writer_(loop, options.store_.address_, options.store_.port_) {}
+      prober_(
+          loop,
+          [this](const mirror::DaemonRecord& daemon) { DeleteDaemon(daemon); }),
+      writer_(loop, options.store_.address_, options.store_.port_),
+      deleter_(loop, options.store_.address_, options.store_.port_) {}
 
 void ControlLoop::Start() {
   follower_.SetEvidence([this] { return rollouts_.OwnEvidence(); },
@@ -53,6 +57,7 @@
                         });
   follower_.Start();
   Register();
+  prober_.Start();
   Tick();
 }
 
@@ -187,7 +192,36 @@
     records.push_back(record);
   }
   follower_.SetDaemons(records);
+  prober_.SetDaemons(records, options_.name_);
   PublishView();
+  const bool is_listed = daemons_.count(options_.name_) > 0;
+  if (was_listed_ && !is_listed) {
+    // Another daemon could not reach this one for minutes.
+    Log(LogLevel::kWarning, "daemons", "own record was deleted",
+        {{"name", options_.name_}});
+    Register();
+  }
+  was_listed_ = is_listed;
+}
+
+void ControlLoop::DeleteDaemon(const mirror::DaemonRecord& daemon) {
+  if (deleting_) {
+    return;
+  }
+  deleting_ = true;
+  const auto& port = options_.port_;
+  http::ClientCall call;
+  call.method_ = "DELETE";
+  call.target_ =
+      port.delete_target_(port.kinds_.daemons_, daemon.name_, daemon.revision_);
+  call.timeout_ = kMostCallTimeout;
+  const std::string name = daemon.name_;
+  deleter_.Call(std::move(call), [this, name](const http::ClientReply& reply) {
+    deleting_ = false;
+    // 409: the daemon has registered again; 404: another one deleted it.
+    Log(LogLevel::kWarning, "daemons", "deleted a daemon that is gone",
+        {{"name", name}, {"status", reply.status_}});
+  });
 }
 
 void ControlLoop::TakeEvidenceOf(const std::string& daemon,
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/daemon_prober.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
 #include "gateway/rollout_control.h"
@@ -49,6 +50,7 @@
   void TakeEvidenceOf(const std::string& daemon,
                       const traffic::VersionComparison& evidence);
   void TakeReaderEvidence(const mirror::RelayRequest& request);
+  void DeleteDaemon(const mirror::DaemonRecord& daemon);
   void Register();
   void OnRegistered(const http::ClientReply& reply);
   void UpdateRegistration();
@@ -64,11 +66,15 @@
   const Publish publish_;
   StoreFollower follower_;
   RolloutControl rollouts_;
+  DaemonProber prober_;
   http::Client writer_;
+  http::Client deleter_;
+  bool deleting_ = false;
   std::shared_ptr<const traffic::TrafficConfiguration> configuration_;
   traffic::ReplicaDirectory directory_;
   std::set<std::string> evacuated_;
   std::map<std::string, mirror::DaemonRecord> daemons_;
+  bool was_listed_ = false;  ///< The list held the record of this daemon.
   bool replicas_known_ = false;
   int register_failures_ = 0;
 };
--- a/src/gateway/daemon_record_json.cc
+++ b/src/gateway/daemon_record_json.cc
@@ -32,6 +32,7 @@
     const mirror::StoredObject& object) {
   mirror::DaemonRecord record;
   record.name_ = object.name_;
+  record.revision_ = object.revision_;
   record.failure_domain_ = TextOf(object.content_, kFailureDomain);
   if (record.failure_domain_.empty()) {
     return Fail("failure_domain is missing");
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -291,6 +291,10 @@
 
 void StoreFollower::OnRelayRequest(const Caller& caller,
                                    const http::HttpRequest& request) {
+  if (request.target_ == kAlivePath) {
+    caller->Respond({200, {}, "", true}, true);
+    return;
+  }
   const auto decoded = mirror::DecodeRelayRequest(request.body_);
   if (request.target_ != kRelayPath || !decoded) {
     http::HttpAnswer answer;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -20,6 +20,10 @@
 
 namespace clementinerill::gateway {
 
+/// @brief Path at which a daemon says that it lives, on the address where it
+/// relays.
+inline constexpr const char* kAlivePath = "/alive";
+
 /// @brief Keeps this daemon's copies of the store up to date and relays them.
 ///
 /// A few daemons of each failure domain follow the store; the others ask them,
--- a/src/gateway/store_port.h
+++ b/src/gateway/store_port.h
@@ -53,6 +53,11 @@
       watch_target_;
   std::function<std::string(const std::string& kind, const std::string& name)>
       object_target_;
+  /// Of a DELETE that has no effect when the object has changed since.
+  std::function<std::string(const std::string& kind,
+                            const std::string& name,
+                            int64_t revision)>
+      delete_target_;
   std::function<std::string(const std::string& name,
                             const nlohmann::json& content)>
       encode_object_;
--- a/src/mirror/daemon_record.h
+++ b/src/mirror/daemon_record.h
@@ -14,6 +14,7 @@
   uint16_t port_ = 0;
   /// Thousandths of a core that the VM gives the daemon; 0 when unknown.
   int capacity_ = 0;
+  int64_t revision_ = 0;  ///< Of the record in the store.
 };
 
 }  // namespace clementinerill::mirror
--- a/src/mirror/forward_declarations.h
+++ b/src/mirror/forward_declarations.h
@@ -3,6 +3,7 @@
 
 namespace clementinerill::mirror {
 
+struct DaemonLiveness;
 struct DaemonRecord;
 struct KindChanges;
 struct KindMirror;
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -3,6 +3,7 @@
 
 // Includes the whole mirror library.
 
+#include "mirror/daemon_liveness.h"
 #include "mirror/daemon_record.h"
 #include "mirror/forward_declarations.h"
 #include "mirror/kind_changes.h"
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -143,6 +143,12 @@
       Respond(caller, 503, nullptr);
       return;
     }
+    if (request.method_ == "DELETE") {
+      const std::string name = path.substr(path.find('/') + 1);
+      Remove(kind, name);
+      Respond(caller, 200, nullptr);
+      return;
+    }
     if (request.method_ != "GET") {
       Write(caller, kind, request);
       return;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -308,6 +308,24 @@
   CHECK(asked == 1);
 }
 
+// Guards against a living daemon that is left out of the list for good after
+// another one could not reach it.
+TEST_CASE("a daemon whose record was deleted registers again", "[gateway]") {
+  World world;
+  world.PutEverything();
+  Daemon& daemon = world.Start(world.Options("vm-1"));
+  REQUIRE(world.Until([&] { return world.IsReady(daemon); }));
+  const auto registrations = [&] {
+    return world.store_.calls_["POST clementinerill-daemons"];
+  };
+  REQUIRE(world.Until([&] { return registrations() == 1; }));
+  // The list is read a moment after the registration.
+  REQUIRE(world.Until(
+      [&] { return world.store_.calls_["GET clementinerill-daemons"] >= 2; }));
+  world.store_.Remove("clementinerill-daemons", "vm-1");
+  CHECK(world.Until([&] { return registrations() == 2; }));
+}
+
 // Guards against a stop that cuts requests or keeps the balancer sending.
 TEST_CASE("a stop answers what is served and then ends", "[gateway]") {
   World world;
--- /dev/null
+++ b/tests/mirror/daemon_liveness_test.cc
@@ -0,0 +1,67 @@
+#include <map>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "mirror/mirror.h"
+
+namespace clementinerill::mirror {
+namespace {
+
+Instant At(Duration since_start) {
+  return Instant(std::chrono::hours(1)) + since_start;
+}
+
+// Guards against a daemon that is deleted for a restart or a partition, and
+// against one that stays listed for good.
+TEST_CASE("a daemon is gone after minutes without an answer", "[liveness]") {
+  DaemonLiveness liveness;
+  CHECK_FALSE(IsGone(liveness, "vm-1", At({})));
+  RecordProbe(liveness, "vm-1", false, At({}));
+  RecordProbe(liveness, "vm-1", false, At(kGoneAfter / 2));
+  CHECK_FALSE(IsGone(liveness, "vm-1", At(kGoneAfter / 2)));
+  CHECK(IsGone(liveness, "vm-1", At(kGoneAfter)));
+  RecordProbe(liveness, "vm-1", true, At(kGoneAfter));
+  CHECK_FALSE(IsGone(liveness, "vm-1", At(kGoneAfter)));
+  RecordProbe(liveness, "vm-1", false, At(2 * kGoneAfter));
+  CHECK_FALSE(IsGone(liveness, "vm-1", At(2 * kGoneAfter)));
+}
+
+// Guards against memory that grows with every daemon that was ever removed.
+TEST_CASE("daemons that are not probed any more are forgotten", "[liveness]") {
+  DaemonLiveness liveness;
+  RecordProbe(liveness, "vm-1", false, At({}));
+  RecordProbe(liveness, "vm-2", false, At({}));
+  DaemonRecord listed;
+  listed.name_ = "vm-2";
+  Forget(liveness, {listed});
+  CHECK(liveness.silent_since_.size() == 1);
+  CHECK(IsGone(liveness, "vm-2", At(kGoneAfter)));
+}
+
+// Guards against daemons that nobody probes, and against probes that grow with
+// the square of the fleet.
+TEST_CASE("each daemon is probed by one other of its failure domain",
+          "[liveness]") {
+  std::vector<DaemonRecord> daemons;
+  for (int i = 0; i < 20; ++i) {
+    daemons.push_back({"vm-" + std::to_string(i), i % 2 == 0 ? "a" : "b",
+                       "10.0.0.1", 7000, 250});
+  }
+  std::map<std::string, int> probes;
+  for (const DaemonRecord& daemon : daemons) {
+    for (const DaemonRecord& probed : DaemonsToProbe(daemons, daemon.name_)) {
+      CHECK(probed.failure_domain_ == daemon.failure_domain_);
+      CHECK(probed.name_ != daemon.name_);
+      ++probes[probed.name_];
+    }
+  }
+  CHECK(probes.size() == daemons.size());
+  for (const auto& [name, count] : probes) {
+    CHECK(count == 1);
+  }
+  CHECK(DaemonsToProbe(daemons, "unknown").empty());
+}
+
+}  // namespace
+}  // namespace clementinerill::mirror
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -146,6 +146,13 @@
 field_of_later: 1
 )";
 
+// Guards against the deletion of a record that was written anew meanwhile.
+TEST_CASE("a deletion names the revision that it is for", "[decoder]") {
+  const auto port = MakeStorePort();
+  CHECK(port.delete_target_(port.kinds_.daemons_, "vm-1", 42) ==
+        "/objects/clementinerill-daemons/vm-1?rev=42");
+}
+
 TEST_CASE("the settings of a process are read", "[settings]") {
   const auto options = ParseNodeSettings(kSettings, "boot.yaml");
   REQUIRE(options);
