Let readers probe their relays too; register once at a time

Cause, found in reading the change: when both relays of a failure domain were removed at once, nobody probed them and their records stayed. A daemon whose record is deleted while an earlier registration waits to be repeated could start two calls on one client.

Change: readers probe both relays every 30 s. A registration is not started while one is running.

Ruled out: probes of readers as often as those of relays (28 readers a failure domain would cost a small VM about 2% of its processor).

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -243,6 +243,9 @@
 }
 
 void ControlLoop::Register() {
+  if (registering_) {
+    return;
+  }
   const auto& port = options_.port_;
   WriteOwnRecord(
       "POST", port.list_target_(port.kinds_.daemons_, "", false),
@@ -260,7 +263,12 @@
       options_.port_.encode_object_(options_.name_, EncodeOwnRecord(options_));
   call.timeout_ = std::min(kCallTimeout * (register_failures_ + 1),
                            Duration(kMostCallTimeout));
-  writer_.Call(std::move(call), std::move(handler));
+  registering_ = true;
+  writer_.Call(std::move(call), [this, handler = std::move(handler)](
+                                    const http::ClientReply& reply) {
+    registering_ = false;
+    handler(reply);
+  });
 }
 
 void ControlLoop::OnRegistered(const http::ClientReply& reply) {
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -74,7 +74,8 @@
   traffic::ReplicaDirectory directory_;
   std::set<std::string> evacuated_;
   std::map<std::string, mirror::DaemonRecord> daemons_;
-  bool was_listed_ = false;  ///< The list held the record of this daemon.
+  bool registering_ = false;  ///< A write of the own record is running.
+  bool was_listed_ = false;   ///< The list held the record of this daemon.
   bool replicas_known_ = false;
   int register_failures_ = 0;
 };
--- a/src/gateway/daemon_prober.cc
+++ b/src/gateway/daemon_prober.cc
@@ -1,13 +1,14 @@
 #include "gateway/daemon_prober.h"
 
+#include <algorithm>
+
 #include "gateway/store_follower.h"
 
 namespace clementinerill::gateway {
 namespace {
 
-// Pause between two probes. A failure domain of the planned size, 154 daemons,
-// is probed once in about five minutes.
-constexpr Duration kProbePeriod = std::chrono::seconds(2);
+// Pause while the other daemons are not known yet.
+constexpr Duration kLeastPause = std::chrono::seconds(2);
 // A probe is answered at once; the rest covers a busy processor.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(1500);
 
@@ -19,21 +20,22 @@
 
 void DaemonProber::SetDaemons(const std::vector<mirror::DaemonRecord>& daemons,
                               const std::string& self) {
-  daemons_ = mirror::DaemonsToProbe(daemons, self);
-  mirror::Forget(liveness_, daemons_);
+  plan_ = mirror::PlanProbes(daemons, self);
+  mirror::Forget(liveness_, plan_.daemons_);
 }
 
 void DaemonProber::ProbeLater() {
-  loop_.Timers().Add(http::EventLoop::Now() + kProbePeriod,
-                     [this] { ProbeNext(); });
+  const Duration pause = std::max(plan_.period_, Duration(kLeastPause));
+  loop_.Timers().Add(http::EventLoop::Now() + pause, [this] { ProbeNext(); });
 }
 
 void DaemonProber::ProbeNext() {
-  if (daemons_.empty()) {
+  if (plan_.daemons_.empty()) {
     ProbeLater();
     return;
   }
-  const mirror::DaemonRecord daemon = daemons_[next_++ % daemons_.size()];
+  const mirror::DaemonRecord daemon =
+      plan_.daemons_[next_++ % plan_.daemons_.size()];
   client_ =
       std::make_unique<http::Client>(loop_, daemon.address_, daemon.port_);
   http::ClientCall call;
--- a/src/gateway/daemon_prober.h
+++ b/src/gateway/daemon_prober.h
@@ -11,7 +11,7 @@
 
 namespace clementinerill::gateway {
 
-/// @brief Probes the daemons that `mirror::DaemonsToProbe` names, one after the
+/// @brief Probes the daemons that `mirror::PlanProbes` names, one after the
 /// other, and reports those that are gone.
 ///
 /// Daemons that were removed for good would otherwise stay in the list by which
@@ -37,7 +37,7 @@
 
   http::EventLoop& loop_;
   const OnGone on_gone_;
-  std::vector<mirror::DaemonRecord> daemons_;
+  mirror::ProbePlan plan_;
   size_t next_ = 0;
   mirror::DaemonLiveness liveness_;
   std::unique_ptr<http::Client> client_;
--- a/src/mirror/daemon_liveness.cc
+++ b/src/mirror/daemon_liveness.cc
@@ -7,6 +7,16 @@
 #include "mirror/relay_plan.h"
 
 namespace clementinerill::mirror {
+namespace {
+
+// A failure domain of the planned size, 154 daemons, is probed once in about
+// five minutes.
+constexpr Duration kRelayProbePeriod = std::chrono::seconds(2);
+// Readers ask the relays all the time anyway; all readers of a failure domain
+// probe them.
+constexpr Duration kReaderProbePeriod = std::chrono::seconds(30);
+
+}  // namespace
 
 void RecordProbe(DaemonLiveness& liveness,
                  const std::string& daemon,
@@ -38,27 +48,29 @@
   liveness.silent_since_ = std::move(kept);
 }
 
-std::vector<DaemonRecord> DaemonsToProbe(
-    const std::vector<DaemonRecord>& daemons,
-    const std::string& self) {
+ProbePlan PlanProbes(const std::vector<DaemonRecord>& daemons,
+                     const std::string& self) {
   const auto own = std::find_if(
       daemons.begin(), daemons.end(),
       [&self](const DaemonRecord& daemon) { return daemon.name_ == self; });
-  const RelayPlan plan = PlanRelays(daemons, self);
-  if (own == daemons.end() || plan.role_ == RelayRole::kReader) {
-    return {};
+  if (own == daemons.end()) {
+    return {{}, kRelayProbePeriod};
   }
-  if (plan.role_ == RelayRole::kStandby) {
-    return plan.relays_;
+  RelayPlan plan = PlanRelays(daemons, self);
+  if (plan.role_ != RelayRole::kWatcher) {
+    const bool is_standby = plan.role_ == RelayRole::kStandby;
+    return {std::move(plan.relays_),
+            is_standby ? kRelayProbePeriod : kReaderProbePeriod};
   }
-  std::vector<DaemonRecord> others;
-  std::copy_if(daemons.begin(), daemons.end(), std::back_inserter(others),
+  ProbePlan probes{{}, kRelayProbePeriod};
+  std::copy_if(daemons.begin(), daemons.end(),
+               std::back_inserter(probes.daemons_),
                [&own](const DaemonRecord& daemon) {
                  return daemon.name_ != own->name_ &&
                         daemon.failure_domain_ == own->failure_domain_ &&
                         !daemon.address_.empty();
                });
-  return others;
+  return probes;
 }
 
 }  // namespace clementinerill::mirror
--- a/src/mirror/daemon_liveness.h
+++ b/src/mirror/daemon_liveness.h
@@ -37,14 +37,20 @@
 /// @brief Forgets the daemons that are not among `probed`.
 void Forget(DaemonLiveness& liveness, const std::vector<DaemonRecord>& probed);
 
-/// @brief The daemons that `self` probes, so that each is probed by one other
-/// daemon of its failure domain.
+/// @brief Whom one daemon probes, one after the other.
+struct ProbePlan {
+  std::vector<DaemonRecord> daemons_;
+  Duration period_{};  ///< Between two probes.
+};
+
+/// @brief Plans the probes of `self`, so that each daemon is probed by another
+/// one of its failure domain.
 ///
 /// The first relay of a failure domain probes all others, the second relay the
-/// first.
-[[nodiscard]] std::vector<DaemonRecord> DaemonsToProbe(
-    const std::vector<DaemonRecord>& daemons,
-    const std::string& self);
+/// first. The others probe both relays now and then, for the case that both
+/// were removed.
+[[nodiscard]] ProbePlan PlanProbes(const std::vector<DaemonRecord>& daemons,
+                                   const std::string& self);
 
 }  // namespace clementinerill::mirror
 
--- a/tests/mirror/daemon_liveness_test.cc
+++ b/tests/mirror/daemon_liveness_test.cc
@@ -41,26 +41,35 @@
 
 // Guards against daemons that nobody probes, and against probes that grow with
 // the square of the fleet.
-TEST_CASE("each daemon is probed by one other of its failure domain",
+TEST_CASE("each daemon is probed by another one of its failure domain",
           "[liveness]") {
   std::vector<DaemonRecord> daemons;
   for (int i = 0; i < 20; ++i) {
     daemons.push_back({"vm-" + std::to_string(i), i % 2 == 0 ? "a" : "b",
                        "10.0.0.1", 7000, 250});
   }
-  std::map<std::string, int> probes;
+  std::map<std::string, int> by_relays;
+  std::map<std::string, int> by_readers;
   for (const DaemonRecord& daemon : daemons) {
-    for (const DaemonRecord& probed : DaemonsToProbe(daemons, daemon.name_)) {
+    const ProbePlan plan = PlanProbes(daemons, daemon.name_);
+    const bool is_reader =
+        PlanRelays(daemons, daemon.name_).role_ == RelayRole::kReader;
+    for (const DaemonRecord& probed : plan.daemons_) {
       CHECK(probed.failure_domain_ == daemon.failure_domain_);
       CHECK(probed.name_ != daemon.name_);
-      ++probes[probed.name_];
+      ++(is_reader ? by_readers : by_relays)[probed.name_];
     }
   }
-  CHECK(probes.size() == daemons.size());
-  for (const auto& [name, count] : probes) {
+  CHECK(by_relays.size() == daemons.size());
+  for (const auto& [name, count] : by_relays) {
     CHECK(count == 1);
   }
-  CHECK(DaemonsToProbe(daemons, "unknown").empty());
+  // The two relays of each failure domain, by eight readers.
+  CHECK(by_readers.size() == 4);
+  for (const auto& [name, count] : by_readers) {
+    CHECK(count == 8);
+  }
+  CHECK(PlanProbes(daemons, "unknown").daemons_.empty());
 }
 
 }  // namespace
