--- a/bench/gateway_bench.cc
+++ b/bench/gateway_bench.cc
@@ -139,10 +139,11 @@
         "GET /s/2f HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: id-" +
         std::to_string(number) +
         "\r\nX-Request-Deadline: 1200\r\nUser-Agent: bench\r\n\r\n";
-    connection_->Start(std::move(request), [this](http::ExchangeResult result) {
-      failed_ += result.answer_.status_ == 200 ? 0 : 1;
-      Next();
-    });
+    connection_->Start(std::move(request),
+                       [this](const http::ExchangeResult& result) {
+                         failed_ += result.answer_.status_ == 200 ? 0 : 1;
+                         Next();
+                       });
   }
 
   std::atomic<bool> is_done_{false};
@@ -157,6 +158,7 @@
 bool SendSweeps(LoopThread& callers, uint16_t port, int queries) {
   std::atomic<int> left{queries};
   std::vector<std::unique_ptr<SweepCaller>> senders;
+  senders.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     senders.push_back(std::make_unique<SweepCaller>(callers.loop_, port, left));
   }
