Name preferred replicas the same in code, status and pages

Cause: the code called them home, the status page and the pages preferred; home is also a word of the users for something else. Ruled out: nothing. Conclusion: names only; tests pass.

--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -107,7 +107,7 @@
   return replica.idle_connections_ > 0 ||
          replica.open_connections_ <
              ConnectionLimit(fleet, service, replica,
-                             HasHealthyHome(fleet, service, now));
+                             HasHealthyPreferredReplica(fleet, service, now));
 }
 
 // How long a request waits for a slot of the replica. The queue holds requests
--- a/src/traffic/connection_shares.cc
+++ b/src/traffic/connection_shares.cc
@@ -14,24 +14,25 @@
 constexpr int kConnectionsWithoutLimit = 16;
 // Parts of the connections of a replica for the daemons that prefer it and for
 // the others; the rest is for connections that are closing while others open.
-constexpr double kHomeConnections = 0.85;
+constexpr double kPreferredConnections = 0.85;
 constexpr double kOtherConnections = 0.2;
 // Part of the connections that is shared equally by daemons whose preferred
 // replicas are lost.
 constexpr double kEqualConnections = 0.85;
 
 // Daemons of failure domains in which the service has no replica.
-int CountGuests(const TrafficView& view, const std::set<std::string>& domains) {
-  int guests = 0;
+int CountDaemonsWithoutReplica(const TrafficView& view,
+                               const std::set<std::string>& domains) {
+  int count = 0;
   for (const auto& [domain, daemons] : view.daemons_) {
-    guests += domains.count(domain) > 0 ? 0 : daemons;
+    count += domains.count(domain) > 0 ? 0 : daemons;
   }
-  return guests;
+  return count;
 }
 
 // The replica that a daemon without a local one prefers.
-const ReplicaState* ChooseHome(const FleetState& fleet,
-                               const ServiceState& service) {
+const ReplicaState* ChoosePreferredReplica(const FleetState& fleet,
+                                           const ServiceState& service) {
   const auto rank = [&fleet](const std::shared_ptr<ReplicaState>& replica) {
     return Hash64(fleet.name_ + replica->entry_.id_);
   };
@@ -51,12 +52,14 @@
   }
   const double all = CountDaemons(*fleet.view_);
   if (fleet.view_->daemons_.empty()) {
-    return kHomeConnections * most / all;
+    return kPreferredConnections * most / all;
   }
-  if (replica.is_home_) {
-    return kHomeConnections * most / std::max(replica.home_daemons_, 1.0);
+  if (replica.is_preferred_) {
+    return kPreferredConnections * most /
+           std::max(replica.preferring_daemons_, 1.0);
   }
-  return kOtherConnections * most / std::max(all - replica.home_daemons_, 1.0);
+  return kOtherConnections * most /
+         std::max(all - replica.preferring_daemons_, 1.0);
 }
 
 double EqualConnectionShare(const FleetState& fleet,
@@ -67,45 +70,47 @@
 
 }  // namespace
 
-void AssignHomes(const FleetState& fleet, ServiceState& service) {
+void AssignPreferredReplicas(const FleetState& fleet, ServiceState& service) {
   std::set<std::string> domains;
   for (const auto& replica : service.replicas_) {
     domains.insert(replica->entry_.failure_domain_);
   }
   const auto& daemons = fleet.view_->daemons_;
-  const double guests = CountGuests(*fleet.view_, domains);
-  const ReplicaState* home = domains.count(fleet.failure_domain_) > 0
-                                 ? nullptr
-                                 : ChooseHome(fleet, service);
+  const double without_replica =
+      CountDaemonsWithoutReplica(*fleet.view_, domains);
+  const ReplicaState* elsewhere = domains.count(fleet.failure_domain_) > 0
+                                      ? nullptr
+                                      : ChoosePreferredReplica(fleet, service);
   for (const auto& replica : service.replicas_) {
     const std::string& domain = replica->entry_.failure_domain_;
     const auto local = daemons.find(domain);
-    replica->is_home_ =
-        domain == fleet.failure_domain_ || replica.get() == home;
-    replica->home_daemons_ =
+    replica->is_preferred_ =
+        domain == fleet.failure_domain_ || replica.get() == elsewhere;
+    replica->preferring_daemons_ =
         (local == daemons.end() ? 0 : local->second) +
-        guests / static_cast<double>(service.replicas_.size());
+        without_replica / static_cast<double>(service.replicas_.size());
   }
 }
 
-bool HasHealthyHome(const FleetState& fleet,
-                    const ServiceState& service,
-                    Instant now) {
+bool HasHealthyPreferredReplica(const FleetState& fleet,
+                                const ServiceState& service,
+                                Instant now) {
   return std::any_of(
       service.replicas_.begin(), service.replicas_.end(),
       [&fleet, now](const std::shared_ptr<ReplicaState>& replica) {
-        return replica->is_home_ && StandingOf(*fleet.view_, *replica, now) ==
-                                        ReplicaStanding::kUsable;
+        return replica->is_preferred_ &&
+               StandingOf(*fleet.view_, *replica, now) ==
+                   ReplicaStanding::kUsable;
       });
 }
 
 int ConnectionLimit(const FleetState& fleet,
                     const ServiceState& service,
                     const ReplicaState& replica,
-                    bool has_healthy_home) {
+                    bool has_healthy_preferred) {
   const double share = ConnectionShare(fleet, service, replica);
   const double least =
-      has_healthy_home ? 1.0 : EqualConnectionShare(fleet, service);
+      has_healthy_preferred ? 1.0 : EqualConnectionShare(fleet, service);
   return static_cast<int>(std::max({1.0, share, least}));
 }
 
--- a/src/traffic/connection_shares.h
+++ b/src/traffic/connection_shares.h
@@ -13,12 +13,12 @@
 /// without a replica are spread over all replicas by their names, so that each
 /// keeps connections to one of them. Every daemon that knows the same view
 /// comes to the same numbers.
-void AssignHomes(const FleetState& fleet, ServiceState& service);
+void AssignPreferredReplicas(const FleetState& fleet, ServiceState& service);
 
 /// @brief Whether a replica that this daemon prefers is healthy.
-[[nodiscard]] bool HasHealthyHome(const FleetState& fleet,
-                                  const ServiceState& service,
-                                  Instant now);
+[[nodiscard]] bool HasHealthyPreferredReplica(const FleetState& fleet,
+                                              const ServiceState& service,
+                                              Instant now);
 
 /// @brief Connections that this daemon may hold to one replica.
 ///
@@ -28,7 +28,7 @@
 [[nodiscard]] int ConnectionLimit(const FleetState& fleet,
                                   const ServiceState& service,
                                   const ReplicaState& replica,
-                                  bool has_healthy_home);
+                                  bool has_healthy_preferred);
 
 /// @brief Whether this daemon may keep an idle connection to the replica, so
 /// that all daemons together stay within the connections of the replica.
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -100,7 +100,7 @@
   fleet.view_ = std::move(view);
   for (auto& [name, service] : fleet.services_) {
     ApplyRollout(*service, *fleet.view_);
-    AssignHomes(fleet, *service);
+    AssignPreferredReplicas(fleet, *service);
   }
 }
 
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -29,11 +29,11 @@
   double reported_busy_ = 0;  ///< Running and waiting requests, all callers.
   Instant reported_at_{};
   std::vector<Instant> cold_sends_;  ///< Sends while cold, within a second.
-  /// Whether this daemon prefers the replica; see `AssignHomes`.
-  bool is_home_ = false;
-  double home_daemons_ = 0;   ///< Daemons that prefer the replica.
-  int idle_connections_ = 0;  ///< Kept by the connection pool.
-  int open_connections_ = 0;  ///< In use, idle or being opened.
+  /// Whether this daemon prefers the replica; see `AssignPreferredReplicas`.
+  bool is_preferred_ = false;
+  double preferring_daemons_ = 0;  ///< Daemons that prefer the replica.
+  int idle_connections_ = 0;       ///< Kept by the connection pool.
+  int open_connections_ = 0;       ///< In use, idle or being opened.
   /// Another process answered at the address; nothing more is sent there.
   bool misdirected_ = false;
 };
--- a/tests/traffic/connection_shares_test.cc
+++ b/tests/traffic/connection_shares_test.cc
@@ -54,7 +54,7 @@
 TEST_CASE("daemons without a local replica keep connections to one elsewhere",
           "[connections]") {
   const DaemonsByDomain daemons = {{"a", 19}, {"b", 19}, {"c", 19}, {"d", 19}};
-  std::map<std::string, int> homes;
+  std::map<std::string, int> preferred;
   for (int i = 0; i < 19; ++i) {
     Fleet fleet({MakeSingleRoute(RequestKind::kIdempotent)});
     fleet.state_.name_ = "d-" + std::to_string(i);
@@ -67,13 +67,13 @@
     int kept = 0;
     for (const auto& replica : service.replicas_) {
       if (MayKeepIdle(fleet.state_, service, *replica)) {
-        ++homes[replica->entry_.id_];
+        ++preferred[replica->entry_.id_];
         ++kept;
       }
     }
     CHECK(kept == 1);
   }
-  CHECK(homes.size() == 3);
+  CHECK(preferred.size() == 3);
 }
 
 // Pattern: the replica of the own failure domain is lost, so that the requests
