--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -1,6 +1,8 @@
 #ifndef CLEMENTINERILL_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
 #define CLEMENTINERILL_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -156,6 +158,27 @@
     return http::RunUntil(loop_, done);
   }
 
+  /// Registers daemons of another failure domain, which make the fleet large
+  /// enough for relays and do not run.
+  void AddDistantDaemons(int count) {
+    for (int i = 0; i < count; ++i) {
+      store_.Put("clementinerill-daemons", "far-" + std::to_string(i),
+                 {{"failure_domain", "z2"}});
+    }
+  }
+
+  bool AllReady() {
+    return std::all_of(daemons_.begin(), daemons_.end(),
+                       [this](const auto& d) { return IsReady(*d); });
+  }
+
+  bool AllUseVersion(int64_t version) {
+    return std::all_of(daemons_.begin(), daemons_.end(),
+                       [version](const auto& daemon) {
+                         return daemon->metrics_.version_.Value() == version;
+                       });
+  }
+
   bool IsReady(const Daemon& daemon) {
     return Get(daemon.options_.ready_listen_, "", "/ready").status_ == 200;
   }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -190,26 +190,14 @@
 TEST_CASE("most daemons of a large fleet do not call the store", "[gateway]") {
   World world;
   world.PutEverything();
-  for (int i = 0; i < 30; ++i) {
-    world.store_.Put("clementinerill-daemons", "far-" + std::to_string(i),
-                     {{"failure_domain", "z2"}});
-  }
+  world.AddDistantDaemons(30);
   for (const char* name : {"vm-1", "vm-2", "vm-3", "vm-4", "vm-5"}) {
     world.Start(world.Options(name));
   }
-  REQUIRE(world.Until([&] {
-    return std::all_of(
-        world.daemons_.begin(), world.daemons_.end(),
-        [&](const auto& daemon) { return world.IsReady(*daemon); });
-  }));
+  REQUIRE(world.Until([&] { return world.AllReady(); }));
   const int before = world.store_.calls_["GET config"];
   world.store_.Put("config", "main", World::Configuration(9));
-  REQUIRE(world.Until([&] {
-    return std::all_of(world.daemons_.begin(), world.daemons_.end(),
-                       [&](const auto& daemon) {
-                         return daemon->metrics_.version_.Value() == 9;
-                       });
-  }));
+  REQUIRE(world.Until([&] { return world.AllUseVersion(9); }));
   // One call of the watcher, and one more that was due.
   CHECK(world.store_.calls_["GET config"] - before <= 2);
 }
@@ -219,10 +207,7 @@
 TEST_CASE("the standby takes over from a lost watcher", "[gateway]") {
   World world;
   world.PutEverything();
-  for (int i = 0; i < 30; ++i) {
-    world.store_.Put("clementinerill-daemons", "far-" + std::to_string(i),
-                     {{"failure_domain", "z2"}});
-  }
+  world.AddDistantDaemons(30);
   // The most capacity makes it the watcher; nothing listens at its address.
   const uint16_t closed = FreePort(world.loop_);
   world.store_.Put("clementinerill-daemons", "lost",
@@ -232,20 +217,11 @@
   for (const char* name : {"vm-1", "vm-2", "vm-3", "vm-4", "vm-5"}) {
     world.Start(world.Options(name));
   }
-  REQUIRE(world.Until([&] {
-    return std::all_of(
-        world.daemons_.begin(), world.daemons_.end(),
-        [&](const auto& daemon) { return world.IsReady(*daemon); });
-  }));
+  REQUIRE(world.Until([&] { return world.AllReady(); }));
   const int before = world.store_.calls_["GET config"];
   const Instant changed = http::EventLoop::Now();
   world.store_.Put("config", "main", World::Configuration(9));
-  REQUIRE(world.Until([&] {
-    return std::all_of(world.daemons_.begin(), world.daemons_.end(),
-                       [&](const auto& daemon) {
-                         return daemon->metrics_.version_.Value() == 9;
-                       });
-  }));
+  REQUIRE(world.Until([&] { return world.AllUseVersion(9); }));
   CHECK(http::EventLoop::Now() - changed <=
         world.daemons_[0]->options_.change_bound_);
   CHECK(world.store_.calls_["GET config"] - before <= 2);
@@ -374,10 +350,7 @@
 TEST_CASE("daemons judge a version by what all of them saw", "[gateway]") {
   World world;
   world.PutEverything();
-  for (int i = 0; i < 30; ++i) {
-    world.store_.Put("clementinerill-daemons", "far-" + std::to_string(i),
-                     {{"failure_domain", "z2"}});
-  }
+  world.AddDistantDaemons(30);
   FakeReplica target(world.loop_, "t1");
   auto entry = target.Entry("hold");
   entry["version"] = "v2";
@@ -392,11 +365,7 @@
   for (int i = 0; i < 6; ++i) {
     world.Start(world.Options("vm-" + std::to_string(i)));
   }
-  REQUIRE(world.Until([&] {
-    return std::all_of(
-        world.daemons_.begin(), world.daemons_.end(),
-        [&](const auto& daemon) { return world.IsReady(*daemon); });
-  }));
+  REQUIRE(world.Until([&] { return world.AllReady(); }));
   // Two answers of the target version for each daemon.
   for (int i = 0; i < 400; ++i) {
     const size_t daemon = target.requests_.size() / 2;
