gateway: log every failed store call with its duration

The logs could not tell whether the daemon waited for an unanswered call, paused between calls, or held a half-open connection: after "store: lost" nothing was written until "store: regained", 10 to 18 s later.

Each failed call now gives a line with its duration and the revision of the copy ("store: still lost", rate limited), and gateway_store_copy_age_milliseconds shows how long ago the store confirmed the oldest copy. No decision is changed.

--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -39,6 +39,9 @@
             "Requests refused before a configuration was known.")),
         store_failures_(registry_.AddCounter("gateway_store_failures_total",
                                              "Failed calls of the store.")),
+        copy_age_(registry_.AddGauge(
+            "gateway_store_copy_age_milliseconds",
+            "Time since the store last confirmed the oldest copy.")),
         version_(registry_.AddGauge("gateway_configuration_version",
                                     "Version of the configuration in force.")),
         replicas_(registry_.AddGauge("gateway_replicas", "Known replicas.")),
@@ -56,6 +59,7 @@
   Counter& unrouted_;
   Counter& unconfigured_;
   Counter& store_failures_;
+  Gauge& copy_age_;
   Gauge& version_;
   Gauge& replicas_;
   LatencyRecorder& latency_;
--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -88,9 +88,16 @@
   request.target_ = codec_.list_target_(options_.kind_, after, false);
   request.timeout_ = std::min(kInitialListTimeout * (failures_ + 1),
                               Duration(kMaxListTimeout));
-  client_.Call(
-      std::move(request),
-      [this](const http::ClientResponse& response) { OnPage(response); });
+  Call(std::move(request), &KindWatch::OnPage);
+}
+
+void KindWatch::Call(http::ClientRequest request,
+                     void (KindWatch::*handler)(const http::ClientResponse&)) {
+  called_at_ = http::EventLoop::Now();
+  client_.Call(std::move(request),
+               [this, handler](const http::ClientResponse& response) {
+                 (this->*handler)(response);
+               });
 }
 
 void KindWatch::OnPage(const http::ClientResponse& response) {
@@ -127,9 +134,7 @@
   request.target_ =
       codec_.watch_target_(options_.kind_, mirror_.revision_, options_.wait_);
   request.timeout_ = Duration(options_.wait_) + kWatchTimeoutMargin;
-  client_.Call(
-      std::move(request),
-      [this](const http::ClientResponse& response) { OnEvents(response); });
+  Call(std::move(request), &KindWatch::OnEvents);
 }
 
 void KindWatch::OnEvents(const http::ClientResponse& response) {
@@ -174,11 +179,19 @@
   pending_list_ = {};
   ++failures_;
   metrics_.store_failures_.Increment();
+  const Instant now = http::EventLoop::Now();
+  const LogFields fields = {{"kind", options_.kind_},
+                            {"reason", reason},
+                            {"failures", failures_},
+                            {"waited_ms", ToMilliseconds(now - called_at_)},
+                            {"revision", mirror_.revision_}};
   if (failures_ == 1) {
-    Log(LogLevel::kWarning, "store", "lost",
-        {{"kind", options_.kind_}, {"reason", reason}});
+    Log(LogLevel::kWarning, "store", "lost", fields);
+  } else {
+    static RateLimitedLogger lines;
+    lines.Log(now, LogLevel::kInfo, "store", "still lost", fields);
   }
-  ScheduleStep(RetryDelay(failures_, options_.kind_, http::EventLoop::Now()));
+  ScheduleStep(RetryDelay(failures_, options_.kind_, now));
 }
 
 void KindWatch::RecordSuccess() {
--- a/src/gateway/kind_watch.h
+++ b/src/gateway/kind_watch.h
@@ -50,6 +50,8 @@
   void OnPage(const http::ClientResponse& reply);
   void OnEvents(const http::ClientResponse& reply);
   void ApplyChanges(const mirror::KindChanges& changes);
+  void Call(http::ClientRequest request,
+            void (KindWatch::*handler)(const http::ClientResponse&));
   void ScheduleRetry(const std::string& reason);
   void ScheduleStep(Duration pause);
   void RecordSuccess();
@@ -66,6 +68,7 @@
   bool active_ = false;
   bool needs_list_ = false;
   int failures_ = 0;
+  Instant called_at_{};  ///< When the last request was sent.
 };
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -370,10 +370,22 @@
   }
 }
 
+void StoreFollower::RecordCopyAge(Instant now) {
+  Duration oldest = Duration::zero();
+  for (const auto& [kind, followed] : kinds_) {
+    if (followed.must_be_fresh_ && followed.mirror_.confirmed_at_) {
+      oldest = std::max(oldest, mirror::Age(followed.mirror_, now));
+    }
+  }
+  metrics_.copy_age_.Set(ToMilliseconds(oldest));
+}
+
 void StoreFollower::Tick() {
-  relay_listener_.CheckTimeouts(false, http::EventLoop::Now());
+  const Instant now = http::EventLoop::Now();
+  relay_listener_.CheckTimeouts(false, now);
   ActivateWatches();
-  loop_.Timers().Add(http::EventLoop::Now() + kTickPeriod, [this] { Tick(); });
+  RecordCopyAge(now);
+  loop_.Timers().Add(now + kTickPeriod, [this] { Tick(); });
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -98,6 +98,7 @@
                               const mirror::RelayRequest& request,
                               bool even_if_unchanged);
   void ReplyToWaitingReaders();
+  void RecordCopyAge(Instant now);
   void Tick();
 
   http::EventLoop& loop_;
