gateway: replace unanswered store calls within the propagation bound

Cause: a call that the store receives while it is silent is never answered. A watch waited 8 s plus 1.5 s for it, much longer than the 3 s within which a change must be in force, and the call after a failure was again such a watch. The comment said that keep-alive probes detect a silent connection; they do, but the connection is alive, only the request is lost. The same holds for a response that is lost, and for a watch sent in a silence so short that no call fails. Class: a failure detector slower than the bound that depends on it.

Ruled out: the pause between tries (0.1 to 0.4 s in the logs); a half-open connection (keep-alive would end it after 3 s, not 9.5 s); older copies from relays (no relay is polled by a configured watcher).

Now a watch waits for the bound less the time to replace it (2.1 s of 3 s), an answer may take 0.6 s beyond that, 1.5 s at most after failures, and the first call after a failure waits 50 ms at the store. The bound includes contact_ms, after which a daemon counts as reachable again.

A wait of 8 s that is confirmed by one extra call after it is sent would cost less, but assumes that a waiting watch survives a silence and that its response is not lost.

--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -12,18 +12,23 @@
 
 using std::chrono::milliseconds;
 
-// A list normally takes milliseconds. An unresponsive store never answers the
-// request, so the first timeout is short to retry early. A slow store takes up
-// to about 60 times as long, so the timeout grows with each failure.
-constexpr Duration kInitialListTimeout = milliseconds(600);
-constexpr Duration kMaxListTimeout = milliseconds(3000);
-// A watch is answered at the end of its long-poll time at the latest; the
-// margin allows for a slow store.
-constexpr Duration kWatchTimeoutMargin = milliseconds(1500);
+// Time allowed for a response beyond the long-poll time. It normally takes
+// milliseconds; a slow store takes up to about 60 times as long, so the time
+// grows with each failure.
+constexpr Duration kInitialResponseTimeout = milliseconds(600);
+constexpr Duration kMaxResponseTimeout = milliseconds(1500);
+// Long-poll time after a failure: the response shows that the store is back.
+constexpr milliseconds kProbeWait{50};
 // Delay after a failed request. It doubles because the store counts refused
-// requests, and stays below the time within which changes must be known.
+// requests. With the longest timeout it stays below the time within which
+// changes must be known.
 constexpr BackoffPolicy kRetryBackoff{milliseconds(200), milliseconds(1000)};
 
+Duration ResponseTimeout(int failures) {
+  return std::min(kInitialResponseTimeout * (failures + 1),
+                  Duration(kMaxResponseTimeout));
+}
+
 // Adds jitter from the current time, so that daemons do not retry in step.
 Duration RetryDelay(int failures, const std::string& kind, Instant now) {
   const auto salt = static_cast<uint64_t>(now.time_since_epoch().count());
@@ -84,15 +89,16 @@
   const std::string after = pending_list_.upserted_.empty()
                                 ? ""
                                 : pending_list_.upserted_.back().name_;
-  http::ClientRequest request;
-  request.target_ = codec_.list_target_(options_.kind_, after, false);
-  request.timeout_ = std::min(kInitialListTimeout * (failures_ + 1),
-                              Duration(kMaxListTimeout));
-  Call(std::move(request), &KindWatch::OnPage);
+  Call(codec_.list_target_(options_.kind_, after, false), milliseconds(0),
+       &KindWatch::OnPage);
 }
 
-void KindWatch::Call(http::ClientRequest request,
+void KindWatch::Call(std::string target,
+                     milliseconds wait,
                      void (KindWatch::*handler)(const http::ClientResponse&)) {
+  http::ClientRequest request;
+  request.target_ = std::move(target);
+  request.timeout_ = wait + ResponseTimeout(failures_);
   called_at_ = http::EventLoop::Now();
   client_.Call(std::move(request),
                [this, handler](const http::ClientResponse& response) {
@@ -130,11 +136,10 @@
 }
 
 void KindWatch::Watch() {
-  http::ClientRequest request;
-  request.target_ =
-      codec_.watch_target_(options_.kind_, mirror_.revision_, options_.wait_);
-  request.timeout_ = Duration(options_.wait_) + kWatchTimeoutMargin;
-  Call(std::move(request), &KindWatch::OnEvents);
+  const milliseconds wait =
+      failures_ > 0 ? std::min(kProbeWait, options_.wait_) : options_.wait_;
+  Call(codec_.watch_target_(options_.kind_, mirror_.revision_, wait), wait,
+       &KindWatch::OnEvents);
 }
 
 void KindWatch::OnEvents(const http::ClientResponse& response) {
--- a/src/gateway/kind_watch.h
+++ b/src/gateway/kind_watch.h
@@ -13,10 +13,17 @@
 
 namespace clementinerill::gateway {
 
+/// @brief Time from the end of the long-poll time of a watch that the store
+/// does not answer until the next request has been answered.
+inline constexpr Duration kWatchRecoveryTime = std::chrono::milliseconds(900);
+
 /// @brief How the objects of one kind are watched.
 struct WatchOptions {
   std::string kind_;
-  std::chrono::milliseconds wait_{};  ///< Long-poll time of a watch.
+  /// Long-poll time of a watch. A request that the store receives while it is
+  /// unavailable is never answered, so changes may be missed for this time and
+  /// `kWatchRecoveryTime` after the store is back.
+  std::chrono::milliseconds wait_{};
   /// Delay after events before the next watch, so that changes in quick
   /// succession cost one request.
   Duration batch_delay_{};
@@ -50,7 +57,9 @@
   void OnPage(const http::ClientResponse& reply);
   void OnEvents(const http::ClientResponse& reply);
   void ApplyChanges(const mirror::KindChanges& changes);
-  void Call(http::ClientRequest request,
+  /// Sends a request that the store holds for up to `wait`.
+  void Call(std::string target,
+            std::chrono::milliseconds wait,
             void (KindWatch::*handler)(const http::ClientResponse&));
   void ScheduleRetry(const std::string& reason);
   void ScheduleStep(Duration pause);
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -24,10 +24,12 @@
 // store.
 constexpr double kStandbyFailoverShare = 0.1;
 constexpr double kReaderFailoverShare = 0.25;
-// Long-poll time when every daemon follows the store. Nobody then depends on
-// how often a watch is answered, and keep-alive probes detect a silent
-// connection.
-constexpr milliseconds kDirectWatchWait{8000};
+// Lower limit of the long-poll time when every daemon follows the store.
+constexpr Duration kMinDirectWatchWait = milliseconds(500);
+// Long-poll time for a kind whose copy may be out of date for some time.
+constexpr milliseconds kUnhurriedWatchWait{8000};
+// Upper limit of the long-poll time that a reader may request.
+constexpr milliseconds kMaxRelayWait{8000};
 // A relay answers at the end of the long-poll time at the latest; the margin
 // allows for a busy CPU.
 constexpr Duration kRelayTimeoutMargin = milliseconds(800);
@@ -52,6 +54,23 @@
   return std::chrono::duration_cast<milliseconds>(bound * share);
 }
 
+// Long-poll time of the watch of one kind. `relays`: other daemons depend on
+// the copy, so it must be confirmed more often. Otherwise it is the longest one
+// after which a watch that was never answered is replaced within the bound.
+milliseconds WatchWait(Duration max_propagation_delay,
+                       bool must_be_fresh,
+                       bool relays) {
+  if (!must_be_fresh) {
+    return kUnhurriedWatchWait;
+  }
+  if (relays) {
+    return ShareOf(max_propagation_delay, kWatchWaitShare);
+  }
+  return std::chrono::duration_cast<milliseconds>(
+      std::max(max_propagation_delay - kWatchRecoveryTime,
+               Duration(kMinDirectWatchWait)));
+}
+
 bool HasChanges(const mirror::KindChanges& changes) {
   return changes.is_full_list_ || !changes.upserted_.empty() ||
          !changes.removed_.empty();
@@ -87,8 +106,11 @@
   followed.must_be_fresh_ = must_be_fresh;
   followed.watch_ = std::make_unique<KindWatch>(
       loop_, options_.store_, options_.store_codec_, metrics_,
-      WatchOptions{kind, kDirectWatchWait, batch_delay}, followed.mirror_,
-      [this, kind](const mirror::KindChanges& changes) {
+      WatchOptions{
+          kind,
+          WatchWait(options_.max_propagation_delay_, must_be_fresh, false),
+          batch_delay},
+      followed.mirror_, [this, kind](const mirror::KindChanges& changes) {
         OnKindChanged(kind, changes);
       });
 }
@@ -124,10 +146,8 @@
     plan.role_ = mirror::RelayRole::kWatcher;
   }
   for (auto& [kind, followed] : kinds_) {
-    followed.watch_->SetWait(
-        relays && followed.must_be_fresh_
-            ? ShareOf(options_.max_propagation_delay_, kWatchWaitShare)
-            : kDirectWatchWait);
+    followed.watch_->SetWait(WatchWait(options_.max_propagation_delay_,
+                                       followed.must_be_fresh_, relays));
   }
   if (plan.role_ != plan_.role_) {
     Log(LogLevel::kInfo, "relay", "role changed",
@@ -318,7 +338,7 @@
   }
   const auto position =
       waiting_readers_.insert(waiting_readers_.end(), {caller, *decoded, {}});
-  const auto wait = std::min(decoded->wait_, kDirectWatchWait);
+  const auto wait = std::min(decoded->wait_, kMaxRelayWait);
   position->timer_ =
       loop_.Timers().Add(http::EventLoop::Now() + wait, [this, position] {
         const WaitingReader reader = *position;
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -52,6 +52,24 @@
     }
   }
 
+  /// While silent, requests are read and never answered, also not later, and
+  /// responses to pending watches are lost.
+  void SetSilent(bool silent) { silent_ = silent; }
+
+  /// Answers all pending watches without events, as at the end of their wait.
+  void EndWatches() {
+    for (const PendingWatch& pending : std::exchange(watches_, {})) {
+      ReplyEvents(pending);
+    }
+  }
+
+  /// Closes the connections of all pending watches.
+  void CutWatches() {
+    for (const PendingWatch& pending : std::exchange(watches_, {})) {
+      pending.caller_->Close();
+    }
+  }
+
   std::map<std::string, int> request_counts_;       ///< By method and kind.
   std::map<std::string, nlohmann::json> statuses_;  ///< By kind and name.
 
@@ -119,9 +137,12 @@
     }
   }
 
-  static void Respond(const Caller& caller,
-                      int status,
-                      const nlohmann::json& body) {
+  void Respond(const Caller& caller,
+               int status,
+               const nlohmann::json& body) const {
+    if (silent_) {
+      return;
+    }
     caller->Respond({status, {}, body.dump(), true}, false);
   }
 
@@ -141,6 +162,9 @@
         request.target_.find('?') - std::string("/objects/").size());
     const std::string kind = path.substr(0, path.find('/'));
     ++request_counts_[request.method_ + " " + kind];
+    if (silent_) {
+      return;
+    }
     if (down_) {
       Respond(caller, 503, nullptr);
       return;
@@ -206,6 +230,7 @@
   int64_t revision_ = 1;
   int64_t history_floor_ = 0;
   bool down_ = false;
+  bool silent_ = false;
 };
 
 }  // namespace clementinerill::gateway
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -161,6 +161,19 @@
     return http::RunUntil(loop_, done);
   }
 
+  void RunFor(Duration duration) {
+    const Instant end = http::EventLoop::Now() + duration;
+    RunUntil([end] { return http::EventLoop::Now() >= end; });
+  }
+
+  /// Time until all daemons use a configuration that is written now.
+  Duration TimeUntilInForce(int version) {
+    const Instant written = http::EventLoop::Now();
+    store_.Put("config", "main", Configuration(version));
+    RunUntil([&] { return AllUseVersion(version); });
+    return http::EventLoop::Now() - written;
+  }
+
   /// Registers daemons of another failure domain that do not run, so that the
   /// fleet is large enough for relays.
   void AddRemoteDaemons(int count) {
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -170,6 +170,16 @@
   CHECK(options->limits_.extra_attempts_.slack_ == 58);
 }
 
+// Guards against a copy of the store that is still out of date when the daemon
+// counts as reachable again after an outage.
+TEST_CASE("the contact bound limits the propagation delay", "[settings]") {
+  std::string text = kSettings;
+  text.replace(text.find("drain_ms:"), 0, "contact_ms: 2000, ");
+  const auto options = ParseNodeSettings(text, "boot.yaml");
+  REQUIRE(options);
+  CHECK(options->max_propagation_delay_ == milliseconds(2000));
+}
+
 // Guards against a daemon that starts with a wrong address, or that fails to
 // start without saying which setting is invalid.
 TEST_CASE("invalid settings are errors that name the field and the line",
