gateway: decode and log the rate limit that replicas name

A change of the limit gives a line ("replicas: rate limit named", rate limited), and the status page shows it. A response of another process at the address no longer changes the state of the replica that was expected there.

--- a/src/base/parse_number.h
+++ b/src/base/parse_number.h
@@ -2,6 +2,7 @@
 #define CLEMENTINERILL_BASE_PARSE_NUMBER_H_
 
 #include <charconv>
+#include <cmath>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -23,6 +24,23 @@
   return value;
 }
 
+/// @brief Parses a non-negative decimal number such as `34.1`.
+///
+/// Returns `std::nullopt` if the text is empty, negative, not finite, or
+/// contains anything but a number in fixed notation.
+[[nodiscard]] inline std::optional<double> ParseDecimal(
+    std::string_view text) noexcept {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] =
+      std::from_chars(text.data(), end, value, std::chars_format::fixed);
+  if (text.empty() || error != std::errc() || stop != end ||
+      !std::isfinite(value) || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 }  // namespace clementinerill
 
 #endif  // CLEMENTINERILL_BASE_PARSE_NUMBER_H_
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -8,7 +8,9 @@
 #include "base/parse_number.h"
 #include "gateway/caller_response.h"
 #include "gateway/query_log.h"
+#include "gateway/replica_report_decoder.h"
 #include "http/http_message.h"
+#include "logging/log.h"
 
 namespace clementinerill::gateway {
 namespace {
@@ -21,20 +23,6 @@
 // replica may have dropped a connection that was idle for longer.
 constexpr Duration kMaxIdleForNonIdempotent = std::chrono::milliseconds(1000);
 
-std::optional<traffic::ReportedLoad> ParseLoad(std::string_view text) {
-  std::array<int, 3> numbers{};
-  for (int& number : numbers) {
-    const size_t comma = std::min(text.find(','), text.size());
-    const auto value = ParseNumber(text.substr(0, comma));
-    if (!value) {
-      return std::nullopt;
-    }
-    number = static_cast<int>(*value);
-    text.remove_prefix(std::min(comma + 1, text.size()));
-  }
-  return traffic::ReportedLoad{numbers[0], numbers[1], numbers[2]};
-}
-
 // Parses the idle timeout of a `Keep-Alive` header such as
 // `timeout=5, max=100`.
 std::optional<Duration> ParseKeepAlive(std::string_view text) {
@@ -189,18 +177,22 @@
   return AttemptOutcome::kAnswered;
 }
 
-void QuerySession::RecordReportedState(traffic::ReplicaState& replica,
-                                       const http::HttpResponse& response,
-                                       Instant now) const {
-  const auto load = http::FindHeader(response.headers_, context_.names_.load_);
-  if (const auto parsed = ParseLoad(load)) {
-    traffic::RecordLoad(replica, *parsed, now);
-  }
-  const auto cold =
-      http::FindHeader(response.headers_, context_.names_.warmup_remaining_);
-  if (const auto milliseconds = ParseNumber(cold)) {
-    replica.entry_.cold_until_ = now + std::chrono::milliseconds(*milliseconds);
+void QuerySession::RecordReport(traffic::ReplicaState& replica,
+                                const http::HttpResponse& response,
+                                Instant now) const {
+  const std::optional<double> previous = replica.rate_limit_;
+  traffic::RecordReport(
+      replica, DecodeReplicaReport(response.headers_, context_.names_), now);
+  if (replica.rate_limit_ == previous) {
+    return;
   }
+  static RateLimitedLogger lines;
+  lines.Log(now, LogLevel::kInfo, "replicas",
+            replica.rate_limit_ ? "rate limit named" : "rate limit ended",
+            {{"replica", replica.entry_.id_},
+             {"service", replica.entry_.service_},
+             {"requests_per_s", replica.rate_limit_.value_or(0)},
+             {"previous", previous.value_or(0)}});
 }
 
 void QuerySession::OnExchange(traffic::SendAction action,
@@ -221,7 +213,11 @@
       query_.parts_[action.part_].attempts_[action.attempt_].replica_;
   const AttemptOutcome outcome = Classify(result);
   context_.metrics_.attempts_.Increment(outcome);
-  RecordReportedState(*replica, result.response_, now);
+  // Another process at the address says nothing about this replica.
+  if (result.outcome_ == ExchangeOutcome::kResponse &&
+      outcome != AttemptOutcome::kMisdirected) {
+    RecordReport(*replica, result.response_, now);
+  }
   const auto keep_alive =
       ParseKeepAlive(http::FindHeader(result.response_.headers_, "Keep-Alive"));
   traffic::ReplicaResponse response;
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -63,9 +63,9 @@
   void OnExchange(traffic::SendAction action, http::ExchangeResult result);
   [[nodiscard]] traffic::AttemptOutcome Classify(
       const http::ExchangeResult& result) const;
-  void RecordReportedState(traffic::ReplicaState& replica,
-                           const http::HttpResponse& response,
-                           Instant now) const;
+  void RecordReport(traffic::ReplicaState& replica,
+                    const http::HttpResponse& response,
+                    Instant now) const;
   void ArmTimer();
   void OnCallerDisconnected();
   void Respond(Instant now);
--- /dev/null
+++ b/src/gateway/replica_report_decoder.cc
@@ -0,0 +1,42 @@
+#include "gateway/replica_report_decoder.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+#include "base/parse_number.h"
+
+namespace clementinerill::gateway {
+namespace {
+
+std::optional<traffic::ReportedLoad> ParseLoad(std::string_view text) {
+  std::array<int, 3> numbers{};
+  for (int& number : numbers) {
+    const size_t comma = std::min(text.find(','), text.size());
+    const auto value = ParseNumber(text.substr(0, comma));
+    if (!value) {
+      return std::nullopt;
+    }
+    number = static_cast<int>(*value);
+    text.remove_prefix(std::min(comma + 1, text.size()));
+  }
+  return traffic::ReportedLoad{numbers[0], numbers[1], numbers[2]};
+}
+
+}  // namespace
+
+traffic::ReplicaReport DecodeReplicaReport(const http::Headers& headers,
+                                           const WireNames& names) {
+  traffic::ReplicaReport report;
+  report.load_ = ParseLoad(http::FindHeader(headers, names.load_));
+  const auto warmup =
+      ParseNumber(http::FindHeader(headers, names.warmup_remaining_));
+  if (warmup) {
+    report.warmup_remaining_ = std::chrono::milliseconds(*warmup);
+  }
+  report.rate_limit_ =
+      ParseDecimal(http::FindHeader(headers, names.rate_limit_));
+  return report;
+}
+
+}  // namespace clementinerill::gateway
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -32,6 +32,8 @@
       {"failures_in_row", replica.failures_in_row_},
       {"requests", replica.outstanding_.size()},
       {"estimated_busy", traffic::EstimatedBusy(replica, now)},
+      {"rate_limit",
+       replica.rate_limit_ ? json(*replica.rate_limit_) : json(nullptr)},
       {"connections", replica.open_connections_}};
 }
 
--- a/src/gateway/wire_names.h
+++ b/src/gateway/wire_names.h
@@ -15,8 +15,10 @@
   std::string load_;              ///< Running, waiting, slots of the replica.
   std::string not_executed_;      ///< Present if the request was not executed.
   std::string warmup_remaining_;  ///< Remaining warm-up of the replica in ms.
-  std::string part_signatures_;   ///< Signatures of the merged parts.
-  std::string missing_parts_;     ///< Number of parts left out of the result.
+  /// Requests per second that the replica accepts from all daemons.
+  std::string rate_limit_;
+  std::string part_signatures_;  ///< Signatures of the merged parts.
+  std::string missing_parts_;    ///< Number of parts left out of the result.
   std::string ready_path_;
 };
 
--- a/src/traffic/forward_declarations.h
+++ b/src/traffic/forward_declarations.h
@@ -12,6 +12,7 @@
 struct QueryPart;
 struct ReplicaDirectory;
 struct ReplicaEntry;
+struct ReplicaReport;
 struct ReplicaState;
 struct RouteRule;
 struct ServiceRule;
--- a/src/traffic/replica_state.cc
+++ b/src/traffic/replica_state.cc
@@ -145,9 +145,17 @@
   }
 }
 
-void RecordLoad(ReplicaState& replica, const ReportedLoad& load, Instant now) {
-  replica.reported_busy_ = load.running_ + load.waiting_;
-  replica.reported_at_ = now;
+void RecordReport(ReplicaState& replica,
+                  const ReplicaReport& report,
+                  Instant now) {
+  if (report.load_) {
+    replica.reported_busy_ = report.load_->running_ + report.load_->waiting_;
+    replica.reported_at_ = now;
+  }
+  if (report.warmup_remaining_) {
+    replica.entry_.cold_until_ = now + *report.warmup_remaining_;
+  }
+  replica.rate_limit_ = report.rate_limit_;
 }
 
 Duration StallDuration(const ReplicaState& replica, Instant now) {
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -7,7 +7,7 @@
 #include "base/time.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/replica_entry.h"
-#include "traffic/reported_load.h"
+#include "traffic/replica_report.h"
 
 namespace clementinerill::traffic {
 
@@ -28,6 +28,9 @@
   Instant ejected_until_{};
   double reported_busy_ = 0;  ///< Running and queued requests of all callers.
   Instant reported_at_{};
+  /// Requests per second that the replica accepts from all daemons, as named in
+  /// its last response; unset if it named none.
+  std::optional<double> rate_limit_;
   std::vector<Instant> cold_sends_;  ///< Sends of the last second while cold.
   /// Whether this daemon prefers the replica; see `AssignPreferredReplicas`.
   bool is_preferred_ = false;
@@ -53,8 +56,10 @@
                    Duration median_latency,
                    Instant now);
 
-/// @brief Records the load that the replica reported with a response.
-void RecordLoad(ReplicaState& replica, const ReportedLoad& load, Instant now);
+/// @brief Records what the replica reported with a response.
+void RecordReport(ReplicaState& replica,
+                  const ReplicaReport& report,
+                  Instant now);
 
 /// @brief Returns how long the replica has sent no response while requests are
 /// outstanding.
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -20,6 +20,7 @@
 #include "traffic/replica_directory.h"
 #include "traffic/replica_eligibility.h"
 #include "traffic/replica_entry.h"
+#include "traffic/replica_report.h"
 #include "traffic/replica_response.h"
 #include "traffic/replica_state.h"
 #include "traffic/reported_load.h"
