traffic: keep the rate limit that a replica names

Cause: nothing read the limit. Class: a signal of an upstream that no decision uses. Ruled out: a limit that each daemon keeps for itself alone, and second attempts beyond it: there was no reader of the header at all.

Each daemon now sends an equal share of the named rate. A permit expires after a second, and the permits of different daemons do not coincide, so all daemons together send at most what the replica accepts in the window and one second more, also after a time without requests and with 91 daemons. First attempts, retries and hedges all use permits; a request that was not sent returns its permit; hedges are not sent where permits are scarce. A request to one service waits a quarter of its objective at most. The limit ends with a response that names none.

Open: shares are equal, so a daemon with less traffic than others leaves permits unused while others refuse.

--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -54,7 +54,7 @@
   ReasonCounters<traffic::AttemptOutcome, 9> attempts_;
   Counter& hedges_;
   ReasonCounters<traffic::AttemptOutcome, 9> retries_;
-  ReasonCounters<traffic::PartFailureReason, 5> failed_parts_;
+  ReasonCounters<traffic::PartFailureReason, 6> failed_parts_;
   Counter& skipped_parts_;
   Counter& unrouted_;
   Counter& unconfigured_;
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -11,6 +11,7 @@
 #include "gateway/replica_report_decoder.h"
 #include "http/http_message.h"
 #include "logging/log.h"
+#include "traffic/record_report.h"
 
 namespace clementinerill::gateway {
 namespace {
@@ -181,8 +182,9 @@
                                 const http::HttpResponse& response,
                                 Instant now) const {
   const std::optional<double> previous = replica.rate_limit_;
-  traffic::RecordReport(
-      replica, DecodeReplicaReport(response.headers_, context_.names_), now);
+  traffic::RecordReport(context_.fleet_, replica,
+                        DecodeReplicaReport(response.headers_, context_.names_),
+                        now);
   if (replica.rate_limit_ == previous) {
     return;
   }
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -19,6 +19,9 @@
 // Sends beyond `max_attempts_` that a part may make after refusals that prove
 // that the request did not run.
 constexpr int kExtraSendsAfterRefusal = 1;
+// A request waits for a rate limit this share of its objective at most. Beyond
+// that it is refused, so that its caller can turn elsewhere in time.
+constexpr double kMaxPermitWaitShareOfObjective = 0.25;
 
 bool IsIdempotent(const Query& query) {
   return query.route_->kind_ == RequestKind::kIdempotent;
@@ -91,7 +94,9 @@
   }
   criteria.takes_target_version_ = TakesTargetVersion(query, part, now);
   ReplicaChoice choice = ChooseReplica(fleet, *part.service_, criteria, now);
-  if (choice.reason_ == NoReplicaReason::kUnavailable &&
+  const bool has_none = choice.reason_ == NoReplicaReason::kUnavailable ||
+                        choice.reason_ == NoReplicaReason::kRateLimited;
+  if (has_none &&
       MayUseOtherVersion(*part.service_, criteria.takes_target_version_)) {
     criteria.takes_target_version_ = !criteria.takes_target_version_;
     choice = ChooseReplica(fleet, *part.service_, criteria, now);
@@ -138,15 +143,30 @@
   part.failure_reason_ = reason;
 }
 
+bool MayWaitForPermit(const Query& query,
+                      const ReplicaChoice& choice,
+                      Instant now) {
+  const Duration max_wait =
+      Scale(query.route_->objective_, kMaxPermitWaitShareOfObjective);
+  return choice.permit_wait_ <= query.started_ + max_wait - now;
+}
+
 // Adds the first attempt of a part, or the next one after a failure, at the
 // chosen replica. Returns whether an attempt was added.
 bool TryAttempt(FleetState& fleet,
+                const Query& query,
                 QueryPart& part,
                 const ReplicaChoice& choice,
                 Instant now) {
   if (choice.reason_ == NoReplicaReason::kNoConnection) {
     return false;
   }
+  if (choice.reason_ == NoReplicaReason::kRateLimited) {
+    if (!MayWaitForPermit(query, choice, now)) {
+      FailPart(part, PartFailureReason::kRateLimited);
+    }
+    return false;
+  }
   if (choice.reason_ == NoReplicaReason::kUnavailable) {
     FailPart(part, PartFailureReason::kNoReplica);
     return false;
@@ -169,7 +189,10 @@
   if (choice.reason_ == NoReplicaReason::kNoConnection) {
     return false;
   }
-  if (choice.reason_ == NoReplicaReason::kUnavailable ||
+  // A hedge at a replica that gets more than it accepts would cost another
+  // query its first attempt.
+  if (choice.reason_ != NoReplicaReason::kNone ||
+      choice.rate_headroom_ < kScarceRateHeadroom ||
       !SpendExtra(fleet, part, ExtraAttemptUse::kHedge, now)) {
     part.hedge_refused_ = true;
     return false;
@@ -197,6 +220,13 @@
   return choices;
 }
 
+// Time until a part without an attempt looks for a replica again.
+Duration RetryInterval(const ReplicaChoice& choice) {
+  return choice.reason_ == NoReplicaReason::kRateLimited
+             ? std::max(choice.permit_wait_, Duration(kConnectionRetryInterval))
+             : kConnectionRetryInterval;
+}
+
 // `first` is the choice for the first attempt; null in later steps.
 void AdvancePart(FleetState& fleet,
                  Query& query,
@@ -214,10 +244,11 @@
       FailPart(part, PartFailureReason::kAttemptsUsed);
       return;
     }
-    added = TryAttempt(fleet, part,
-                       first ? *first : Choose(fleet, query, part, now), now);
+    const ReplicaChoice choice =
+        first ? *first : Choose(fleet, query, part, now);
+    added = TryAttempt(fleet, query, part, choice, now);
     if (!added && part.state_ == PartState::kPending) {
-      query.wake_at_ = std::min(query.wake_at_, now + kConnectionRetryInterval);
+      query.wake_at_ = std::min(query.wake_at_, now + RetryInterval(choice));
     }
   } else if (MayHedge(query, part) && HedgeTime(query, part) <= now) {
     added = TryHedge(fleet, query, part, now);
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -161,6 +161,31 @@
   return candidate;
 }
 
+// Permits at the eligible replicas of a service.
+struct RatePermits {
+  bool has_unlimited_replica_ = false;
+  double available_ = 0;
+  double most_ = 0;
+  Duration wait_ = Duration::max();
+
+  [[nodiscard]] double Headroom() const {
+    return has_unlimited_replica_ || most_ <= 0 ? 1.0 : available_ / most_;
+  }
+};
+
+void CountPermits(const ReplicaState& replica,
+                  Instant now,
+                  RatePermits& permits) {
+  if (!replica.rate_limit_) {
+    permits.has_unlimited_replica_ = true;
+    return;
+  }
+  const RateAllowance& allowance = replica.rate_allowance_;
+  permits.available_ += AvailablePermits(allowance, now);
+  permits.most_ += std::max(1.0, MostPermits(allowance));
+  permits.wait_ = std::min(permits.wait_, TimeUntilPermit(allowance, now));
+}
+
 bool IsBetter(const Candidate& a, const Candidate& b) {
   return a.tier_ != b.tier_ ? a.tier_ < b.tier_ : a.cost_ms_ < b.cost_ms_;
 }
@@ -175,6 +200,7 @@
   const size_t first = count == 0 ? 0 : fleet.rotation_++ % count;
   ReplicaChoice choice;
   std::optional<Candidate> best;
+  RatePermits permits;
   // Starts at a different replica each time to spread requests over equal ones.
   for (size_t i = 0; i < count; ++i) {
     const auto& replica = service.replicas_[(first + i) % count];
@@ -189,6 +215,13 @@
       }
       continue;
     }
+    CountPermits(*replica, now, permits);
+    if (!HasPermit(*replica, now)) {
+      if (choice.reason_ == NoReplicaReason::kUnavailable) {
+        choice.reason_ = NoReplicaReason::kRateLimited;
+      }
+      continue;
+    }
     const Candidate candidate =
         ScoreReplica(fleet, service, *replica, criteria, now);
     if (!best || IsBetter(candidate, *best)) {
@@ -201,6 +234,8 @@
     choice.failure_probability_ = FailureShare(*choice.replica_, now);
     choice.expected_latency_ = FromMilliseconds(best->latency_ms_);
   }
+  choice.rate_headroom_ = permits.Headroom();
+  choice.permit_wait_ = permits.wait_;
   return choice;
 }
 
--- a/src/traffic/choose_replica.h
+++ b/src/traffic/choose_replica.h
@@ -16,6 +16,9 @@
   /// Eligible replicas have no free connection or have reached their rate while
   /// cold; try again.
   kNoConnection,
+  /// All eligible replicas have reached the rate that they accept; another
+  /// request may be sent after `ReplicaChoice::permit_wait_`.
+  kRateLimited,
 };
 
 /// @brief The replica for one attempt, or the reason why there is none.
@@ -25,8 +28,16 @@
   Duration expected_latency_{};
   /// Probability that the attempt fails or is refused.
   double failure_probability_ = 0;
+  /// Permits of this daemon that are left at the eligible replicas, as a share
+  /// of the most that there can be; 1 if one of them has no rate limit.
+  double rate_headroom_ = 1;
+  Duration permit_wait_{};  ///< If rate limited.
 };
 
+/// @brief Below this `rate_headroom_`, the replicas of a service get more
+/// requests than they accept: with fewer, most permits are unused.
+inline constexpr double kScarceRateHeadroom = 0.3;
+
 /// @brief Inputs of the replica choice besides the state of the replicas.
 struct ReplicaCriteria {
   const RouteRule* route_ = nullptr;
@@ -42,8 +53,9 @@
 /// The cost is the expected latency plus penalties for a stall, a probable
 /// failure, a new connection and traffic between failure domains. A replica on
 /// probation with a request in flight ranks after all others, a leaving one
-/// last. Replicas in evacuated failure domains, ejected replicas and those that
-/// were already tried are never chosen.
+/// last. Replicas in evacuated failure domains, ejected replicas, those that
+/// have reached the rate that they accept and those that were already tried are
+/// never chosen.
 [[nodiscard]] ReplicaChoice ChooseReplica(FleetState& fleet,
                                           const ServiceState& service,
                                           const ReplicaCriteria& criteria,
--- a/src/traffic/forward_declarations.h
+++ b/src/traffic/forward_declarations.h
@@ -10,6 +10,7 @@
 struct FleetState;
 struct Query;
 struct QueryPart;
+struct RateAllowance;
 struct ReplicaDirectory;
 struct ReplicaEntry;
 struct ReplicaReport;
--- a/src/traffic/part_failure_reason.h
+++ b/src/traffic/part_failure_reason.h
@@ -14,15 +14,17 @@
   kNoReplica,       ///< No remaining replica may receive the request.
   kAttemptsUsed,    ///< The route allows no further attempt.
   kLimitReached,    ///< The budget for extra attempts is exhausted.
+  kRateLimited,     ///< All replicas have reached the rate that they accept.
 };
 
-inline constexpr std::array<NameEntry<PartFailureReason>, 5>
+inline constexpr std::array<NameEntry<PartFailureReason>, 6>
     kPartFailureReasonNames = {{
         {PartFailureReason::kNone, "none"},
         {PartFailureReason::kUnknownService, "unknown_service"},
         {PartFailureReason::kNoReplica, "no_replica"},
         {PartFailureReason::kAttemptsUsed, "attempts_used"},
         {PartFailureReason::kLimitReached, "limit_reached"},
+        {PartFailureReason::kRateLimited, "rate_limited"},
     }};
 
 }  // namespace clementinerill::traffic
--- /dev/null
+++ b/src/traffic/record_report.cc
@@ -0,0 +1,63 @@
+#include "traffic/record_report.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace clementinerill::traffic {
+namespace {
+
+// A response without a limit ends the limit only this long after the last one
+// that named it: responses on different connections overtake each other.
+constexpr Duration kRateLimitHold = std::chrono::milliseconds(500);
+// Lower bound of the rate of all daemons. Without any request a daemon would
+// not learn that the limit has ended.
+constexpr double kMinRequestsPerS = 0.5;
+
+// Fraction of the first permit that has passed; differs between daemons.
+double PhaseOf(const FleetState& fleet, const ReplicaState& replica) {
+  constexpr uint64_t kSteps = 1024;
+  const uint64_t step = Hash64(fleet.name_ + replica.entry_.id_) % kSteps;
+  return static_cast<double>(step) / static_cast<double>(kSteps);
+}
+
+void RecordRateLimit(const FleetState& fleet,
+                     ReplicaState& replica,
+                     const std::optional<double>& requests_per_s,
+                     Instant now) {
+  if (!requests_per_s) {
+    if (replica.rate_limit_ &&
+        now - replica.rate_limit_named_at_ >= kRateLimitHold) {
+      replica.rate_limit_.reset();
+    }
+    return;
+  }
+  const double share =
+      std::max(*requests_per_s, kMinRequestsPerS) / CountDaemons(*fleet.view_);
+  if (replica.rate_limit_) {
+    SetRate(replica.rate_allowance_, share, now);
+  } else {
+    replica.rate_allowance_ =
+        MakeRateAllowance(share, PhaseOf(fleet, replica), now);
+  }
+  replica.rate_limit_ = requests_per_s;
+  replica.rate_limit_named_at_ = now;
+}
+
+}  // namespace
+
+void RecordReport(const FleetState& fleet,
+                  ReplicaState& replica,
+                  const ReplicaReport& report,
+                  Instant now) {
+  if (report.load_) {
+    replica.reported_busy_ = report.load_->running_ + report.load_->waiting_;
+    replica.reported_at_ = now;
+  }
+  if (report.warmup_remaining_) {
+    replica.entry_.cold_until_ = now + *report.warmup_remaining_;
+  }
+  RecordRateLimit(fleet, replica, report.rate_limit_, now);
+}
+
+}  // namespace clementinerill::traffic
--- /dev/null
+++ b/src/traffic/record_report.h
@@ -0,0 +1,22 @@
+#ifndef CLEMENTINERILL_TRAFFIC_RECORD_REPORT_H_
+#define CLEMENTINERILL_TRAFFIC_RECORD_REPORT_H_
+
+#include "base/time.h"
+#include "traffic/fleet_state.h"
+#include "traffic/replica_report.h"
+
+namespace clementinerill::traffic {
+
+/// @brief Records what a replica reported with a response.
+///
+/// Of a rate limit this daemon may use an equal share, so that all daemons
+/// together stay within it without messages between them. The limit ends with a
+/// response that names none.
+void RecordReport(const FleetState& fleet,
+                  ReplicaState& replica,
+                  const ReplicaReport& report,
+                  Instant now);
+
+}  // namespace clementinerill::traffic
+
+#endif  // CLEMENTINERILL_TRAFFIC_RECORD_REPORT_H_
--- a/src/traffic/replica_state.cc
+++ b/src/traffic/replica_state.cc
@@ -77,6 +77,14 @@
   replica.ejected_until_ = now + ejection;
 }
 
+void RemoveOutstanding(ReplicaState& replica, Instant sent) {
+  auto& outstanding = replica.outstanding_;
+  const auto found = std::find(outstanding.begin(), outstanding.end(), sent);
+  if (found != outstanding.end()) {
+    outstanding.erase(found);
+  }
+}
+
 // Whether a response since `sent` has already shown the same stall.
 bool IsSameStall(const ReplicaState& replica, Instant sent, double ratio) {
   return ratio > 2.0 && replica.slowness_at_ > sent;
@@ -86,13 +94,15 @@
 
 void RecordSend(ReplicaState& replica, Instant now) {
   replica.outstanding_.push_back(now);
+  if (replica.rate_limit_) {
+    UsePermit(replica.rate_allowance_, now);
+  }
 }
 
 void CancelSend(ReplicaState& replica, Instant sent) {
-  auto& outstanding = replica.outstanding_;
-  const auto found = std::find(outstanding.begin(), outstanding.end(), sent);
-  if (found != outstanding.end()) {
-    outstanding.erase(found);
+  RemoveOutstanding(replica, sent);
+  if (replica.rate_limit_) {
+    ReturnPermit(replica.rate_allowance_);
   }
 }
 
@@ -101,7 +111,7 @@
                    Instant sent,
                    Duration median_latency,
                    Instant now) {
-  CancelSend(replica, sent);
+  RemoveOutstanding(replica, sent);
   switch (outcome) {
     case AttemptOutcome::kAnswered: {
       const double ratio = median_latency > Duration::zero()
@@ -145,19 +155,6 @@
   }
 }
 
-void RecordReport(ReplicaState& replica,
-                  const ReplicaReport& report,
-                  Instant now) {
-  if (report.load_) {
-    replica.reported_busy_ = report.load_->running_ + report.load_->waiting_;
-    replica.reported_at_ = now;
-  }
-  if (report.warmup_remaining_) {
-    replica.entry_.cold_until_ = now + *report.warmup_remaining_;
-  }
-  replica.rate_limit_ = report.rate_limit_;
-}
-
 Duration StallDuration(const ReplicaState& replica, Instant now) {
   if (replica.outstanding_.empty()) {
     return Duration::zero();
@@ -198,6 +195,11 @@
          replica.failure_share_ > kProbationFailures;
 }
 
+bool HasPermit(const ReplicaState& replica, Instant now) {
+  return !replica.rate_limit_ ||
+         AvailablePermits(replica.rate_allowance_, now) > 0;
+}
+
 bool IsCold(const ReplicaState& replica, Instant now) {
   return replica.entry_.cold_until_ && now < *replica.entry_.cold_until_;
 }
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -6,8 +6,8 @@
 
 #include "base/time.h"
 #include "traffic/attempt_outcome.h"
+#include "traffic/rate_allowance.h"
 #include "traffic/replica_entry.h"
-#include "traffic/replica_report.h"
 
 namespace clementinerill::traffic {
 
@@ -31,6 +31,8 @@
   /// Requests per second that the replica accepts from all daemons, as named in
   /// its last response; unset if it named none.
   std::optional<double> rate_limit_;
+  Instant rate_limit_named_at_{};
+  RateAllowance rate_allowance_;     ///< While there is a rate limit.
   std::vector<Instant> cold_sends_;  ///< Sends of the last second while cold.
   /// Whether this daemon prefers the replica; see `AssignPreferredReplicas`.
   bool is_preferred_ = false;
@@ -44,7 +46,8 @@
 /// @brief Records a request that is sent to the replica.
 void RecordSend(ReplicaState& replica, Instant now);
 
-/// @brief Removes a recorded send that did not take place.
+/// @brief Removes a recorded send that did not take place, and returns its
+/// permit.
 void CancelSend(ReplicaState& replica, Instant sent);
 
 /// @brief Records the outcome of an attempt that was sent at `sent`.
@@ -56,11 +59,6 @@
                    Duration median_latency,
                    Instant now);
 
-/// @brief Records what the replica reported with a response.
-void RecordReport(ReplicaState& replica,
-                  const ReplicaReport& report,
-                  Instant now);
-
 /// @brief Returns how long the replica has sent no response while requests are
 /// outstanding.
 [[nodiscard]] Duration StallDuration(const ReplicaState& replica, Instant now);
@@ -85,6 +83,10 @@
 /// one request at a time until responses show that it has recovered.
 [[nodiscard]] bool IsOnProbation(const ReplicaState& replica);
 
+/// @brief Whether the rate limit of the replica, if it has named one, allows
+/// this daemon to send a request.
+[[nodiscard]] bool HasPermit(const ReplicaState& replica, Instant now);
+
 [[nodiscard]] bool IsCold(const ReplicaState& replica, Instant now);
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/skip_overloaded_parts.cc
+++ b/src/traffic/skip_overloaded_parts.cc
@@ -23,28 +23,55 @@
   return static_cast<size_t>(std::max(0.0, std::round(usable - required)));
 }
 
+bool IsScarce(const ReplicaChoice& choice) {
+  return choice.rate_headroom_ < kScarceRateHeadroom;
+}
+
+// Whether `a` is skipped before `b`.
+bool SkipsBefore(const ReplicaChoice& a, const ReplicaChoice& b) {
+  if (IsScarce(a) || IsScarce(b)) {
+    return a.rate_headroom_ < b.rate_headroom_;
+  }
+  return a.expected_latency_ > b.expected_latency_;
+}
+
+void SkipRateLimitedParts(Query& query,
+                          const std::vector<ReplicaChoice>& choices) {
+  for (size_t i = 0; i < choices.size(); ++i) {
+    if (choices[i].reason_ == NoReplicaReason::kRateLimited) {
+      query.parts_[i].state_ = PartState::kSkipped;
+    }
+  }
+}
+
 }  // namespace
 
 void SkipOverloadedParts(Query& query,
                          const std::vector<ReplicaChoice>& choices,
                          Instant now) {
+  if (!IsFanOut(*query.route_)) {
+    return;
+  }
+  SkipRateLimitedParts(query, choices);
   const size_t spare = CountSpareParts(query, choices);
   if (spare == 0) {
     return;
   }
   const auto limit =
       Scale(query.partial_response_at_ - now, kExpectedLatencyFactor);
-  std::vector<size_t> slow;
+  std::vector<size_t> overloaded;
   for (size_t i = 0; i < choices.size(); ++i) {
-    if (choices[i].replica_ && choices[i].expected_latency_ > limit) {
-      slow.push_back(i);
+    if (choices[i].replica_ &&
+        (IsScarce(choices[i]) || choices[i].expected_latency_ > limit)) {
+      overloaded.push_back(i);
     }
   }
-  std::sort(slow.begin(), slow.end(), [&choices](size_t a, size_t b) {
-    return choices[a].expected_latency_ > choices[b].expected_latency_;
-  });
-  slow.resize(std::min(slow.size(), spare));
-  for (const size_t part : slow) {
+  std::sort(overloaded.begin(), overloaded.end(),
+            [&choices](size_t a, size_t b) {
+              return SkipsBefore(choices[a], choices[b]);
+            });
+  overloaded.resize(std::min(overloaded.size(), spare));
+  for (const size_t part : overloaded) {
     query.parts_[part].state_ = PartState::kSkipped;
   }
 }
--- a/src/traffic/skip_overloaded_parts.h
+++ b/src/traffic/skip_overloaded_parts.h
@@ -7,8 +7,12 @@
 
 namespace clementinerill::traffic {
 
-/// @brief Skips parts of a fan-out query that are expected to miss the time of
-/// the response, slowest first, as far as the minimum coverage allows.
+/// @brief Skips parts of a fan-out query whose replicas are overloaded.
+///
+/// A part whose replicas have all reached the rate that they accept is always
+/// skipped. Further ones are skipped as far as the minimum coverage allows:
+/// those whose replicas get more requests than they accept, then those expected
+/// to miss the time of the response, slowest first.
 ///
 /// If several shards are overloaded, successive queries skip different ones,
 /// which reduces the load of all: a timely response without one shard is worth
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -17,6 +17,8 @@
 #include "traffic/part_failure_reason.h"
 #include "traffic/query.h"
 #include "traffic/query_outcome.h"
+#include "traffic/rate_allowance.h"
+#include "traffic/record_report.h"
 #include "traffic/replica_directory.h"
 #include "traffic/replica_eligibility.h"
 #include "traffic/replica_entry.h"
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -45,6 +45,8 @@
          std::string(http::FindHeader(request.headers_, "X-Request-Id"))},
         {"X-Server-Stamp", "stamp-" + id_},
         {"X-Server-Load", "1,0,4"}};
+    response.headers_.insert(response.headers_.end(), extra_headers_.begin(),
+                             extra_headers_.end());
     response.body_ = std::string(16, id_[0]);
     caller->Respond(response, false);
   }
@@ -66,6 +68,7 @@
   http::Listener listener_;
   uint16_t port_ = 0;
   std::vector<http::HttpRequest> requests_;
+  http::Headers extra_headers_;  ///< Added to each response.
   std::function<void(const Caller&, const http::HttpRequest&)> handler_;
 };
 
@@ -146,6 +149,7 @@
     options.caller_listen_ = {"127.0.0.1", FreePort(loop_)};
     options.ready_listen_ = {"127.0.0.1", FreePort(loop_)};
     options.relay_listen_ = Endpoint{"127.0.0.1", FreePort(loop_)};
+    options.metrics_listen_ = Endpoint{"127.0.0.1", FreePort(loop_)};
     options.store_ = {"127.0.0.1", store_.Port()};
     options.names_ = platform_adapter::PlatformWireNames();
     options.store_codec_ = platform_adapter::MakeStoreCodec();
@@ -199,6 +203,14 @@
     return Get(daemon.options_.ready_listen_, "", "/ready").status_ == 200;
   }
 
+  /// Whether the daemon knows the registered daemons, by which it shares
+  /// limits.
+  bool IsRegistered(const Daemon& daemon) {
+    const auto status = nlohmann::json::parse(
+        Get(*daemon.options_.metrics_listen_, "", "/status").body_);
+    return !status["daemons"].empty();
+  }
+
   /// Sends a request on a new connection. The status is 0 if the connection was
   /// closed without a response.
   http::HttpResponse Get(const Endpoint& endpoint,
--- a/tests/traffic/fleet_fixture.h
+++ b/tests/traffic/fleet_fixture.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINERILL_TESTS_TRAFFIC_FLEET_FIXTURE_H_
 #define CLEMENTINERILL_TESTS_TRAFFIC_FLEET_FIXTURE_H_
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <utility>
@@ -17,6 +18,19 @@
   return Instant(seconds(1000)) + since_start;
 }
 
+/// The most of these times, in ascending order, that lie within one window.
+inline int MostWithin(Duration window, const std::vector<Instant>& times) {
+  size_t most = 0;
+  size_t first = 0;
+  for (size_t i = 0; i < times.size(); ++i) {
+    while (times[i] - times[first] >= window) {
+      ++first;
+    }
+    most = std::max(most, i - first + 1);
+  }
+  return static_cast<int>(most);
+}
+
 inline ReplicaEntry MakeReplica(const std::string& id,
                                 const std::string& service,
                                 const std::string& domain,
--- a/tests/traffic/load_model.h
+++ b/tests/traffic/load_model.h
@@ -18,8 +18,10 @@
 /// Simulated behaviour of one replica.
 struct ReplicaBehaviour {
   double slow_factor_ = 1.0;
-  double shed_share_ = 0.0;       ///< Share refused at once, before running.
-  double failure_share_ = 0.0;    ///< Share run with a failure as response.
+  double shed_share_ = 0.0;     ///< Share refused at once, before running.
+  double failure_share_ = 0.0;  ///< Share run with a failure as response.
+  /// Requests per second that the replica names as its limit; 0: none.
+  double rate_limit_ = 0;
   bool is_unresponsive_ = false;  ///< Accepts requests and never responds.
   Duration pause_{};              ///< Length of a pause.
   Duration pause_every_{};        ///< Interval between starts of pauses.
@@ -61,6 +63,8 @@
 
   Fleet fleet_;
   std::map<std::string, ReplicaBehaviour> behaviours_;  ///< By replica id.
+  /// Arrivals at replicas with a rate limit, by replica id.
+  std::map<std::string, std::vector<Instant>> arrivals_;
 
   LoadResult Simulate(Duration length) {
     end_ = At(length);
@@ -141,13 +145,27 @@
              [this, request, outcome](Instant at) {
                RecordAttemptOutcome(fleet_.state_, *request.query_,
                                     request.action_, outcome, {}, at);
+               RecordLimit(request, at);
                Step(request.query_, at);
              });
   }
 
+  void RecordLimit(const Request& request, Instant now) {
+    const auto& part = request.query_->parts_[request.action_.part_];
+    ReplicaState& replica = *part.attempts_[request.action_.attempt_].replica_;
+    ReplicaReport report;
+    if (const double limit = behaviours_[replica.entry_.id_].rate_limit_) {
+      report.rate_limit_ = limit;
+    }
+    RecordReport(fleet_.state_, replica, report, now);
+  }
+
   void Deliver(const Request& request, Instant now) {
     const ReplicaState& replica = ReplicaOf(request);
     const ReplicaBehaviour& behaviour = behaviours_[replica.entry_.id_];
+    if (behaviour.rate_limit_ > 0) {
+      arrivals_[replica.entry_.id_].push_back(now);
+    }
     if (behaviour.is_unresponsive_) {
       Schedule(request.query_->deadline_, [this, request](Instant at) {
         RecordAttemptOutcome(fleet_.state_, *request.query_, request.action_,
--- a/tests/traffic/load_test.cc
+++ b/tests/traffic/load_test.cc
@@ -1,4 +1,7 @@
+#include <algorithm>
+#include <iterator>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -32,6 +35,15 @@
   }
 }
 
+std::vector<Instant> After(Duration since_start,
+                           const std::vector<Instant>& arrivals) {
+  std::vector<Instant> later;
+  std::copy_if(
+      arrivals.begin(), arrivals.end(), std::back_inserter(later),
+      [since_start](Instant arrival) { return arrival >= At(since_start); });
+  return later;
+}
+
 // Each replica pauses for 150 ms every 3.6 s. Guards against fan-out queries
 // that wait for the end of a pause, and against unnecessary extra attempts.
 TEST_CASE("hedges cover pauses of replicas", "[load]") {
@@ -140,6 +152,34 @@
   CHECK(result.InTimeRatio() >= 0.9);
 }
 
+// All replicas of three of ten shards accept about half of the requests that
+// they get. Guards against sending them more than this daemon's share of what
+// they accept, against fan-out queries that wait for them although each could
+// skip one, and against refusing more queries than the limits require.
+TEST_CASE("the replicas of several shards name a rate limit", "[load]") {
+  constexpr int kDaemons = 9;
+  constexpr double kLimit = 32;
+  LoadModel model(FanOutRoute(), 20, 8, kDaemons);
+  AddPauses(model);
+  for (const int shard : {0, 3, 5}) {
+    for (const char* domain : {"a", "b", "c"}) {
+      model.behaviours_[Id(shard, domain)].rate_limit_ = kLimit;
+    }
+  }
+  const LoadResult result = model.Simulate(seconds(40));
+  // The first seconds, in which the limits are not known yet, do not count.
+  for (const auto& [id, arrivals] : model.arrivals_) {
+    const double share = kLimit / kDaemons;
+    CHECK(MostWithin(seconds(4), After(seconds(1), arrivals)) <= share * 5 + 1);
+  }
+  INFO("in time " << result.InTimeRatio() << ", refused " << result.refused_
+                  << ", failed " << result.failed_ << " of "
+                  << result.queries_);
+  // With one of the three shards skipped each, 80% of the queries find permits.
+  CHECK(result.InTimeRatio() >= 0.7);
+  CHECK(result.longest_refusal_ == Duration::zero());
+}
+
 // Two of ten shards are lost, which leaves less than the minimum coverage.
 // Guards against callers that wait although they cannot be served.
 TEST_CASE("queries are refused at once when too many shards are lost",
