http: end responses that come without end

What can happen: a replica in trouble sends bytes that are no response until the caller closes.

Cause: the parser limits the head and the body, but not what frames them, and the connection had no limit of its own. Bytes that do not form an element are now limited to 64 KiB and interim responses to 16; then the exchange is garbled and the connection is closed.

client_connection_test "a response without end is reported as garbled" failed before for 4 of its 10 forms (no outcome within 5 s) and passes. On the side of callers read-ahead was limited to 64 KiB already.

"a response that ends early is broken wherever it ends" cuts a framed, a chunked and an unframed response at each byte. It passes before and after: the report of a 200 with an empty body for a replica that stops in its head cannot happen here.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -13,6 +13,17 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+namespace {
+
+// Limit of received bytes that do not yet form a complete element of the
+// response, such as a chunk header or the trailers; the parser has no limit for
+// these.
+constexpr size_t kMaxUnparsedBytes = 64 * 1024;
+// Limit of interim responses before the final one.
+constexpr int kMaxInterimResponses = 16;
+
+}  // namespace
+
 ClientConnection::ClientConnection(EventLoop& loop,
                                    const std::string& address,
                                    uint16_t port,
@@ -66,6 +77,7 @@
   busy_ = true;
   sent_ = false;
   written_ = 0;
+  interim_responses_ = 0;
   ResetParser();
   if (connected_) {
     Write();
@@ -172,14 +184,14 @@
       HandleResponse();
       continue;
     }
-    if (error == boost::beast::http::error::need_more) {
-      return;
-    }
-    if (error) {
+    if (error && error != boost::beast::http::error::need_more) {
       Finish(ExchangeOutcome::kGarbled);
       return;
     }
-    if (used == 0) {
+    if (error || used == 0) {
+      if (input_.size() > kMaxUnparsedBytes) {
+        Finish(ExchangeOutcome::kGarbled);
+      }
       return;
     }
   }
@@ -204,7 +216,11 @@
   response.headers_ = CopyHeaders(message);
   response.body_ = std::move(message.body());
   if (response.status_ < 200) {
-    ResetParser();  // Interim response; the final one follows.
+    if (++interim_responses_ > kMaxInterimResponses) {
+      Finish(ExchangeOutcome::kGarbled);
+      return;
+    }
+    ResetParser();  // The final response follows.
     return;
   }
   if (request_.is_matching_response_ &&
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -22,7 +22,7 @@
   kResponse,  ///< A complete response to the request was received.
   kNotSent,   ///< The connection failed before any byte was written.
   kBroken,    ///< The connection closed before the response was complete.
-  kGarbled,   ///< Malformed, mismatched or too long response.
+  kGarbled,   ///< Malformed, mismatched, too long or endless response.
 };
 
 struct ExchangeResult {
@@ -114,6 +114,7 @@
   std::string input_;
   ExchangeRequest request_;
   size_t written_ = 0;
+  int interim_responses_ = 0;  ///< Received for this request.
   Handler handler_;
   std::optional<Parser> parser_;
   std::function<void()> on_closed_;
--- a/tests/http/client_connection_test.cc
+++ b/tests/http/client_connection_test.cc
@@ -79,6 +79,26 @@
   CHECK(exchange.Run("1").outcome_ == ExchangeOutcome::kBroken);
 }
 
+// Guards against a replica that stops anywhere in its response, above all in
+// the head, and closes: a head that ends early must not pass for a response
+// with an empty body, or with fewer headers than the replica sent.
+TEST_CASE("a response that ends early is broken wherever it ends", "[client]") {
+  const std::string framed = Ok("1", "whole body");
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nwhole\r\n5\r\n body\r\n0\r\n\r\n";
+  const std::string unframed_head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n";
+  for (const std::string& whole : {framed, chunked, unframed_head}) {
+    for (size_t length = 0; length < whole.size(); ++length) {
+      Exchange exchange([&whole, length](const std::string&) {
+        return TestServer::Reply{whole.substr(0, length), true};
+      });
+      INFO(whole.substr(0, length));
+      CHECK(exchange.Run("1").outcome_ == ExchangeOutcome::kBroken);
+    }
+  }
+}
+
 // Guards against losing a response without Content-Length, which ends when the
 // server closes the connection.
 TEST_CASE("a response may be delimited by the end of the connection",
@@ -110,6 +130,37 @@
   CHECK(exchange.Run("1").outcome_ == ExchangeOutcome::kGarbled);
 }
 
+// Guards against a replica that sends bytes without end, in a head or a body,
+// until the client closes: they must neither fill the memory of a VM nor keep
+// the exchange open.
+TEST_CASE("a response without end is reported as garbled", "[client]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(1000, 'x');
+  struct Endless {
+    const char* part_;
+    std::string begin_;
+    std::string repeated_;
+  };
+  const auto endless = GENERATE_COPY(values<Endless>({
+      {"bytes that are no response", "", filler},
+      {"status line", "HTTP/1.1 200 ", filler},
+      {"header", head + "X-Long: ", filler},
+      {"headers", head, "X-Many: " + filler + "\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"body up to the end of the connection", head + "\r\n", filler},
+      {"chunked body", chunked, "3e8\r\n" + filler + "\r\n"},
+      {"chunk size", chunked, std::string(1000, '0')},
+      {"chunk extension", chunked + "5;name=", filler},
+      {"trailers", chunked + "0\r\n", "X-Many: " + filler + "\r\n"},
+  }));
+  Exchange exchange([&endless](const std::string&) {
+    return TestServer::Reply{endless.begin_, false, endless.repeated_};
+  });
+  INFO(endless.part_);
+  CHECK(exchange.Run("1").outcome_ == ExchangeOutcome::kGarbled);
+}
+
 // Guards against treating a refused connection as a request that may have been
 // executed.
 TEST_CASE("a refused connection is reported as not sent", "[client]") {
--- a/tests/http/test_server.h
+++ b/tests/http/test_server.h
@@ -21,6 +21,8 @@
   struct Reply {
     std::string bytes_;   ///< Written unchanged.
     bool close_ = false;  ///< Whether to close the connection afterwards.
+    /// If not empty, written again and again until the client closes.
+    std::string repeated_ = {};
   };
   /// Called with the header section of each request.
   using Handler = std::function<Reply(const std::string& head)>;
@@ -74,11 +76,27 @@
                 if (failed || reply.close_) {
                   return;
                 }
+                if (!reply.repeated_.empty()) {
+                  Repeat(session, reply.repeated_);
+                  return;
+                }
                 Serve(session);
               });
         });
   }
 
+  void Repeat(const std::shared_ptr<Session>& session,
+              const std::string& bytes) {
+    session->output_ = bytes;
+    boost::asio::async_write(
+        session->socket_, boost::asio::buffer(session->output_),
+        [this, session, bytes](const auto& failed, size_t /*size*/) {
+          if (!failed) {
+            Repeat(session, bytes);
+          }
+        });
+  }
+
   boost::asio::ip::tcp::acceptor acceptor_;
   Handler handler_;
   int connections_ = 0;
