gateway: refuse requests that a stopping daemon cannot answer

What callers saw elsewhere, and what happens here: a request that comes late in a planned stop, for example from a slow sender, was passed on to a replica.

Cause: while stopping, the daemon looked only at idle connections; a request was taken as long as the process ran, with the whole time of its caller. Now it is refused with 503 and Retry-After if less than twice the 90th percentile of its route is left, 100 ms at least, and a request that is taken gets no more time than is left.

gateway_test "requests late in a shutdown are refused and not passed on" failed before (neither request got 503, the replica got them) and passes. Ruled out: idle connections (closed at 2.8 s of 6 s) and requests taken before the stop (answered when the daemon ends its queries).

--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -37,6 +37,10 @@
         unconfigured_(registry_.AddCounter(
             "gateway_unconfigured_total",
             "Requests refused before a configuration was known.")),
+        refused_stopping_(registry_.AddCounter(
+            "gateway_refused_stopping_total",
+            "Requests refused because the daemon stops before it could answer "
+            "them.")),
         store_failures_(registry_.AddCounter("gateway_store_failures_total",
                                              "Failed calls of the store.")),
         copy_age_(registry_.AddGauge(
@@ -58,6 +62,7 @@
   Counter& skipped_parts_;
   Counter& unrouted_;
   Counter& unconfigured_;
+  Counter& refused_stopping_;
   Counter& store_failures_;
   Gauge& copy_age_;
   Gauge& version_;
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -24,14 +24,26 @@
 // The last responses are sent this long before the process is killed.
 constexpr Duration kKillMargin = milliseconds(700);
 
-// `Retry-After` of a daemon that has no configuration yet. It is short because
-// other daemons usually have one.
-constexpr double kUnconfiguredRetryAfterS = 0.1;
+// `Retry-After` if only this daemon cannot serve the request, because it has no
+// configuration yet or is stopping. Short, as others can.
+constexpr double kOtherDaemonRetryAfterS = 0.1;
+
+// A stopping daemon takes a request only if this multiple of the 90th
+// percentile of its route is left until the last responses are sent; it covers
+// a retry.
+constexpr double kServeTimeFactor = 2.0;
+// Lower bound of that time.
+constexpr Duration kMinServeTime = milliseconds(100);
 
 // Paths of the status page: all services, or the one whose name follows.
 constexpr std::string_view kStatusPath = "/status";
 constexpr std::string_view kServiceStatusPath = "/status/";
 
+Duration ServeTime(Duration latency_p90) {
+  return std::max(Duration(kMinServeTime),
+                  Scale(latency_p90, kServeTimeFactor));
+}
+
 bool IsPrefix(std::string_view prefix, std::string_view text) {
   return text.substr(0, prefix.size()) == prefix;
 }
@@ -154,7 +166,7 @@
       "refused without a configuration",
       {{"id", http::FindHeader(request.headers_, options_.names_.request_id_)},
        {"status", 503}});
-  caller->Respond(RefusalResponse(kUnconfiguredRetryAfterS), draining_);
+  caller->Respond(RefusalResponse(kOtherDaemonRetryAfterS), draining_);
 }
 
 void TrafficServer::RejectUnrouted(const Caller& caller,
@@ -173,6 +185,18 @@
   caller->Respond(response, draining_);
 }
 
+void TrafficServer::RejectStopping(const Caller& caller,
+                                   const http::HttpRequest& request) {
+  static RateLimitedLogger lines;
+  metrics_.refused_stopping_.Increment();
+  lines.Log(
+      http::EventLoop::Now(), LogLevel::kWarning, "query",
+      "refused while stopping",
+      {{"id", http::FindHeader(request.headers_, options_.names_.request_id_)},
+       {"status", 503}});
+  caller->Respond(RefusalResponse(kOtherDaemonRetryAfterS), true);
+}
+
 void TrafficServer::OnRequest(const Caller& caller, http::HttpRequest request) {
   if (!fleet_.view_->configuration_) {
     RejectUnconfigured(caller, request);
@@ -200,7 +224,15 @@
                           const traffic::RouteRule& route) {
   const Instant now = http::EventLoop::Now();
   const Duration elapsed = now - caller->RequestStart();
-  const Duration timeout = RequestTimeout(request, route) - elapsed;
+  Duration timeout = RequestTimeout(request, route) - elapsed;
+  if (drain_started_) {
+    const Duration left = ServeEnd() - now;
+    if (left < ServeTime(traffic::RouteLatency(fleet_, route).P90())) {
+      RejectStopping(caller, request);
+      return;
+    }
+    timeout = std::min(timeout, left);
+  }
   std::string id(
       http::FindHeader(request.headers_, options_.names_.request_id_));
   auto query = traffic::StartQuery(fleet_, route, std::move(id), timeout, now);
@@ -249,12 +281,16 @@
   stopped_ = std::move(stopped);
 }
 
+Instant TrafficServer::ServeEnd() const {
+  return *drain_started_ + stop_grace_ - kKillMargin;
+}
+
 void TrafficServer::CheckDrain(Instant now) {
   if (!drain_started_ || now - *drain_started_ < kBalancerDelay) {
     return;
   }
   caller_listener_.StopAccepting();
-  const bool must_end = now - *drain_started_ >= stop_grace_ - kKillMargin;
+  const bool must_end = now >= ServeEnd();
   if (must_end) {
     for (const auto& weak : sessions_) {
       if (const auto session = weak.lock()) {
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -58,6 +58,7 @@
                          const http::HttpRequest& request);
   void RejectUnconfigured(const Caller& caller,
                           const http::HttpRequest& request);
+  void RejectStopping(const Caller& caller, const http::HttpRequest& request);
   void RejectUnrouted(const Caller& caller, const http::HttpRequest& request);
   void Serve(const Caller& caller,
              http::HttpRequest request,
@@ -67,6 +68,8 @@
   [[nodiscard]] bool IsReady() const;
   void Tick();
   void CheckDrain(Instant now);
+  /// When a stopping daemon sends its last responses.
+  [[nodiscard]] Instant ServeEnd() const;
   void ReportRolloutEvidence();
   void RemoveExpiredSessions();
 
