soak: a loopback address of its own, a silent store, replicas with a limit

Each run now has a loopback address of its own. It also keeps the ephemeral ports of a run's own connections away from the ports that it is about to use.

Replicas may also name a rate limit; that it is kept is checked by tests, not by the soak, which cannot tell the daemons that were excused by a restart.

--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 
-from soak_world import Proxy, Replica, Store
+from soak_world import HOST, Proxy, Replica, Store
 
 SHARDS = 4
 DOMAINS = ["z1", "z2", "z3"]
@@ -31,7 +31,7 @@
 
 def free_port():
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((HOST, 0))
         return probe.getsockname()[1]
 
 
@@ -50,10 +50,10 @@
     async def start(self, seeds):
         if not self.store_proxy.port:
             await self.store_proxy.start()
-        text = (f"node: {self.name}\nzone: {self.domain}\nip: 127.0.0.1\ninternal_ports: []\n"
-                f"listen: {{front: '127.0.0.1:{self.front}', ready: '127.0.0.1:{self.ready}',"
-                f" control: '127.0.0.1:{self.control}'}}\nseeds: {seeds}\n"
-                f"platform: {{address: '127.0.0.1:{self.store_proxy.port}'}}\nbounds: {{grace_s: 6}}\n")
+        text = (f"node: {self.name}\nzone: {self.domain}\nip: {HOST}\ninternal_ports: []\n"
+                f"listen: {{front: '{HOST}:{self.front}', ready: '{HOST}:{self.ready}',"
+                f" control: '{HOST}:{self.control}'}}\nseeds: {seeds}\n"
+                f"platform: {{address: '{HOST}:{self.store_proxy.port}'}}\nbounds: {{grace_s: 6}}\n")
         with open(self.settings, "w") as file:
             file.write(text)
         environment = dict(os.environ, CLEMENTINERILL_NODE_FILE=self.settings)
@@ -122,7 +122,7 @@
     """Sends a request on a new connection; returns (status, headers, body), or None without a complete response."""
     writer = None
     try:
-        reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 1)
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(HOST, port), 1)
         writer.write(request)
         head = (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), timeout)).decode("latin-1").split("\r\n")
         headers = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
@@ -261,7 +261,7 @@
 
 async def inject_replica_fault(world):
     replica, length = world.random.choice(world.replicas), world.random.uniform(0.5, 4)
-    kind = world.random.choice(["slow", "sheds", "loses", "twice", "silent", "refuses", "reset", "leaves"])
+    kind = world.random.choice(["slow", "sheds", "loses", "twice", "silent", "refuses", "reset", "leaves", "limits"])
     world.count("fault replica " + kind)
     if kind in ("silent", "refuses"):
         setattr(replica.proxy, kind, True)
@@ -280,7 +280,7 @@
 
 async def inject_store_fault(world):
     length = world.random.uniform(0.3, 3)
-    kind = world.random.choice(["busy", "loses", "compact", "forged", "lapse", "config", "storm"])
+    kind = world.random.choice(["busy", "silent", "loses", "compact", "forged", "lapse", "config", "storm"])
     world.count("fault store " + kind)
     if kind == "config":
         await world.change_configuration()
@@ -296,8 +296,8 @@
     world.store_stable_since = time.monotonic() + length
     if kind == "compact":
         world.store.compact()
-    elif kind == "busy":
-        world.store.busy = True
+    elif kind in ("busy", "silent"):
+        setattr(world.store, kind, True)
     elif kind == "loses":
         world.store.loses = 0.5
     elif kind == "lapse":
@@ -305,7 +305,7 @@
         for replica in world.replicas:
             await world.store.put("servers", replica.name, None)
     await asyncio.sleep(length)
-    world.store.busy, world.store.loses = False, 0.0
+    world.store.busy, world.store.silent, world.store.loses = False, False, 0.0
     world.store_stable_since = time.monotonic()
     for replica in world.replicas:
         await world.store.put("servers", replica.name, replica.entry())
@@ -325,7 +325,7 @@
         await world.store.put("servers", replica.name, replica.entry())
     await world.change_configuration()
     daemons = [Daemon(world, i, world.arguments.binary, world.folder) for i in range(world.arguments.daemons)]
-    world.seeds = [f"127.0.0.1:{daemon.control}" for daemon in daemons[:3]]
+    world.seeds = [f"{HOST}:{daemon.control}" for daemon in daemons[:3]]
     for daemon in daemons:
         await daemon.start(world.seeds)
         daemon.mark_disturbed(1.0)
--- a/scripts/lib/soak_world.py
+++ b/scripts/lib/soak_world.py
@@ -6,8 +6,13 @@
 
 import asyncio
 import json
+import os
 import random
 
+# Loopback address of this process: runs beside each other, and the ephemeral ports of connections, which are on
+# 127.0.0.1, cannot take a port that is about to be used.
+HOST = f"127.{1 + (os.getpid() >> 16) % 250}.{(os.getpid() >> 8) & 255}.{os.getpid() & 255}"
+
 
 class Proxy:
     """Forwards TCP connections to a port and injects network faults on request."""
@@ -22,7 +27,7 @@
         self.port = 0
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(self.serve, HOST, 0)
         self.port = server.sockets[0].getsockname()[1]
 
     def reset_all(self):
@@ -37,7 +42,7 @@
             writer.transport.abort()
             return
         try:
-            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target)
+            target_reader, target_writer = await asyncio.open_connection(HOST, self.target)
         except OSError:
             writer.transport.abort()
             return
@@ -84,11 +89,12 @@
         self.objects, self.events, self.revision, self.floor = {}, [], 1, 0
         self.changed = asyncio.Condition()
         self.busy = False  # Responds 503 to every request.
+        self.silent = False  # Never answers what it receives, or would answer, now.
         self.loses = 0.0  # Fraction of writes that are applied but get no response.
         self.port = 0
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(self.serve, HOST, 0)
         self.port = server.sockets[0].getsockname()[1]
 
     async def put(self, kind, name, spec):
@@ -108,9 +114,13 @@
     async def serve(self, reader, writer):
         while request := await read_request(reader):
             method, target, _, body = request
+            lost = self.silent
             status, reply = await self.handle_request(method, target, body)
             if status is None:
                 break
+            if lost or self.silent:
+                await reader.read()  # Nothing more comes on a connection that has lost a response.
+                break
             writer.write(response_bytes(status, [], json.dumps(reply).encode()))
             try:
                 await writer.drain()
@@ -122,6 +132,8 @@
         path, _, query = target.partition("?")
         kind, _, name = path.removeprefix("/objects/").partition("/")
         values = dict(pair.split("=", 1) for pair in query.split("&") if pair)
+        if self.silent:
+            return 200, {}
         if self.busy:
             return 503, {}
         if method != "GET":
@@ -153,20 +165,20 @@
 
     def __init__(self, world, name, service, domain):
         self.world, self.name, self.service, self.domain = world, name, service, domain
-        self.slow, self.sheds, self.loses, self.twice = 1.0, 0.0, 0.0, 0.0
+        self.slow, self.sheds, self.loses, self.twice, self.limits = 1.0, 0.0, 0.0, 0.0, 0.0
         self.running = 0
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(self.serve, HOST, 0)
         self.proxy = Proxy(server.sockets[0].getsockname()[1])
         await self.proxy.start()
 
     def heal(self):
-        self.slow, self.sheds, self.loses, self.twice = 1.0, 0.0, 0.0, 0.0
+        self.slow, self.sheds, self.loses, self.twice, self.limits = 1.0, 0.0, 0.0, 0.0, 0.0
         self.proxy.heal()
 
     def entry(self, state="ready"):
-        return {"service": self.service, "address": f"127.0.0.1:{self.proxy.port}", "zone": self.domain,
+        return {"service": self.service, "address": f"{HOST}:{self.proxy.port}", "zone": self.domain,
                 "version": "v1", "slots": 4, "state": state, "cold_remaining_ms": 0, "seq": 1, "born": 1}
 
     async def serve(self, reader, writer):
@@ -194,7 +206,10 @@
             writer.transport.abort()
             return
         stamp = f"{self.name}.{request_id}"
-        reply = response_bytes(200, [("X-Server-Stamp", stamp), ("X-Request-Id", request_id),
-                                   ("X-Server-Load", f"{self.running},0,4")], self.world.body_of(stamp))
+        report = [("X-Server-Load", f"{self.running},0,4")]
+        if self.limits:  # Requests per second that the replica accepts from all daemons.
+            report.append(("Server-Limit", f"{self.limits * 10:.1f}"))
+        reply = response_bytes(200, [("X-Server-Stamp", stamp), ("X-Request-Id", request_id)] + report,
+                               self.world.body_of(stamp))
         writer.write(reply * 2 if random.random() < self.twice else reply)
         await writer.drain()
