--- a/src/gateway/kind_watch.h
+++ b/src/gateway/kind_watch.h
@@ -14,7 +14,8 @@
 namespace clementinerill::gateway {
 
 /// @brief Time from the end of the long-poll time of a watch that the store
-/// does not answer until the next request has been answered.
+/// does not answer until the next request has been answered: 600 ms for the
+/// missing answer, 200 ms before the retry, 100 ms for its answer.
 inline constexpr Duration kWatchRecoveryTime = std::chrono::milliseconds(900);
 
 /// @brief How the objects of one kind are watched.
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -26,8 +26,8 @@
 constexpr double kReaderFailoverShare = 0.25;
 // Lower limit of the long-poll time when every daemon follows the store.
 constexpr Duration kMinDirectWatchWait = milliseconds(500);
-// Long-poll time for a kind whose copy may be out of date for some time.
-constexpr milliseconds kUnhurriedWatchWait{8000};
+// Long-poll time for kinds whose copy may be out of date for some time.
+constexpr milliseconds kStaleTolerantWatchWait{8000};
 // Upper limit of the long-poll time that a reader may request.
 constexpr milliseconds kMaxRelayWait{8000};
 // A relay answers at the end of the long-poll time at the latest; the margin
@@ -61,7 +61,7 @@
                        bool must_be_fresh,
                        bool relays) {
   if (!must_be_fresh) {
-    return kUnhurriedWatchWait;
+    return kStaleTolerantWatchWait;
   }
   if (relays) {
     return ShareOf(max_propagation_delay, kWatchWaitShare);
--- a/src/traffic/record_report.cc
+++ b/src/traffic/record_report.cc
@@ -13,6 +13,9 @@
 // Lower bound of the rate of all daemons. Without any request a daemon would
 // not learn that the limit has ended.
 constexpr double kMinRequestsPerS = 0.5;
+// Upper bound, far above the rate of any replica, which keeps the number of
+// permits in the range of its type.
+constexpr double kMaxRequestsPerS = 1e6;
 
 // Fraction of the first permit that has passed; differs between daemons.
 double PhaseOf(const FleetState& fleet, const ReplicaState& replica) {
@@ -33,7 +36,8 @@
     return;
   }
   const double share =
-      std::max(*requests_per_s, kMinRequestsPerS) / CountDaemons(*fleet.view_);
+      std::clamp(*requests_per_s, kMinRequestsPerS, kMaxRequestsPerS) /
+      CountDaemons(*fleet.view_);
   if (replica.rate_limit_) {
     SetRate(replica.rate_allowance_, share, now);
   } else {
