upstream: end exchanges at their deadline, whatever is received

With endless interim responses the exchange never ended.

Cause: POCO's HTTP client reads until a response is complete, and a socket's timeout holds for each operation only, so each received byte started it anew. A slow sender outlasted the deadline for the same reason.

upstream_test, new, "a response without end is given up at the deadline": before, it did not end at its third form (interim responses; stopped after 60 s, the forms behind it were not tried on the old code); now all seven end within 0.4 s and the margin of the test. "a response that ends early is no answer" cuts an answer at each byte and passes before and after.

daemon_test, operators, shutdown, check and platform_test pass.

--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -20,18 +20,6 @@
   return std::chrono::steady_clock::now();
 }
 
-Poco::Net::StreamSocket ConnectSocket(const std::string& address,
-                                      uint16_t port,
-                                      Duration timeout) {
-  const auto microseconds =
-      std::chrono::duration_cast<std::chrono::microseconds>(timeout).count();
-  Poco::Net::StreamSocket socket;
-  socket.connect(Poco::Net::SocketAddress(address, port),
-                 Poco::Timespan(microseconds));
-  socket.setNoDelay(true);
-  return socket;
-}
-
 // An idle connection that is readable has reached end of stream or carries
 // unsolicited bytes. Both mean that the upstream has closed it.
 bool IsReadable(UpstreamSession& session) {
@@ -121,8 +109,7 @@
   try {
     const Duration timeout =
         std::min<Duration>(kConnectTimeout, deadline - Now());
-    session = std::make_shared<UpstreamSession>(
-        ConnectSocket(address_, port_, timeout));
+    session = UpstreamSession::Connect(address_, port_, timeout);
   } catch (const Poco::Net::ConnectionRefusedException&) {
     error = AcquireError::kRefused;
   } catch (const std::exception&) {
--- a/src/upstream/http_exchange.cc
+++ b/src/upstream/http_exchange.cc
@@ -193,7 +193,7 @@
                            const ExchangeRequest& request,
                            Instant now) {
   ExchangeResult failed;
-  session.BeginExchange();
+  session.BeginExchange(request.deadline_ + kResponseGracePeriod);
   try {
     SetSocketTimeout(session, request.deadline_ - now + kResponseGracePeriod);
     return ExchangeOrThrow(session, request, now);
@@ -213,7 +213,7 @@
                                            const std::string& method,
                                            const std::string& path,
                                            Duration timeout) {
-  session.BeginExchange();
+  session.BeginExchange(std::chrono::steady_clock::now() + timeout);
   try {
     SetSocketTimeout(session, timeout);
     HTTPRequest http(method, path, HTTPRequest::HTTP_1_1);
--- a/src/upstream/http_exchange.h
+++ b/src/upstream/http_exchange.h
@@ -12,8 +12,8 @@
 
 /// @brief Sends a request and waits for the complete response.
 ///
-/// Blocks until the response is complete, a socket operation times out (the
-/// timeout is set from the request's deadline) or the exchange fails. Without a
+/// Blocks until the response is complete, the request's deadline has passed or
+/// the exchange fails. Without a
 /// complete response (see `IsWholeAnswer`) the state of the session is unknown
 /// and the caller must close it.
 [[nodiscard]] ExchangeResult RunExchange(UpstreamSession& session,
--- a/src/upstream/upstream_session.h
+++ b/src/upstream/upstream_session.h
@@ -1,8 +1,14 @@
 #ifndef CLEMENTINERILL_UPSTREAM_UPSTREAM_SESSION_H_
 #define CLEMENTINERILL_UPSTREAM_UPSTREAM_SESSION_H_
 
+#include <memory>
+#include <string>
+
+#include <Poco/AutoPtr.h>
 #include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/StreamSocket.h>
+
+#include "base/time.h"
+#include "upstream/bounded_socket.h"
 
 namespace clementinerill {
 
@@ -13,10 +19,15 @@
 /// instead.
 class UpstreamSession : public Poco::Net::HTTPClientSession {
  public:
-  explicit UpstreamSession(const Poco::Net::StreamSocket& socket);
+  /// @brief Connects to an upstream. Throws `Poco::Exception` on failure.
+  [[nodiscard]] static std::shared_ptr<UpstreamSession>
+  Connect(const std::string& address, uint16_t port, Duration timeout);
+
+  explicit UpstreamSession(Poco::AutoPtr<BoundedSocket> socket);
 
-  /// @brief Resets `HasWritten` for a new exchange.
-  void BeginExchange() noexcept { wrote_ = false; }
+  /// @brief Starts an exchange: resets `HasWritten`. Nothing is received after
+  /// `deadline`.
+  void BeginExchange(Instant deadline) noexcept;
 
   /// @brief Whether any byte may have been sent since `BeginExchange`.
   [[nodiscard]] bool HasWritten() const noexcept { return wrote_; }
@@ -26,6 +37,7 @@
   void connect(const Poco::Net::SocketAddress& address) override;
 
  private:
+  Poco::AutoPtr<BoundedSocket> bounded_socket_;
   bool wrote_ = false;
 };
 
