soak: print the result before the event loop ends; name the limits' figures

Trace: its five daemons served until 20.1 s after their start, when the soak ends them, without an error in their logs; the soak itself did not end.

A violated invariant still ends it with 1 (tried with a binary that exits).

rate_allowance says "spent" and "max" for what was "gone" and "most"; the soak names the limit of its replicas.

--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -339,8 +339,6 @@
         if world.counts.get("sweep 200", 0) == 0 or world.counts.get("hold 200", 0) == 0:
             world.record_violation("callers are served", str(world.counts))
     finally:
-        # Suppresses errors from server tasks that are still waiting and get cancelled when the loop ends.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         for daemon in daemons:
             daemon.send(signal.SIGCONT)
             daemon.send(signal.SIGKILL)
@@ -360,13 +358,24 @@
     folder = arguments.keep or tempfile.mkdtemp(prefix=f"soak-{arguments.seed}-")
     os.makedirs(folder, exist_ok=True)
     world = World(arguments, folder)
-    asyncio.run(soak(world))
+    asyncio.run(run_and_exit(world))
+
+
+async def run_and_exit(world):
+    """Runs the soak, prints the result and ends the process.
+
+    Ends it at once, because the end of an event loop waits for all tasks that it cancels, and a task of a server or
+    proxy that is still waiting may not notice.
+    """
+    arguments = world.arguments
+    await soak(world)
     print(f"soak: seed {arguments.seed}: {'failed' if world.violations else 'passed'}, "
           + ", ".join(f"{what} {n}" for what, n in sorted(world.counts.items())))
     if world.violations:
-        print(f"soak: logs in {folder}")
-    return 1 if world.violations else 0
+        print(f"soak: logs in {world.folder}")
+    sys.stdout.flush()
+    os._exit(1 if world.violations else 0)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -94,9 +94,9 @@
   }
   criteria.takes_target_version_ = TakesTargetVersion(query, part, now);
   ReplicaChoice choice = ChooseReplica(fleet, *part.service_, criteria, now);
-  const bool has_none = choice.reason_ == NoReplicaReason::kUnavailable ||
-                        choice.reason_ == NoReplicaReason::kRateLimited;
-  if (has_none &&
+  const bool no_replica = choice.reason_ == NoReplicaReason::kUnavailable ||
+                          choice.reason_ == NoReplicaReason::kRateLimited;
+  if (no_replica &&
       MayUseOtherVersion(*part.service_, criteria.takes_target_version_)) {
     criteria.takes_target_version_ = !criteria.takes_target_version_;
     choice = ChooseReplica(fleet, *part.service_, criteria, now);
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -165,11 +165,11 @@
 struct RatePermits {
   bool has_unlimited_replica_ = false;
   double available_ = 0;
-  double most_ = 0;
+  double max_ = 0;
   Duration wait_ = Duration::max();
 
   [[nodiscard]] double Headroom() const {
-    return has_unlimited_replica_ || most_ <= 0 ? 1.0 : available_ / most_;
+    return has_unlimited_replica_ || max_ <= 0 ? 1.0 : available_ / max_;
   }
 };
 
@@ -182,7 +182,7 @@
   }
   const RateAllowance& allowance = replica.rate_allowance_;
   permits.available_ += AvailablePermits(allowance, now);
-  permits.most_ += std::max(1.0, MostPermits(allowance));
+  permits.max_ += std::max(1.0, MaxPermits(allowance));
   permits.wait_ = std::min(permits.wait_, TimeUntilPermit(allowance, now));
 }
 
--- a/src/traffic/rate_allowance.cc
+++ b/src/traffic/rate_allowance.cc
@@ -12,9 +12,9 @@
 }
 
 // Permits that were used or have expired by `now`.
-double GoneAt(const RateAllowance& allowance, Instant now) {
+double SpentAt(const RateAllowance& allowance, Instant now) {
   return std::max(
-      allowance.used_,
+      allowance.spent_,
       std::floor(PositionAt(allowance, now - Duration(kPermitLifetime))));
 }
 
@@ -30,7 +30,7 @@
   if (allowance.requests_per_s_ == requests_per_s) {
     return;
   }
-  allowance.used_ = GoneAt(allowance, now);
+  allowance.spent_ = SpentAt(allowance, now);
   allowance.position_ = PositionAt(allowance, now);
   allowance.position_at_ = now;
   allowance.requests_per_s_ = requests_per_s;
@@ -38,26 +38,26 @@
 
 int AvailablePermits(const RateAllowance& allowance, Instant now) {
   const double available =
-      std::floor(PositionAt(allowance, now)) - GoneAt(allowance, now);
+      std::floor(PositionAt(allowance, now)) - SpentAt(allowance, now);
   return static_cast<int>(std::max(0.0, available));
 }
 
-double MostPermits(const RateAllowance& allowance) noexcept {
+double MaxPermits(const RateAllowance& allowance) noexcept {
   const std::chrono::duration<double> lifetime = kPermitLifetime;
   return allowance.requests_per_s_ * lifetime.count();
 }
 
 void UsePermit(RateAllowance& allowance, Instant now) {
-  allowance.used_ = GoneAt(allowance, now) + 1;
+  allowance.spent_ = SpentAt(allowance, now) + 1;
 }
 
 void ReturnPermit(RateAllowance& allowance) {
-  allowance.used_ -= 1;
+  allowance.spent_ -= 1;
 }
 
 Duration TimeUntilPermit(const RateAllowance& allowance, Instant now) {
   const double missing =
-      GoneAt(allowance, now) + 1 - PositionAt(allowance, now);
+      SpentAt(allowance, now) + 1 - PositionAt(allowance, now);
   return missing <= 0 ? Duration::zero()
                       : FromSeconds(missing / allowance.requests_per_s_);
 }
--- a/src/traffic/rate_allowance.h
+++ b/src/traffic/rate_allowance.h
@@ -19,7 +19,7 @@
   /// the fraction of the next one.
   double position_ = 0;
   Instant position_at_{};
-  double used_ = 0;  ///< Permits that were used or have expired.
+  double spent_ = 0;  ///< Permits that were used or have expired.
 };
 
 inline constexpr Duration kPermitLifetime = std::chrono::seconds(1);
@@ -39,7 +39,7 @@
 [[nodiscard]] int AvailablePermits(const RateAllowance& allowance, Instant now);
 
 /// @brief Returns the greatest number of permits that can be available.
-[[nodiscard]] double MostPermits(const RateAllowance& allowance) noexcept;
+[[nodiscard]] double MaxPermits(const RateAllowance& allowance) noexcept;
 
 /// @brief Uses a permit; there must be one.
 void UsePermit(RateAllowance& allowance, Instant now);
