gateway: split the wait of watches and the tests by subject

The long-poll time of a watch, a decision without state, gets a file of its own (WatchWait); the tests of shutdown and of rate limits get theirs.

--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/watch_wait.h"
 #include "logging/log.h"
 
 namespace clementinerill::gateway {
@@ -12,10 +13,9 @@
 
 constexpr const char* kRelayPath = "/relay";
 
-// Shares of the maximum propagation delay: the long-poll time of a watcher at
-// the store, the maximum age of a relay's copy, and the long-poll time of a
-// reader at its relay. The last two leave a third for switching relays.
-constexpr double kWatchWaitShare = 0.4;
+// Shares of the maximum propagation delay: the maximum age of a relay's copy,
+// and the long-poll time of a reader at its relay. They leave a third for
+// switching relays.
 constexpr double kMaxAgeShare = 0.5;
 constexpr double kRelayWaitShare = 0.16;
 // Shares for which no relay may be up to date before this daemon follows the
@@ -24,10 +24,6 @@
 // store.
 constexpr double kStandbyFailoverShare = 0.1;
 constexpr double kReaderFailoverShare = 0.25;
-// Lower limit of the long-poll time when every daemon follows the store.
-constexpr Duration kMinDirectWatchWait = milliseconds(500);
-// Long-poll time for kinds whose copy may be out of date for some time.
-constexpr milliseconds kStaleTolerantWatchWait{8000};
 // Upper limit of the long-poll time that a reader may request.
 constexpr milliseconds kMaxRelayWait{8000};
 // A relay answers at the end of the long-poll time at the latest; the margin
@@ -54,23 +50,6 @@
   return std::chrono::duration_cast<milliseconds>(bound * share);
 }
 
-// Long-poll time of the watch of one kind. `relays`: other daemons depend on
-// the copy, so it must be confirmed more often. Otherwise it is the longest one
-// after which a watch that was never answered is replaced within the bound.
-milliseconds WatchWait(Duration max_propagation_delay,
-                       bool must_be_fresh,
-                       bool relays) {
-  if (!must_be_fresh) {
-    return kStaleTolerantWatchWait;
-  }
-  if (relays) {
-    return ShareOf(max_propagation_delay, kWatchWaitShare);
-  }
-  return std::chrono::duration_cast<milliseconds>(
-      std::max(max_propagation_delay - kWatchRecoveryTime,
-               Duration(kMinDirectWatchWait)));
-}
-
 bool HasChanges(const mirror::KindChanges& changes) {
   return changes.is_full_list_ || !changes.upserted_.empty() ||
          !changes.removed_.empty();
