soak: fixed ports for the daemons

Trace: from its first start on vm-4 could not listen ("Address already in use"), 67 times; no other run uses the address. The ports of all daemons were taken and freed before the proxies of the same run took theirs from the same range, one of them that of vm-4.

No check is changed.

--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -8,10 +8,10 @@
 import argparse
 import asyncio
 import hashlib
+import itertools
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -29,10 +29,9 @@
 FAN_OUT_S, HOLD_S, MARGIN_S = 1.2, 3.0, 0.8
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+# Ports of the daemons. No other process uses them, as the address is that of this run, and they lie below the range
+# from which the system takes those of proxies and connections.
+daemon_ports = itertools.count(20000)
 
 
 class Daemon:
@@ -40,7 +39,7 @@
 
     def __init__(self, world, index, binary, folder):
         self.world, self.binary, self.name = world, binary, f"vm-{index}"
-        self.front, self.ready, self.control = free_port(), free_port(), free_port()
+        self.front, self.ready, self.control = (next(daemon_ports) for _ in range(3))
         self.store_proxy = Proxy(world.store.port)
         self.domain = DOMAINS[index % len(DOMAINS)]
         self.settings = os.path.join(folder, f"{self.name}.yaml")
