gateway: decode each object of the store by itself

What operators saw elsewhere, and what happens here: one odd entry among those of the replicas ends the daemons that read the list, again and again (they restart, list it and end), or they stop following the list. Run on through the gateway with a stand-in store (tests/gateway/odd_entry_test.cc): an entry nested 300,000 deep ends the process in the list, in an event, as configuration and as record of a daemon (segmentation fault); a number out of range, invalid UTF-8 or a word that is no JSON anywhere in one entry has the whole page refused, in every try, so replicas, daemons and evacuations are not followed any more. Ports out of range were refused for the entry alone before, and still are.

Cause: a page is parsed into one tree, which fails as a whole; copies of a tree, its CBOR and its text are recursive, so its depth decides about the stack.

Ruled out: the parser itself and the destruction of a tree, which use no recursion; a catch around the parser would keep the page lost.

Now the text of a page is split at its own commas first, without recursion; each object is parsed alone within bounds on its size (64 KiB, the configuration 1 MiB) and depth (32). One that cannot be decoded stays in the copy with the reason, is left out by all users of its kind, logged (`store: object is not usable`), counted and named on the status page. A configuration that cannot be decoded leaves the one in force; an order of a rollout leaves the known one; an evacuation counts by its name. The soak draws such entries among its faults.

Also here: a list whose page ends with an entry without a readable name began again from its start for ever; it continues after the last readable name, names are encoded in request targets, and a list that does not advance counts as failed.

--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 
-from soak_world import HOST, Proxy, Replica, Store
+from soak_world import HOST, Proxy, RawJson, Replica, Store
 
 SHARDS = 4
 DOMAINS = ["z1", "z2", "z3"]
@@ -34,6 +34,13 @@
 daemon_ports = itertools.count(20000)
 
 
+# Contents that another writer may leave in the store.
+ODD_CONTENTS = [RawJson(text) for text in (
+    "[" * 100000 + "]" * 100000, '{"service":"s","slots":1e999}', "tru", '"\\ud800"',
+    '{"service":"s","zone":"z1","slots":4294967297,"state":"ready","address":"127.0.0.1:65536"}',
+    '{"service":"s","zone":"z1","slots":1,"state":"ready","address":"127.0.0.1:1","cold_remaining_ms":1e300}')]
+
+
 class Daemon:
     """A gateway process and its settings file; only this class sends it signals, by process ID."""
 
@@ -279,7 +286,7 @@
 
 async def inject_store_fault(world):
     length = world.random.uniform(0.3, 3)
-    kind = world.random.choice(["busy", "silent", "loses", "compact", "forged", "lapse", "config", "storm"])
+    kind = world.random.choice(["busy", "silent", "loses", "compact", "forged", "odd", "lapse", "config", "storm"])
     world.count("fault store " + kind)
     if kind == "config":
         await world.change_configuration()
@@ -292,6 +299,10 @@
     if kind == "forged":
         await world.store.put("servers", "forged", world.random.choice([{"service": 3}, "text", [1], {}]))
         return
+    if kind == "odd":
+        object_kind = world.random.choice(["servers", "servers", "rollouts", "evacuations", "clementinerill-daemons"])
+        await world.store.put(object_kind, f"odd-{world.random.randint(1, 3)}", world.random.choice(ODD_CONTENTS))
+        return
     world.store_stable_since = time.monotonic() + length
     if kind == "compact":
         world.store.compact()
--- a/scripts/lib/soak_world.py
+++ b/scripts/lib/soak_world.py
@@ -85,6 +85,27 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+class RawJson:
+    """Content of an object that is sent letter for letter, as it need not be valid JSON."""
+
+    def __init__(self, text):
+        self.text = text
+
+
+def encode_json(value):
+    """Serializes a value that may contain RawJson."""
+    texts = {}
+
+    def marker(raw):
+        texts[f'"@raw-{len(texts)}@"'] = raw.text
+        return f"@raw-{len(texts) - 1}@"
+
+    encoded = json.dumps(value, default=marker)
+    for name, text in texts.items():
+        encoded = encoded.replace(name, text)
+    return encoded.encode()
+
+
 class Store:
     """Object store with a global revision; supports lists, watches and creation of objects that do not exist yet."""
 
@@ -124,7 +145,7 @@
             if lost or self.silent:
                 await reader.read()  # Nothing more comes on a connection that has lost a response.
                 break
-            writer.write(response_bytes(status, [], json.dumps(reply).encode()))
+            writer.write(response_bytes(status, [], encode_json(reply)))
             try:
                 await writer.drain()
             except OSError:
--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -44,6 +44,7 @@
           [this](const std::string& kind, const mirror::KindChanges& changes) {
             OnChanges(kind, changes);
           }),
+      unusable_(metrics),
       rollouts_(loop, options),
       prober_(loop,
               [this](const mirror::DaemonRecord& daemon) {
@@ -65,6 +66,14 @@
 
 void ControlLoop::OnChanges(const std::string& kind,
                             const mirror::KindChanges& changes) {
+  unusable_.StartChanges(kind, changes);
+  ApplyChanges(kind, changes);
+  unusable_.FinishChanges(http::EventLoop::Now());
+  PublishView();
+}
+
+void ControlLoop::ApplyChanges(const std::string& kind,
+                               const mirror::KindChanges& changes) {
   const StoreKinds& kinds = options_.store_codec_.kinds_;
   if (kind == kinds.configuration_) {
     for (const StoredObject& object : changes.upserted_) {
@@ -73,8 +82,7 @@
   } else if (kind == kinds.replicas_) {
     ApplyReplicaChanges(changes);
   } else if (kind == kinds.rollouts_) {
-    rollouts_.ApplyChanges(changes);
-    PublishView();
+    rollouts_.ApplyChanges(changes, unusable_);
   } else if (kind == kinds.evacuations_) {
     ApplyEvacuationChanges(changes);
   } else if (kind == kinds.daemons_) {
@@ -82,12 +90,22 @@
   }
 }
 
+void ControlLoop::AddUnusable(const std::string& kind,
+                              const StoredObject& object,
+                              const Error& error) {
+  unusable_.Add(kind, object.name_, error, http::EventLoop::Now());
+}
+
 void ControlLoop::ApplyConfiguration(const StoredObject& object) {
-  if (object.name_ != options_.store_codec_.kinds_.configuration_name_) {
+  const StoreCodec& codec = options_.store_codec_;
+  if (object.name_ != codec.kinds_.configuration_name_) {
     return;
   }
-  auto decoded = options_.store_codec_.decode_configuration_(object.content_);
+  auto decoded = object.decode_error_.empty()
+                     ? codec.decode_configuration_(object.content_)
+                     : Fail(object.decode_error_);
   if (!decoded) {
+    AddUnusable(codec.kinds_.configuration_, object, decoded.error());
     Log(LogLevel::kError, "configuration",
         "not valid, keeping the current version",
         {{"error", Format(decoded.error())}});
@@ -103,7 +121,6 @@
        {"services", decoded->services_.size()}});
   configuration_ = std::make_shared<const traffic::TrafficConfiguration>(
       std::move(*decoded));
-  PublishView();
 }
 
 void ControlLoop::ApplyReplicaChanges(const mirror::KindChanges& changes) {
@@ -118,7 +135,6 @@
       traffic::MarkReplicaUnlisted(directory_, name, http::EventLoop::Now());
     }
   }
-  PublishView();
 }
 
 void ControlLoop::ApplyReplicaList(const std::vector<StoredObject>& objects) {
@@ -129,8 +145,8 @@
     if (entry) {
       entries.push_back(std::move(*entry));
     } else {
-      Log(LogLevel::kWarning, "replicas", "entry is not usable",
-          {{"name", object.name_}, {"error", Format(entry.error())}});
+      AddUnusable(options_.store_codec_.kinds_.replicas_, object,
+                  entry.error());
     }
   }
   Log(LogLevel::kInfo, "replicas", "listed",
@@ -143,8 +159,7 @@
   const Instant now = http::EventLoop::Now();
   auto entry = options_.store_codec_.decode_replica_(object, now);
   if (!entry) {
-    Log(LogLevel::kWarning, "replicas", "entry is not usable",
-        {{"name", object.name_}, {"error", Format(entry.error())}});
+    AddUnusable(options_.store_codec_.kinds_.replicas_, object, entry.error());
     traffic::MarkReplicaUnlisted(directory_, object.name_, now);
     return;
   }
@@ -161,6 +176,12 @@
     evacuated_.clear();
   }
   for (const StoredObject& object : changes.upserted_) {
+    if (object.name_.empty()) {
+      AddUnusable(options_.store_codec_.kinds_.evacuations_, object,
+                  MakeError("the name is missing"));
+      continue;
+    }
+    // The name alone is the order; the content is not read.
     Log(LogLevel::kInfo, "evacuation", "ordered",
         {{"failure_domain", object.name_}});
     evacuated_.insert(object.name_);
@@ -169,7 +190,6 @@
     Log(LogLevel::kInfo, "evacuation", "ended", {{"failure_domain", name}});
     evacuated_.erase(name);
   }
-  PublishView();
 }
 
 void ControlLoop::ApplyDaemonChanges(const mirror::KindChanges& changes) {
@@ -181,8 +201,8 @@
     if (record) {
       daemons_[object.name_] = std::move(*record);
     } else {
-      Log(LogLevel::kWarning, "daemons", "entry is not usable",
-          {{"name", object.name_}, {"error", Format(record.error())}});
+      AddUnusable(options_.store_codec_.kinds_.daemons_, object,
+                  record.error());
       daemons_.erase(object.name_);
     }
   }
@@ -196,7 +216,6 @@
   }
   follower_.SetDaemons(records);
   prober_.SetDaemons(records, options_.name_);
-  PublishView();
   const bool is_listed = daemons_.count(options_.name_) > 0;
   if (was_listed_ && !is_listed) {
     // Another daemon deleted it after failing to reach this one for minutes.
@@ -331,6 +350,7 @@
   for (const auto& [name, record] : daemons_) {
     ++view->daemons_[record.failure_domain_];
   }
+  view->unusable_ = unusable_.List();
   publish_(std::move(view));
 }
 
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -13,6 +13,7 @@
 #include "gateway/gateway_options.h"
 #include "gateway/rollout_control.h"
 #include "gateway/store_follower.h"
+#include "gateway/unusable_objects.h"
 #include "http/client.h"
 #include "mirror/daemon_record.h"
 #include "traffic/replica_directory.h"
@@ -42,10 +43,15 @@
 
  private:
   void OnChanges(const std::string& kind, const mirror::KindChanges& changes);
+  void ApplyChanges(const std::string& kind,
+                    const mirror::KindChanges& changes);
   void ApplyConfiguration(const StoredObject& object);
   void ApplyReplicaChanges(const mirror::KindChanges& changes);
   void ApplyReplicaList(const std::vector<StoredObject>& objects);
   void ApplyReplica(const StoredObject& object);
+  void AddUnusable(const std::string& kind,
+                   const StoredObject& object,
+                   const Error& error);
   void ApplyEvacuationChanges(const mirror::KindChanges& changes);
   void ApplyDaemonChanges(const mirror::KindChanges& changes);
   void RecordDaemonEvidence(const std::string& daemon,
@@ -66,6 +72,7 @@
   const GatewayOptions& options_;
   const Publish publish_;
   StoreFollower follower_;
+  UnusableObjects unusable_;
   RolloutControl rollouts_;
   DaemonProber prober_;
   http::Client writer_;
--- a/src/gateway/forward_declarations.h
+++ b/src/gateway/forward_declarations.h
@@ -9,6 +9,7 @@
 class QuerySession;
 class StoreCaller;
 class TrafficServer;
+class UnusableObjects;
 struct GatewayMetrics;
 struct GatewayOptions;
 struct StoreCodec;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -43,6 +43,12 @@
             "them.")),
         store_failures_(registry_.AddCounter("gateway_store_failures_total",
                                              "Failed calls of the store.")),
+        unusable_found_(registry_.AddCounter(
+            "gateway_unusable_objects_total",
+            "Objects of the store in which an error was found.")),
+        unusable_(registry_.AddGauge(
+            "gateway_unusable_objects",
+            "Objects of the store that are not used because of an error.")),
         copy_age_(registry_.AddGauge(
             "gateway_store_copy_age_milliseconds",
             "Time since the store last confirmed the oldest copy.")),
@@ -64,6 +70,8 @@
   Counter& unconfigured_;
   Counter& refused_stopping_;
   Counter& store_failures_;
+  Counter& unusable_found_;
+  Gauge& unusable_;
   Gauge& copy_age_;
   Gauge& version_;
   Gauge& replicas_;
--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -35,6 +35,15 @@
   return BackoffDelay(kRetryBackoff, failures, Hash64(kind, salt));
 }
 
+// Returns the name from which the list continues. Objects whose names cannot be
+// read have empty ones.
+std::string LastName(const std::vector<mirror::StoredObject>& objects) {
+  const auto last = std::find_if(
+      objects.rbegin(), objects.rend(),
+      [](const mirror::StoredObject& o) { return !o.name_.empty(); });
+  return last == objects.rend() ? std::string() : last->name_;
+}
+
 }  // namespace
 
 KindWatch::KindWatch(http::EventLoop& loop,
@@ -60,6 +69,7 @@
   if (active) {
     failures_ = 0;
     pending_list_ = {};
+    listed_until_.clear();
     Step();
     return;
   }
@@ -86,11 +96,8 @@
 }
 
 void KindWatch::List() {
-  const std::string after = pending_list_.upserted_.empty()
-                                ? ""
-                                : pending_list_.upserted_.back().name_;
-  Call(codec_.list_target_(options_.kind_, after, false), milliseconds(0),
-       &KindWatch::OnPage);
+  Call(codec_.list_target_(options_.kind_, listed_until_, false),
+       milliseconds(0), &KindWatch::OnPage);
 }
 
 void KindWatch::Call(std::string target,
@@ -111,7 +118,7 @@
     ScheduleRetry(http::DescribeFailure(response));
     return;
   }
-  auto page = codec_.decode_page_(response.body_);
+  auto page = codec_.decode_page_(response.body_, options_.object_bounds_);
   if (!page) {
     ScheduleRetry(page.error().description_);
     return;
@@ -123,11 +130,18 @@
   }
   std::move(page->objects_.begin(), page->objects_.end(),
             std::back_inserter(pending_list_.upserted_));
-  if (page->has_more_ && !page->objects_.empty()) {
+  if (page->has_more_) {
+    const std::string last = LastName(pending_list_.upserted_);
+    if (last == listed_until_) {
+      ScheduleRetry("the list does not advance");
+      return;
+    }
+    listed_until_ = last;
     List();
     return;
   }
   needs_list_ = false;
+  listed_until_.clear();
   const mirror::KindChanges listed = std::exchange(pending_list_, {});
   ApplyChanges({listed.revision_, true, listed.upserted_, {}});
   if (active_) {
@@ -154,7 +168,7 @@
     ScheduleRetry(http::DescribeFailure(response));
     return;
   }
-  auto events = codec_.decode_events_(response.body_);
+  auto events = codec_.decode_events_(response.body_, options_.object_bounds_);
   if (!events) {
     needs_list_ = true;
     ScheduleRetry(events.error().description_);
@@ -182,6 +196,7 @@
 
 void KindWatch::ScheduleRetry(const std::string& reason) {
   pending_list_ = {};
+  listed_until_.clear();
   ++failures_;
   metrics_.store_failures_.Increment();
   const Instant now = http::EventLoop::Now();
--- a/src/gateway/kind_watch.h
+++ b/src/gateway/kind_watch.h
@@ -28,6 +28,7 @@
   /// Delay after events before the next watch, so that changes in quick
   /// succession cost one request.
   Duration batch_delay_{};
+  JsonBounds object_bounds_{};  ///< Objects beyond them are not usable.
 };
 
 /// @brief Keeps a local copy of the objects of one kind in sync with the store:
@@ -74,6 +75,7 @@
   const std::function<void(const mirror::KindChanges&)> on_changes_;
   http::Client client_;
   mirror::KindChanges pending_list_;
+  std::string listed_until_;  ///< Last name of the pages received so far.
   std::optional<http::TimerQueue::Id> timer_;
   bool active_ = false;
   bool needs_list_ = false;
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "gateway/unusable_objects.h"
 #include "logging/log.h"
 
 namespace clementinerill::gateway {
@@ -23,16 +24,21 @@
     : options_(options),
       writer_(loop, options.store_.address_, options.store_.port_) {}
 
-void RolloutControl::ApplyChanges(const mirror::KindChanges& changes) {
+void RolloutControl::ApplyChanges(const mirror::KindChanges& changes,
+                                  UnusableObjects& unusable) {
+  const Instant now = http::EventLoop::Now();
+  const auto& codec = options_.store_codec_;
   const auto before = std::exchange(
       orders_,
       changes.is_full_list_ ? std::map<std::string, TrackedOrder>() : orders_);
   for (const StoredObject& object : changes.upserted_) {
-    auto order =
-        options_.store_codec_.decode_rollout_(object, http::EventLoop::Now());
+    auto order = codec.decode_rollout_(object, now);
     if (!order) {
-      Log(LogLevel::kWarning, "rollout", "order is not valid, ignored",
-          {{"name", object.name_}, {"error", Format(order.error())}});
+      unusable.Add(codec.kinds_.rollouts_, object.name_, order.error(), now);
+      const auto kept = before.find(object.name_);
+      if (kept != before.end()) {
+        orders_.insert(*kept);
+      }
       continue;
     }
     const auto known = before.find(order->service_);
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/forward_declarations.h"
 #include "gateway/gateway_options.h"
 #include "http/client.h"
 #include "mirror/kind_changes.h"
@@ -22,8 +23,10 @@
  public:
   RolloutControl(http::EventLoop& loop, const GatewayOptions& options);
 
-  /// @brief Applies changes of orders or of their status.
-  void ApplyChanges(const mirror::KindChanges& changes);
+  /// @brief Applies changes of orders or of their status. An order that cannot
+  /// be decoded is added to `unusable` and leaves the known one in force.
+  void ApplyChanges(const mirror::KindChanges& changes,
+                    UnusableObjects& unusable);
 
   [[nodiscard]] std::vector<traffic::RolloutOrder> Orders() const;
 
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -70,6 +70,16 @@
   return rollouts;
 }
 
+json UnusableObjects(const FleetState& fleet) {
+  json objects = json::array();
+  for (const traffic::UnusableObject& object : fleet.view_->unusable_) {
+    objects.push_back({{"kind", object.kind_},
+                       {"name", object.name_},
+                       {"reason", object.reason_}});
+  }
+  return objects;
+}
+
 }  // namespace
 
 json StatusJson(const FleetState& fleet,
@@ -89,6 +99,7 @@
       {"daemons", fleet.view_->daemons_},
       {"evacuated", fleet.view_->evacuated_},
       {"rollouts", RolloutStatus(fleet)},
+      {"unusable_objects", UnusableObjects(fleet)},
       {"services", std::move(services)}};
 }
 
--- a/src/gateway/status_page.h
+++ b/src/gateway/status_page.h
@@ -11,13 +11,15 @@
 namespace clementinerill::gateway {
 
 /// @brief Returns this daemon's view of the fleet for operators: the
-/// configuration in force, daemons, evacuations, rollouts, and the replicas of
-/// each service with their standing and load.
+/// configuration in force, daemons, evacuations, rollouts, objects of the store
+/// that are not usable, and the replicas of each service with their standing
+/// and load.
 ///
 /// Shape: `{daemon, failure_domain, configuration_version, daemons: {domain:
-/// count}, evacuated: [..], rollouts: [..], services: {name: {routed,
-/// extra_attempts, replicas: [..]}}}`. A non-empty `service` restricts
-/// `services` to that service; it is empty if the service is unknown.
+/// count}, evacuated: [..], rollouts: [..], unusable_objects: [{kind, name,
+/// reason}], services: {name: {routed, extra_attempts, replicas: [..]}}}`. A
+/// non-empty `service` restricts `services` to that service; it is empty if the
+/// service is unknown.
 [[nodiscard]] nlohmann::json StatusJson(const traffic::FleetState& fleet,
                                         const std::string& service,
                                         Instant now);
--- a/src/gateway/store_codec.h
+++ b/src/gateway/store_codec.h
@@ -10,6 +10,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "codec/json_slices.h"
 #include "mirror/kind_changes.h"
 #include "mirror/stored_object.h"
 #include "traffic/replica_entry.h"
@@ -62,8 +63,12 @@
   std::function<std::string(const std::string& name,
                             const nlohmann::json& content)>
       encode_object_;
-  std::function<Result<StorePage>(const std::string& body)> decode_page_;
-  std::function<Result<mirror::KindChanges>(const std::string& body)>
+  /// Objects beyond `bounds` get a `StoredObject::decode_error_`.
+  std::function<Result<StorePage>(const std::string& body,
+                                  const JsonBounds& bounds)>
+      decode_page_;
+  std::function<Result<mirror::KindChanges>(const std::string& body,
+                                            const JsonBounds& bounds)>
       decode_events_;
   std::function<Result<traffic::TrafficConfiguration>(const nlohmann::json&)>
       decode_configuration_;
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -45,6 +45,9 @@
 // In fleets smaller than this every daemon follows the store: relaying needs
 // shorter long polls, which cost more requests than it saves.
 constexpr size_t kMinDaemonsForRelays = 16;
+// Bounds of objects other than the configuration, whose entries take a few
+// hundred bytes. The copy holds all of them, on VMs of 160 MB.
+constexpr JsonBounds kEntryBounds{64 * 1024, 32};
 
 milliseconds ShareOf(Duration bound, double share) {
   return std::chrono::duration_cast<milliseconds>(bound * share);
@@ -88,7 +91,9 @@
       WatchOptions{
           kind,
           WatchWait(options_.max_propagation_delay_, must_be_fresh, false),
-          batch_delay},
+          batch_delay,
+          kind == options_.store_codec_.kinds_.configuration_ ? JsonBounds{}
+                                                              : kEntryBounds},
       followed.mirror_, [this, kind](const mirror::KindChanges& changes) {
         OnKindChanged(kind, changes);
       });
--- a/src/mirror/stored_object.h
+++ b/src/mirror/stored_object.h
@@ -15,6 +15,9 @@
   nlohmann::json status_ = {};  ///< Null if the system has not written one.
   /// Revision of its last change, for conditional writes.
   int64_t revision_ = 0;
+  /// Why content and status could not be decoded, which are null then; empty if
+  /// they were.
+  std::string decode_error_ = {};
 };
 
 }  // namespace clementinerill::mirror
--- a/src/traffic/traffic_view.h
+++ b/src/traffic/traffic_view.h
@@ -13,6 +13,13 @@
 
 namespace clementinerill::traffic {
 
+/// @brief An object of the store that is not used because of an error in it.
+struct UnusableObject {
+  std::string kind_;
+  std::string name_;
+  std::string reason_;
+};
+
 /// @brief Immutable snapshot of the control state for the traffic thread.
 struct TrafficView {
   /// Null until the first configuration has been received.
@@ -23,6 +30,8 @@
   std::vector<RolloutOrder> rollouts_;
   /// Daemons that share the limits, by failure domain; empty when unknown.
   std::map<std::string, int> daemons_;
+  /// For the status page; a bounded number of them.
+  std::vector<UnusableObject> unusable_;
 };
 
 /// @brief Returns the number of daemons. While it is unknown, assumes a high
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -29,11 +29,19 @@
   void Put(const std::string& kind,
            const std::string& name,
            const nlohmann::json& spec) {
+    PutText(kind, name, spec.dump());
+  }
+
+  /// Stores content that need not be valid JSON, as another writer may leave
+  /// it.
+  void PutText(const std::string& kind,
+               const std::string& name,
+               const std::string& spec) {
     Change({kind, name, spec, false});
   }
 
   void Remove(const std::string& kind, const std::string& name) {
-    Change({kind, name, nullptr, true});
+    Change({kind, name, "null", true});
   }
 
   /// Compacts the history: pending watches, and later ones from an older
@@ -70,14 +78,16 @@
     }
   }
 
-  std::map<std::string, int> request_counts_;       ///< By method and kind.
-  std::map<std::string, nlohmann::json> statuses_;  ///< By kind and name.
+  std::map<std::string, int> request_counts_;        ///< By method and kind.
+  std::map<std::string, std::string> odd_metadata_;  ///< Text, by name.
+  size_t page_size_ = 1000;                          ///< Objects in a list.
+  std::map<std::string, nlohmann::json> statuses_;   ///< By kind and name.
 
  private:
   struct Event {
     std::string kind_;
     std::string name_;
-    nlohmann::json spec_;
+    std::string spec_;  ///< As text.
     bool deleted_ = false;
     int64_t revision_ = 0;
   };
@@ -88,9 +98,17 @@
     int64_t revision_;
   };
 
-  static nlohmann::json ObjectOf(const Event& event) {
-    return {{"meta", {{"name", event.name_}, {"rev", event.revision_}}},
-            {"spec", event.spec_}};
+  [[nodiscard]] std::string ObjectOf(const Event& event) const {
+    const nlohmann::json meta = {{"name", event.name_},
+                                 {"rev", event.revision_}};
+    const auto odd = odd_metadata_.find(event.name_);
+    return R"({"meta":)" +
+           (odd == odd_metadata_.end() ? meta.dump() : odd->second) +
+           R"(,"spec":)" + event.spec_ + "}";
+  }
+
+  static void AppendElement(std::string& list, const std::string& element) {
+    list += (list.empty() ? "" : ",") + element;
   }
 
   void Change(Event event) {
@@ -120,15 +138,17 @@
   }
 
   void ReplyEvents(const PendingWatch& pending) {
-    nlohmann::json events = nlohmann::json::array();
+    std::string events;
     for (const Event& event : events_) {
       if (event.kind_ == pending.kind_ && event.revision_ > pending.revision_) {
-        events.push_back(
-            {{"deleted", event.deleted_}, {"object", ObjectOf(event)}});
+        AppendElement(events, std::string(R"({"deleted":)") +
+                                  (event.deleted_ ? "true" : "false") +
+                                  R"(,"object":)" + ObjectOf(event) + "}");
       }
     }
-    Respond(pending.caller_, 200,
-            {{"events", events}, {"current_rev", revision_}});
+    RespondText(pending.caller_, 200,
+                R"({"events":[)" + events + R"(],"current_rev":)" +
+                    std::to_string(revision_) + "}");
   }
 
   void ReplyToWatches(int status) {
@@ -140,10 +160,15 @@
   void Respond(const Caller& caller,
                int status,
                const nlohmann::json& body) const {
-    if (silent_) {
-      return;
+    RespondText(caller, status, body.dump());
+  }
+
+  void RespondText(const Caller& caller,
+                   int status,
+                   const std::string& body) const {
+    if (!silent_) {
+      caller->Respond({status, {}, body, true}, false);
     }
-    caller->Respond({status, {}, body.dump(), true}, false);
   }
 
   static std::string QueryValue(const std::string& target,
@@ -181,7 +206,7 @@
     }
     const std::string watch = QueryValue(request.target_, "watch");
     if (watch.empty()) {
-      List(caller, kind);
+      List(caller, kind, QueryValue(request.target_, "after"));
       return;
     }
     const PendingWatch pending{caller, kind, std::stoll(watch)};
@@ -212,14 +237,21 @@
     Respond(caller, request.method_ == "POST" ? 201 : 200, object);
   }
 
-  void List(const Caller& caller, const std::string& kind) {
-    nlohmann::json items = nlohmann::json::array();
-    for (const auto& [name, event] : objects_[kind]) {
-      items.push_back(ObjectOf(event));
+  void List(const Caller& caller,
+            const std::string& kind,
+            const std::string& after) {
+    const auto& objects = objects_[kind];
+    std::string items;
+    size_t listed = 0;
+    auto object = objects.upper_bound(after);
+    for (; object != objects.end() && listed < page_size_; ++object) {
+      AppendElement(items, ObjectOf(object->second));
+      ++listed;
     }
-    Respond(
-        caller, 200,
-        {{"items", items}, {"has_more", false}, {"current_rev", revision_}});
+    RespondText(caller, 200,
+                R"({"items":[)" + items + R"(],"has_more":)" +
+                    (object == objects.end() ? "false" : "true") +
+                    R"(,"current_rev":)" + std::to_string(revision_) + "}");
   }
 
   http::Listener listener_;
