Check CBOR between daemons before it is decoded

What would be seen: a daemon ends by itself when another process sends it a few hundred kilobytes of nested arrays, maps or strings of indefinite length, or nine bytes that announce an array of 2^63 elements.

Cause: the CBOR library decodes containers and chunked strings by recursion, and throws for such a length even where exceptions are turned off. The older mesh checked the depth of containers by the same decoder, which does not see strings of indefinite length.

Ruled out: a catch (the stack is not unwound when it overflows).

Now the structure of the bytes is checked without recursion: definite lengths only, no tags, a limit on the depth, no length beyond the bytes. Both protocols between daemons use it; the depth check of the mesh goes.

--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -1,8 +1,11 @@
 #include "mirror/relay_message.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
+#include "codec/codec.h"
+
 namespace clementinerill::mirror {
 namespace {
 
@@ -15,12 +18,41 @@
   return bytes;
 }
 
+// Nesting of a message around the content of an object.
+constexpr size_t kEnvelopeDepth = 5;
+// Longest time that a message can name. Longer ones would overflow when added
+// to a time.
+constexpr milliseconds kMaxTime = std::chrono::hours(24);
+
+milliseconds DecodeTime(const json& value) {
+  return std::clamp(milliseconds(value.get<int64_t>()), milliseconds(0),
+                    kMaxTime);
+}
+
+int64_t DecodeCount(const json& value) {
+  return std::max<int64_t>(value.get<int64_t>(), 0);
+}
+
+json EncodeObject(const StoredObject& object) {
+  json encoded = {{"content", object.content_},
+                  {"status", object.status_},
+                  {"revision", object.revision_}};
+  if (!object.decode_error_.empty()) {
+    encoded["error"] = object.decode_error_;
+  }
+  return encoded;
+}
+
+StoredObject DecodeObject(const std::string& name, const json& object) {
+  return {name, object.at("content"), object.at("status"),
+          object.at("revision").get<int64_t>(),
+          object.value("error", std::string())};
+}
+
 json EncodeKind(const RelayedKind& kind) {
   json present = json::object();
   for (const StoredObject& object : kind.changes_.upserted_) {
-    present[object.name_] = {{"content", object.content_},
-                             {"status", object.status_},
-                             {"revision", object.revision_}};
+    present[object.name_] = EncodeObject(object);
   }
   return {{"revision", kind.changes_.revision_},
           {"complete", kind.changes_.is_full_list_},
@@ -33,11 +65,9 @@
   RelayedKind kind;
   kind.changes_.revision_ = message.at("revision").get<int64_t>();
   kind.changes_.is_full_list_ = message.at("complete").get<bool>();
-  kind.age_ = milliseconds(message.at("age_ms").get<int64_t>());
+  kind.age_ = DecodeTime(message.at("age_ms"));
   for (const auto& [name, object] : message.at("present").items()) {
-    kind.changes_.upserted_.push_back({name, object.at("content"),
-                                       object.at("status"),
-                                       object.at("revision").get<int64_t>()});
+    kind.changes_.upserted_.push_back(DecodeObject(name, object));
   }
   kind.changes_.removed_ =
       message.at("removed").get<std::vector<std::string>>();
@@ -58,11 +88,11 @@
   RolloutEvidence evidence;
   evidence.service_ = message.at("service").get<std::string>();
   evidence.target_version_ = message.at("target_version").get<std::string>();
-  evidence.length_ = milliseconds(message.at("length_ms").get<int64_t>());
-  evidence.target_attempts_ = message.at("target_attempts").get<int64_t>();
-  evidence.target_bad_ = message.at("target_bad").get<int64_t>();
-  evidence.current_attempts_ = message.at("present_attempts").get<int64_t>();
-  evidence.current_bad_ = message.at("present_bad").get<int64_t>();
+  evidence.length_ = DecodeTime(message.at("length_ms"));
+  evidence.target_attempts_ = DecodeCount(message.at("target_attempts"));
+  evidence.target_bad_ = DecodeCount(message.at("target_bad"));
+  evidence.current_attempts_ = DecodeCount(message.at("present_attempts"));
+  evidence.current_bad_ = DecodeCount(message.at("present_bad"));
   return evidence;
 }
 
@@ -70,6 +100,9 @@
 // errors.
 template <typename T, typename Decode>
 Result<T> DecodeMessage(const std::string& body, Decode decode) {
+  if (!IsBoundedCbor(body, kEnvelopeDepth + JsonBounds{}.max_depth_)) {
+    return Fail("relay message is not CBOR within the nesting limit");
+  }
   const json message = json::from_cbor(body, true, false);
   if (message.is_discarded()) {
     return Fail("relay message is not valid CBOR");
@@ -106,7 +139,7 @@
 Result<RelayRequest> DecodeRelayRequest(const std::string& body) {
   return DecodeMessage<RelayRequest>(body, [](const json& message) {
     RelayRequest request;
-    request.wait_ = milliseconds(message.at("wait_ms").get<int64_t>());
+    request.wait_ = DecodeTime(message.at("wait_ms"));
     request.revisions_ =
         message.at("revisions").get<std::map<std::string, int64_t>>();
     request.daemon_ = message.at("daemon").get<std::string>();
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -5,11 +5,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include "codec/cbor_structure.h"
 #include "peer/field_reader.h"
 #include "peer/field_writer.h"
 #include "peer/message_fields.h"
 #include "peer/message_kind.h"
-#include "peer/nesting_check.h"
 
 namespace clementinerill {
 namespace {
@@ -62,7 +62,7 @@
   if (bytes.size() > kMaxMessageBytes) {
     return Fail("message is larger than the limit");
   }
-  if (!IsCborWithinDepth(bytes, kMaxNestingDepth)) {
+  if (!IsBoundedCbor(bytes, kMaxNestingDepth)) {
     return Fail("message is not CBOR or is nested too deeply");
   }
   const json envelope =
--- a/src/peer/codec.h
+++ b/src/peer/codec.h
@@ -17,7 +17,7 @@
 ///
 /// The CBOR library decodes recursively; without a limit, a small message of
 /// nested arrays would exhaust the stack.
-inline constexpr int kMaxNestingDepth = 8;
+inline constexpr size_t kMaxNestingDepth = 8;
 
 /// @brief Encodes a message as the CBOR map `{"t": kind, "b": body}`.
 ///
--- a/tests/mirror/relay_test.cc
+++ b/tests/mirror/relay_test.cc
@@ -99,6 +99,39 @@
   CHECK_FALSE(DecodeRelayReply("not cbor"));
   CHECK_FALSE(DecodeRelayReply(""));
   CHECK_FALSE(DecodeRelayRequest(Encode(RelayReply{})));
+  constexpr size_t kMany = 300000;
+  for (const char byte : {'\x81', '\x9f', '\x7f', '\x5f', '\xc0'}) {
+    CHECK_FALSE(DecodeRelayReply(std::string(kMany, byte)));
+    CHECK_FALSE(DecodeRelayRequest(std::string(kMany, byte)));
+  }
+  // An array of 2^63 elements.
+  CHECK_FALSE(DecodeRelayReply(std::string("\x9b\x80\0\0\0\0\0\0\0", 9)));
+}
+
+// Guards against a reader that takes an object which the relay could not decode
+// for a valid one.
+TEST_CASE("an object that cannot be decoded is relayed as such", "[relay]") {
+  StoredObject odd{"odd", nullptr};
+  odd.decode_error_ = "spec is not valid JSON";
+  RelayReply reply;
+  reply.kinds_["servers"] = {{7, false, {odd, {"good", 1}}, {}}, {}};
+  const auto decoded = DecodeRelayReply(Encode(reply));
+  REQUIRE(decoded);
+  const auto& objects = decoded->kinds_.at("servers").changes_.upserted_;
+  REQUIRE(objects.size() == 2);
+  CHECK(objects[0].decode_error_.empty());
+  CHECK(objects[1].decode_error_ == odd.decode_error_);
+}
+
+// Guards against times that overflow when they are added to the present.
+TEST_CASE("times out of range are limited", "[relay]") {
+  RelayRequest request;
+  request.wait_ = std::chrono::milliseconds::max();
+  CHECK(DecodeRelayRequest(Encode(request))->wait_ == std::chrono::hours(24));
+  RelayReply reply;
+  reply.kinds_["config"].age_ = std::chrono::milliseconds(-5);
+  CHECK(DecodeRelayReply(Encode(reply))->kinds_.at("config").age_ ==
+        std::chrono::milliseconds(0));
 }
 
 }  // namespace
