gateway: bound numbers that come from outside

Read, not run before: slots beyond 32 bits are narrowed before they are checked, a warm-up of 1e300 ms overflows, and so do `Keep-Alive`, the remaining warm-up and the remaining time in headers, times in the settings and the port for metrics.

Cause: numbers are converted before their range is checked.

An entry or a configuration beyond them is refused with the field and the range; the settings too. Numbers in headers, which are hints, are capped.

--- a/src/base/parse_number.h
+++ b/src/base/parse_number.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINERILL_BASE_PARSE_NUMBER_H_
 #define CLEMENTINERILL_BASE_PARSE_NUMBER_H_
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdint>
@@ -24,6 +25,18 @@
   return value;
 }
 
+/// @brief Parses an unsigned decimal integer of at most `max`.
+///
+/// A larger number gives `max`: the numbers of other processes are bounds or
+/// hints, which a cap keeps useful. Returns `std::nullopt` if the text is no
+/// unsigned decimal integer of 64 bits.
+[[nodiscard]] inline std::optional<uint64_t> ParseNumberUpTo(
+    std::string_view text,
+    uint64_t max) noexcept {
+  const auto value = ParseNumber(text);
+  return value ? std::optional(std::min(*value, max)) : std::nullopt;
+}
+
 /// @brief Parses a non-negative decimal number such as `34.1`.
 ///
 /// Returns `std::nullopt` if the text is empty, negative, not finite, or
--- a/src/gateway/daemon_record_json.cc
+++ b/src/gateway/daemon_record_json.cc
@@ -10,6 +10,8 @@
 constexpr const char* kFailureDomain = "failure_domain";
 constexpr const char* kRelay = "relay";
 constexpr const char* kCapacity = "capacity";
+// Thousandths of a core: a thousand cores.
+constexpr int kMaxCapacity = 1000000;
 
 std::string StringField(const nlohmann::json& object, const char* key) {
   const auto found = object.is_object() ? object.find(key) : object.end();
@@ -30,6 +32,9 @@
 
 Result<mirror::DaemonRecord> DecodeDaemonRecord(
     const mirror::StoredObject& object) {
+  if (!object.decode_error_.empty()) {
+    return Fail(object.decode_error_);
+  }
   mirror::DaemonRecord record;
   record.name_ = object.name_;
   record.revision_ = object.revision_;
@@ -38,8 +43,12 @@
     return Fail("failure_domain is missing or empty");
   }
   const auto capacity = object.content_.find(kCapacity);
-  if (capacity != object.content_.end() && capacity->is_number_integer()) {
-    record.capacity_ = capacity->get<int>();
+  if (capacity != object.content_.end()) {
+    const double value = capacity->is_number() ? capacity->get<double>() : -1;
+    if (!(value >= 0 && value <= kMaxCapacity)) {
+      return Fail("capacity must be from 0 to " + std::to_string(kMaxCapacity));
+    }
+    record.capacity_ = static_cast<int>(value);
   }
   const std::string relay = StringField(object.content_, kRelay);
   if (relay.empty()) {
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -24,6 +24,10 @@
 // replica may have dropped a connection that was idle for longer.
 constexpr Duration kMaxIdleForNonIdempotent = std::chrono::milliseconds(1000);
 
+// Cap of the idle timeout that a replica names; longer ones would overflow when
+// added to a time.
+constexpr std::chrono::seconds kMaxKeepAlive = std::chrono::hours(1);
+
 // Parses the idle timeout of a `Keep-Alive` header such as
 // `timeout=5, max=100`.
 std::optional<Duration> ParseKeepAlive(std::string_view text) {
@@ -33,7 +37,8 @@
     return std::nullopt;
   }
   text.remove_prefix(at + kKey.size());
-  const auto seconds = ParseNumber(text.substr(0, text.find_first_of(", ;")));
+  const auto seconds = ParseNumberUpTo(
+      text.substr(0, text.find_first_of(", ;")), kMaxKeepAlive.count());
   if (!seconds) {
     return std::nullopt;
   }
--- a/src/gateway/replica_report_decoder.cc
+++ b/src/gateway/replica_report_decoder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <string_view>
 
 #include "base/parse_number.h"
@@ -9,11 +10,16 @@
 namespace clementinerill::gateway {
 namespace {
 
+// Caps of what a replica reports: requests at a time, and the length of a
+// warm-up. Larger numbers would overflow in estimates and times.
+constexpr uint64_t kMaxLoad = 1000000;
+constexpr std::chrono::milliseconds kMaxWarmup = std::chrono::hours(1);
+
 std::optional<traffic::ReportedLoad> ParseLoad(std::string_view text) {
   std::array<int, 3> numbers{};
   for (int& number : numbers) {
     const size_t comma = std::min(text.find(','), text.size());
-    const auto value = ParseNumber(text.substr(0, comma));
+    const auto value = ParseNumberUpTo(text.substr(0, comma), kMaxLoad);
     if (!value) {
       return std::nullopt;
     }
@@ -29,8 +35,8 @@
                                            const WireNames& names) {
   traffic::ReplicaReport report;
   report.load_ = ParseLoad(http::FindHeader(headers, names.load_));
-  const auto warmup =
-      ParseNumber(http::FindHeader(headers, names.warmup_remaining_));
+  const auto warmup = ParseNumberUpTo(
+      http::FindHeader(headers, names.warmup_remaining_), kMaxWarmup.count());
   if (warmup) {
     report.warmup_remaining_ = std::chrono::milliseconds(*warmup);
   }
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -35,6 +35,10 @@
 // Lower bound of that time.
 constexpr Duration kMinServeTime = milliseconds(100);
 
+// Cap of the time that a caller names; longer ones would overflow when added to
+// a time. The timeout of the route applies besides.
+constexpr milliseconds kMaxCallerTimeout = std::chrono::hours(24);
+
 // Paths of the status page: all services, or the one whose name follows.
 constexpr std::string_view kStatusPath = "/status";
 constexpr std::string_view kServiceStatusPath = "/status/";
@@ -151,8 +155,11 @@
                                   : target.substr(kServiceStatusPath.size()));
     response.status_ = 200;
     response.headers_.emplace_back("Content-Type", "application/json");
+    const auto status = StatusJson(fleet_, service, http::EventLoop::Now());
+    // Text of other writers may contain invalid UTF-8.
     response.body_ =
-        StatusJson(fleet_, service, http::EventLoop::Now()).dump() + "\n";
+        status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+        "\n";
   }
   caller->Respond(response, false);
 }
@@ -214,8 +221,9 @@
 
 Duration TrafficServer::RequestTimeout(const http::HttpRequest& request,
                                        const traffic::RouteRule& route) const {
-  const auto milliseconds_left =
-      ParseNumber(http::FindHeader(request.headers_, options_.names_.timeout_));
+  const auto milliseconds_left = ParseNumberUpTo(
+      http::FindHeader(request.headers_, options_.names_.timeout_),
+      kMaxCallerTimeout.count());
   return milliseconds_left ? milliseconds(*milliseconds_left) : route.timeout_;
 }
 
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -105,6 +105,70 @@
   CHECK_FALSE(DecodeReplica({"i-1", json(nullptr)}, now));
 }
 
+// Guards against entries of other writers whose numbers overflow when they are
+// narrowed or added to a time.
+TEST_CASE("a replica entry with a value out of range is rejected",
+          "[decoder]") {
+  const Instant now{seconds(100)};
+  const auto is_valid = [now](const char* field, const json& value) {
+    json spec = ReplicaSpec();
+    spec[field] = value;
+    return DecodeReplica({"i-1", spec}, now).has_value();
+  };
+  CHECK(is_valid("slots", 1));
+  CHECK(is_valid("cold_remaining_ms", 3600000));
+  for (const json& slots :
+       {json(0), json(-1), json(4294967297), json(18446744073709551615U)}) {
+    CHECK_FALSE(is_valid("slots", slots));
+  }
+  CHECK_FALSE(is_valid("cold_remaining_ms", 1e300));
+  CHECK_FALSE(is_valid("cold_remaining_ms", -1));
+  CHECK_FALSE(is_valid("born", 18446744073709551615U));
+  for (const char* address :
+       {"10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:1e3"}) {
+    CHECK_FALSE(is_valid("address", address));
+  }
+  gateway::StoredObject odd{"i-1", ReplicaSpec()};
+  odd.decode_error_ = "spec is nested too deeply";
+  CHECK(DecodeReplica(odd, now).error().description_ == odd.decode_error_);
+}
+
+// Guards against a list that starts again from its beginning, or a request that
+// the store rejects, because of a name of another writer.
+TEST_CASE("names are encoded in the targets of requests", "[decoder]") {
+  const auto codec = MakeStoreCodec();
+  CHECK(codec.list_target_("servers", "a b&watch=1\r\n", false) ==
+        "/objects/servers?after=a%20b%26watch%3D1%0D%0A");
+  CHECK(codec.object_target_("servers", "i-1_~.x") ==
+        "/objects/servers/i-1_~.x");
+}
+
+TEST_CASE("objects beyond the bounds are listed with an error", "[decoder]") {
+  const auto page = [](const std::string& odd) {
+    return R"({"items": [{"meta": {"name": "a"}, "spec": 1}, )" + odd +
+           R"(, {"meta": {"name": "c"}, "spec": 5}], "current_rev": 7})";
+  };
+  const auto error = [&page](const std::string& odd, const JsonBounds& bounds) {
+    const auto decoded = DecodePage(page(odd), bounds);
+    REQUIRE(decoded);
+    REQUIRE(decoded->objects_.size() == 3);
+    CHECK(decoded->objects_[0].decode_error_.empty());
+    CHECK(decoded->objects_[2].content_ == 5);
+    CHECK(decoded->objects_[1].content_.is_null());
+    return decoded->objects_[1].decode_error_;
+  };
+  const std::string deep = std::string(300000, '[') + std::string(300000, ']');
+  CHECK(error(R"({"meta": {"name": "b"}, "spec": )" + deep + "}", {}) ==
+        "spec is nested more than 32 levels deep");
+  CHECK(error(R"({"meta": {"name": "b"}, "spec": "0123456789012345"})",
+              {16, 8}) == "spec is larger than 16 bytes");
+  CHECK(error(R"({"meta": {"name": "b", "rev": 1e999}, "spec": 1})", {}) ==
+        "meta is not valid JSON or has a number out of range");
+  CHECK(error(R"({"meta": {"name": 7}, "spec": 1})", {}) ==
+        "meta: name must be a string");
+  CHECK(error("3", {}) == "object must be a JSON object");
+}
+
 TEST_CASE("responses of the store are decoded", "[decoder]") {
   const auto page = DecodePage(
       R"({"items": [{"meta": {"name": "i-1"}, "spec": {"a": 1}}, "broken"],
@@ -197,6 +261,17 @@
   CHECK(error("retry_ratio: 0.2", "retry_ratio: much").find("retry_ratio") !=
         std::string::npos);
   CHECK(error("node:", "{node:").find("boot.yaml:") == 0);
+  // Numbers that overflow when they are narrowed or added to a time.
+  CHECK(error("[7740, 7755]", "[65537, 7755]").find("internal_ports") !=
+        std::string::npos);
+  CHECK(error("drain_ms: 3000", "drain_ms: 1e300").find("bounds.drain_ms") !=
+        std::string::npos);
+  CHECK(error("grace_s: 6", "grace_s: .inf").find("bounds.grace_s") !=
+        std::string::npos);
+  CHECK(error("cold_slack: 5", "cold_slack: -1").find("cold_slack") !=
+        std::string::npos);
+  CHECK(error("cpu_share: 0.25", "cpu_share: .nan").find("cpu_share") !=
+        std::string::npos);
 }
 
 }  // namespace
