--- a/src/gateway/caller_response.cc
+++ b/src/gateway/caller_response.cc
@@ -27,15 +27,24 @@
 http::HttpResponse FanOutResponse(const Query& query, const WireNames& names) {
   std::vector<std::string_view> bodies;
   std::string signatures;
+  const auto add = [&](const std::string& body, const std::string& signature) {
+    bodies.push_back(body);
+    signatures.append(signatures.empty() || signature.empty() ? "" : ", ");
+    signatures.append(signature);
+  };
   for (const QueryPart& part : query.parts_) {
-    if (part.state_ != traffic::PartState::kAnswered) {
-      continue;
+    if (part.state_ == traffic::PartState::kAnswered && !part.is_delegated_) {
+      add(part.response_.body_, part.response_.signature_);
     }
-    bodies.push_back(part.response_.body_);
-    signatures.append(signatures.empty() ? "" : ", ");
-    signatures.append(part.response_.signature_);
   }
-  const size_t missing = query.parts_.size() - bodies.size();
+  for (const traffic::Delegation& delegation : query.delegations_) {
+    if (delegation.state_ == traffic::DelegationState::kAnswered) {
+      add(delegation.body_, delegation.signatures_);
+    }
+  }
+  const size_t missing =
+      query.parts_.size() -
+      traffic::CountParts(query, traffic::PartState::kAnswered);
   http::HttpResponse response;
   response.status_ = 200;
   response.headers_.emplace_back(names.part_signatures_, std::move(signatures));
--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -216,6 +216,7 @@
   }
   follower_.SetDaemons(records);
   prober_.SetDaemons(records, options_.name_);
+  UpdateAggregators();
   const bool is_listed = daemons_.count(options_.name_) > 0;
   if (was_listed_ && !is_listed) {
     // Another daemon deleted it after failing to reach this one for minutes.
@@ -226,6 +227,19 @@
   was_listed_ = is_listed;
 }
 
+void ControlLoop::UpdateAggregators() {
+  std::vector<traffic::Aggregator> aggregators;
+  for (const auto& [name, record] : daemons_) {
+    if (!record.forward_address_.empty()) {
+      aggregators.push_back({name, record.failure_domain_, record.region_,
+                             record.forward_address_, record.forward_port_,
+                             record.capacity_});
+    }
+  }
+  aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
+      std::move(aggregators));
+}
+
 void ControlLoop::DeleteDaemonRecord(const mirror::DaemonRecord& daemon) {
   if (deleting_) {
     return;
@@ -350,6 +364,7 @@
   for (const auto& [name, record] : daemons_) {
     ++view->daemons_[record.failure_domain_];
   }
+  view->aggregators_ = aggregators_;
   view->unusable_ = unusable_.List();
   publish_(std::move(view));
 }
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -54,6 +54,7 @@
                    const Error& error);
   void ApplyEvacuationChanges(const mirror::KindChanges& changes);
   void ApplyDaemonChanges(const mirror::KindChanges& changes);
+  void UpdateAggregators();
   void RecordDaemonEvidence(const std::string& daemon,
                             const traffic::VersionComparison& evidence);
   void RecordReaderEvidence(const mirror::RelayRequest& request);
@@ -82,6 +83,8 @@
   traffic::ReplicaDirectory directory_;
   std::set<std::string> evacuated_;
   std::map<std::string, mirror::DaemonRecord> daemons_;
+  /// Those of `daemons_` that gather queries for others.
+  std::shared_ptr<const std::vector<traffic::Aggregator>> aggregators_;
   bool registering_ = false;  ///< A write of the own record is in flight.
   bool was_listed_ = false;   ///< The last list had the own record.
   bool replicas_known_ = false;
--- a/src/gateway/daemon_record_json.cc
+++ b/src/gateway/daemon_record_json.cc
@@ -9,6 +9,8 @@
 
 constexpr const char* kFailureDomain = "failure_domain";
 constexpr const char* kRelay = "relay";
+constexpr const char* kForward = "forward";
+constexpr const char* kRegion = "region";
 constexpr const char* kCapacity = "capacity";
 // Thousandths of a core: a thousand cores.
 constexpr int kMaxCapacity = 1000000;
@@ -27,6 +29,12 @@
   if (options.relay_listen_) {
     record[kRelay] = ToText(*options.relay_listen_);
   }
+  if (options.forward_listen_) {
+    record[kForward] = ToText(*options.forward_listen_);
+  }
+  if (!options.region_.empty()) {
+    record[kRegion] = options.region_;
+  }
   return record;
 }
 
@@ -50,6 +58,16 @@
     }
     record.capacity_ = static_cast<int>(value);
   }
+  record.region_ = StringField(object.content_, kRegion);
+  const std::string forward = StringField(object.content_, kForward);
+  if (!forward.empty()) {
+    const auto endpoint = ParseEndpoint(forward);
+    if (!endpoint) {
+      return Fail("forward " + endpoint.error().description_);
+    }
+    record.forward_address_ = endpoint->address_;
+    record.forward_port_ = endpoint->port_;
+  }
   const std::string relay = StringField(object.content_, kRelay);
   if (relay.empty()) {
     return record;
--- a/src/gateway/forward_declarations.h
+++ b/src/gateway/forward_declarations.h
@@ -3,8 +3,10 @@
 
 namespace clementinerill::gateway {
 
+class AggregatorPool;
 class ConnectionPool;
 class ControlLoop;
+class ForwardSession;
 class KindWatch;
 class QuerySession;
 class StoreCaller;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -3,6 +3,7 @@
 
 #include "metrics/registry.h"
 #include "traffic/attempt_outcome.h"
+#include "traffic/forward_outcome.h"
 #include "traffic/part_failure_reason.h"
 #include "traffic/query_outcome.h"
 
@@ -24,6 +25,16 @@
             "gateway_retries_total",
             "Attempts sent after another one, by the outcome of that one.",
             traffic::kAttemptOutcomeNames)),
+        forwards_(registry_.AddReasonCounters(
+            "gateway_forwards_total",
+            "Queries forwarded to aggregators, by outcome.",
+            traffic::kForwardOutcomeNames)),
+        gathered_for_others_(registry_.AddCounter(
+            "gateway_gathered_for_others_total",
+            "Queries that other daemons forwarded to this one.")),
+        forwards_refused_(registry_.AddCounter(
+            "gateway_forwards_refused_total",
+            "Forwarded queries that this daemon refused to start.")),
         failed_parts_(registry_.AddReasonCounters(
             "gateway_failed_parts_total",
             "Parts without an answer, by why no further attempt was made.",
@@ -64,7 +75,10 @@
   ReasonCounters<traffic::AttemptOutcome, 9> attempts_;
   Counter& hedges_;
   ReasonCounters<traffic::AttemptOutcome, 9> retries_;
-  ReasonCounters<traffic::PartFailureReason, 6> failed_parts_;
+  ReasonCounters<traffic::ForwardOutcome, 7> forwards_;
+  Counter& gathered_for_others_;
+  Counter& forwards_refused_;
+  ReasonCounters<traffic::PartFailureReason, 7> failed_parts_;
   Counter& skipped_parts_;
   Counter& unrouted_;
   Counter& unconfigured_;
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -25,6 +25,9 @@
   Endpoint store_;
   /// Address at which this daemon relays its copy of the store to others.
   std::optional<Endpoint> relay_listen_;
+  /// Address at which this daemon gathers queries for others.
+  std::optional<Endpoint> forward_listen_;
+  std::string region_;
   /// Relays to start from while the store is unavailable.
   std::vector<Endpoint> seeds_;
   int capacity_ = 0;  ///< CPU of this process in thousandths of a core.
--- a/src/gateway/query_log.cc
+++ b/src/gateway/query_log.cc
@@ -40,8 +40,11 @@
 std::string PartsText(const Query& query, Instant now) {
   std::string text;
   for (const QueryPart& part : query.parts_) {
-    if (part.state_ == PartState::kAnswered && part.attempts_.size() == 1 &&
-        part.attempts_.front().duration_ < query.route_->objective_) {
+    const bool is_routine =
+        part.is_delegated_ ||
+        (part.attempts_.size() == 1 &&
+         part.attempts_.front().duration_ < query.route_->objective_);
+    if (part.state_ == PartState::kAnswered && is_routine) {
       continue;
     }
     text += text.empty() ? "" : " ";
@@ -88,6 +91,12 @@
       {"parts", query.parts_.size()},
       {"extra", CountExtraAttempts(query)},
       {"version", query.view_->configuration_->version_}};
+  if (!query.delegations_.empty()) {
+    fields.emplace_back("delegations", query.delegations_.size());
+  }
+  if (query.is_forwarded_) {
+    fields.emplace_back("forwarded", true);
+  }
   if (!is_routine) {
     fields.emplace_back("late", IsLate(query, now));
     fields.emplace_back("attempts", PartsText(query, now));
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -11,6 +11,7 @@
 #include "gateway/replica_report_decoder.h"
 #include "http/http_message.h"
 #include "logging/log.h"
+#include "traffic/aggregator_health.h"
 #include "traffic/record_report.h"
 
 namespace clementinerill::gateway {
@@ -24,6 +25,10 @@
 // replica may have dropped a connection that was idle for longer.
 constexpr Duration kMaxIdleForNonIdempotent = std::chrono::milliseconds(1000);
 
+// An aggregator answers a delegation this long before this daemon has to
+// answer, which covers the way back and the merge.
+constexpr Duration kDelegationMargin = std::chrono::milliseconds(4);
+
 // Cap of the idle timeout that a replica names; longer ones would overflow when
 // added to a time.
 constexpr std::chrono::seconds kMaxKeepAlive = std::chrono::hours(1);
@@ -65,9 +70,100 @@
       self->OnCallerDisconnected();
     }
   });
+  StartDelegations(http::EventLoop::Now());
+  Step();
+}
+
+void QuerySession::StartDelegations(Instant now) {
+  for (size_t i = 0; i < query_.delegations_.size(); ++i) {
+    StartDelegation(i, now);
+  }
+}
+
+void QuerySession::StartDelegation(size_t index, Instant now) {
+  const traffic::Delegation& delegation = query_.delegations_[index];
+  const auto& remote = context_.fleet_.aggregation_.remote_;
+  const auto aggregators = remote.find(delegation.failure_domain_);
+  auto lease = aggregators == remote.end()
+                   ? std::nullopt
+                   : context_.aggregators_.Acquire(aggregators->second, now);
+  if (!lease) {
+    traffic::ReturnDelegation(query_, index, false, now);
+    return;
+  }
+  ForwardHeader header;
+  header.configuration_version_ = query_.view_->configuration_->version_;
+  header.elapsed_ = std::chrono::milliseconds(
+      ToMilliseconds(now - query_.started_ + kDelegationMargin));
+  header.subset_ = delegation.subset_;
+  const auto exchange =
+      std::make_shared<ForwardExchange>(context_.loop_, context_.aggregators_,
+                                        context_.metrics_, std::move(*lease));
+  delegated_.push_back(exchange);
+  const auto self = shared_from_this();
+  exchange->Start(MakeForwardedRequest(request_, header, context_.names_,
+                                       traffic::RemainingTime(query_, now)),
+                  now + traffic::AcknowledgeTimeout(*query_.route_),
+                  query_.deadline_, [self, index](const ForwardResult& result) {
+                    self->OnDelegation(index, result);
+                  });
+}
+
+void QuerySession::OnDelegation(size_t index, const ForwardResult& result) {
+  if (!IsOpen()) {
+    return;
+  }
+  const Instant now = http::EventLoop::Now();
+  switch (result.outcome_) {
+    case traffic::ForwardOutcome::kAnswered:
+      RecordDelegation(index, result.response_);
+      break;
+    case traffic::ForwardOutcome::kRefused:
+    case traffic::ForwardOutcome::kNotSent:
+      traffic::ReturnDelegation(query_, index, false, now);
+      break;
+    case traffic::ForwardOutcome::kUnacknowledged:
+      traffic::ReturnDelegation(query_, index, true, now);
+      break;
+    case traffic::ForwardOutcome::kBroken:
+    case traffic::ForwardOutcome::kTimedOut:
+    case traffic::ForwardOutcome::kCancelled:
+      traffic::FailDelegation(query_, index);
+      break;
+  }
   Step();
 }
 
+void QuerySession::RecordDelegation(size_t index,
+                                    const http::HttpResponse& response) {
+  const Instant now = http::EventLoop::Now();
+  if (response.status_ == 503) {
+    traffic::ReturnDelegation(query_, index, false, now);
+    return;
+  }
+  const size_t parts = query_.delegations_[index].subset_.parts_.size();
+  const auto missing = ParseNumber(
+      http::FindHeader(response.headers_, context_.names_.missing_parts_));
+  std::string signatures(
+      http::FindHeader(response.headers_, context_.names_.part_signatures_));
+  const size_t answered =
+      signatures.empty() ? 0
+                         : 1 + static_cast<size_t>(std::count(
+                                   signatures.begin(), signatures.end(), ','));
+  if (response.status_ != 200 || !missing || *missing + answered != parts) {
+    traffic::FailDelegation(query_, index);
+    return;
+  }
+  traffic::RecordDelegation(query_, index, *missing, std::move(signatures),
+                            response.body_);
+}
+
+void QuerySession::CancelDelegations() {
+  for (const auto& exchange : std::exchange(delegated_, {})) {
+    exchange->Cancel();
+  }
+}
+
 void QuerySession::Step() {
   const Instant now = http::EventLoop::Now();
   if (IsOpen()) {
@@ -256,6 +352,7 @@
     return;
   }
   query_.outcome_ = QueryOutcome::kDisconnected;
+  CancelDelegations();
   LogEnd(0, now);
   context_.metrics_.queries_.Increment(QueryOutcome::kDisconnected);
   // A non-idempotent request is not cancelled: that would only leave it unknown
@@ -277,6 +374,7 @@
 }
 
 void QuerySession::Respond(Instant now) {
+  CancelDelegations();
   const auto response = MakeCallerResponse(query_, context_.names_, now);
   caller_->Respond(response, context_.draining_);
   context_.metrics_.queries_.Increment(query_.outcome_);
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gateway/connection_pool.h"
+#include "gateway/forward_exchange.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/wire_names.h"
 #include "http/client_connection.h"
@@ -22,6 +23,7 @@
   http::EventLoop& loop_;
   traffic::FleetState& fleet_;
   ConnectionPool& pool_;
+  AggregatorPool& aggregators_;
   const WireNames& names_;
   GatewayMetrics& metrics_;
   const bool& draining_;
@@ -45,6 +47,11 @@
   /// as refused if no attempt may have been executed, else as timed out.
   void Abort();
 
+  /// @brief Parts that this session gathers for another daemon now.
+  [[nodiscard]] size_t ForwardedParts() const noexcept {
+    return query_.is_forwarded_ && IsOpen() ? query_.parts_.size() : 0;
+  }
+
   [[nodiscard]] bool IsOpen() const noexcept {
     return query_.outcome_ == traffic::QueryOutcome::kOpen;
   }
@@ -57,6 +64,11 @@
 
   void Step();
   void Send(traffic::SendAction action, Instant now);
+  void StartDelegations(Instant now);
+  void StartDelegation(size_t index, Instant now);
+  void OnDelegation(size_t index, const ForwardResult& result);
+  void RecordDelegation(size_t index, const http::HttpResponse& response);
+  void CancelDelegations();
   [[nodiscard]] http::ExchangeRequest MakeExchange(
       const traffic::ReplicaState& replica,
       Instant now) const;
@@ -78,6 +90,7 @@
   http::HttpRequest request_;
   traffic::Query query_;
   std::vector<RunningAttempt> running_;
+  std::vector<std::shared_ptr<ForwardExchange>> delegated_;
   std::optional<http::TimerQueue::Id> timer_;
 };
 
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -61,7 +61,9 @@
       options_(options),
       metrics_(metrics),
       pool_(loop),
-      context_{loop, fleet_, pool_, options.names_, metrics, draining_},
+      aggregators_(loop),
+      context_{loop,           fleet_,  pool_,    aggregators_,
+               options.names_, metrics, draining_},
       caller_listener_(loop,
                        [this](const Caller& caller, http::HttpRequest request) {
                          OnRequest(caller, std::move(request));
@@ -75,9 +77,15 @@
           loop,
           [this](const Caller& caller, const http::HttpRequest& request) {
             OnOperatorRequest(caller, request);
+          }),
+      forward_listener_(
+          loop,
+          [this](const Caller& caller, http::HttpRequest request) {
+            OnForwardedRequest(caller, std::move(request));
           }) {
   fleet_.name_ = options.name_;
   fleet_.failure_domain_ = options.failure_domain_;
+  fleet_.region_ = options.region_;
   SetSettings(options);
   fleet_.view_ = std::make_shared<traffic::TrafficView>();
 }
@@ -93,6 +101,9 @@
   if (result && options_.metrics_listen_) {
     result = listen(operator_listener_, *options_.metrics_listen_);
   }
+  if (result && options_.forward_listen_) {
+    result = listen(forward_listener_, *options_.forward_listen_);
+  }
   if (!result) {
     return tl::make_unexpected(result.error());
   }
@@ -110,6 +121,8 @@
     caller_listener_.SetLimits(configuration.limits_);
   }
   pool_.Maintain(fleet_, http::EventLoop::Now());
+  aggregators_.Maintain(traffic::UsedAggregators(fleet_.aggregation_),
+                        http::EventLoop::Now());
 }
 
 void TrafficServer::SetSettings(const GatewayOptions& settings) {
@@ -241,19 +254,142 @@
     }
     timeout = std::min(timeout, left);
   }
+  if (!TryForward(caller, request, route, timeout, now)) {
+    StartSession(caller, std::move(request), route, timeout, {});
+  }
+}
+
+void TrafficServer::StartSession(const Caller& caller,
+                                 http::HttpRequest request,
+                                 const traffic::RouteRule& route,
+                                 Duration timeout,
+                                 const traffic::QueryOrigin& origin) {
   std::string id(
       http::FindHeader(request.headers_, options_.names_.request_id_));
-  auto query = traffic::StartQuery(fleet_, route, std::move(id), timeout, now);
+  auto query = traffic::StartQuery(fleet_, route, std::move(id), timeout,
+                                   http::EventLoop::Now(), origin);
   const auto session = std::make_shared<QuerySession>(
       context_, caller, std::move(request), std::move(query));
   sessions_.push_back(session);
   session->Start();
 }
 
+bool TrafficServer::TryForward(const Caller& caller,
+                               http::HttpRequest& request,
+                               const traffic::RouteRule& route,
+                               Duration timeout,
+                               Instant now) {
+  if (!traffic::IsAggregated(route)) {
+    return false;
+  }
+  traffic::RecordParts(part_rate_, route.shards_.size(), now);
+  const auto daemons =
+      static_cast<size_t>(traffic::CountDaemons(*fleet_.view_));
+  if (!traffic::HasAggregatorCapacity(fleet_.aggregation_, daemons,
+                                      part_rate_.per_s_)) {
+    return false;
+  }
+  auto lease = aggregators_.Acquire(fleet_.aggregation_.preferred_, now);
+  if (!lease) {
+    return false;
+  }
+  ForwardedQuery query;
+  query.id_ = std::string(
+      http::FindHeader(request.headers_, options_.names_.request_id_));
+  query.caller_ = caller;
+  query.request_ = std::move(request);
+  query.view_ = fleet_.view_;
+  query.route_ = &route;
+  query.started_ = now;
+  query.deadline_ = now + std::min(timeout, route.timeout_);
+  const auto session = std::make_shared<ForwardSession>(
+      context_, std::move(query), std::move(*lease),
+      [this](ForwardedQuery returned, bool may_have_run) {
+        GatherAfterForward(std::move(returned), may_have_run);
+      });
+  forwards_.push_back(session);
+  session->Start();
+  return true;
+}
+
+void TrafficServer::GatherAfterForward(ForwardedQuery query,
+                                       bool may_have_run) {
+  const Instant now = http::EventLoop::Now();
+  // The configuration may have changed since the query was received.
+  const traffic::RouteRule* route =
+      traffic::FindRoute(*fleet_.view_->configuration_,
+                         http::FindHeader(query.request_.headers_, "Host"),
+                         query.request_.target_);
+  if (!route) {
+    RejectUnrouted(query.caller_, query.request_);
+    return;
+  }
+  traffic::QueryOrigin origin;
+  origin.elapsed_ = now - query.started_;
+  origin.is_repeat_ = may_have_run;
+  StartSession(query.caller_, std::move(query.request_), *route,
+               query.deadline_ - now, origin);
+}
+
+bool TrafficServer::MayGatherForOthers(const traffic::RouteRule& route,
+                                       const ForwardHeader& header) const {
+  if (!traffic::IsAggregated(route) || draining_ ||
+      header.configuration_version_ != fleet_.view_->configuration_->version_) {
+    return false;
+  }
+  size_t parts = route.shards_.size();
+  if (header.subset_) {
+    if (header.subset_->parts_.back() >= route.shards_.size()) {
+      return false;
+    }
+    parts = header.subset_->parts_.size();
+  }
+  for (const auto& weak : sessions_) {
+    const auto session = weak.lock();
+    parts += session ? session->ForwardedParts() : 0;
+  }
+  return parts <= traffic::MaxForwardedParts(options_.capacity_);
+}
+
+void TrafficServer::OnForwardedRequest(const Caller& caller,
+                                       http::HttpRequest request) {
+  const auto header =
+      DecodeForwardHeader(http::FindHeader(request.headers_, kForwardHeader));
+  const auto& configuration = fleet_.view_->configuration_;
+  const traffic::RouteRule* route =
+      configuration
+          ? traffic::FindRoute(*configuration,
+                               http::FindHeader(request.headers_, "Host"),
+                               request.target_)
+          : nullptr;
+  if (!header || !route || !MayGatherForOthers(*route, *header)) {
+    metrics_.forwards_refused_.Increment();
+    http::HttpResponse response;
+    response.status_ = kForwardRefused;
+    caller->Respond(response, draining_);
+    return;
+  }
+  metrics_.gathered_for_others_.Increment();
+  caller->SendInterim(kForwardStarted);
+  request.headers_.erase(
+      std::remove_if(request.headers_.begin(), request.headers_.end(),
+                     [](const auto& field) {
+                       return http::IsSameHeaderName(field.first,
+                                                     kForwardHeader);
+                     }),
+      request.headers_.end());
+  traffic::QueryOrigin origin;
+  origin.elapsed_ = header->elapsed_;
+  origin.is_forwarded_ = true;
+  origin.subset_ = header->subset_;
+  const Duration timeout = RequestTimeout(request, *route);
+  StartSession(caller, std::move(request), *route, timeout, origin);
+}
+
 void TrafficServer::RemoveExpiredSessions() {
-  sessions_.remove_if([](const std::weak_ptr<QuerySession>& session) {
-    return session.expired();
-  });
+  const auto is_expired = [](const auto& session) { return session.expired(); };
+  sessions_.remove_if(is_expired);
+  forwards_.remove_if(is_expired);
 }
 
 void TrafficServer::Tick() {
@@ -263,7 +399,9 @@
   caller_listener_.CheckTimeouts(refuses_new, now);
   balancer_listener_.CheckTimeouts(false, now);
   operator_listener_.CheckTimeouts(false, now);
+  forward_listener_.CheckTimeouts(false, now);
   pool_.Maintain(fleet_, now);
+  aggregators_.Maintain(traffic::UsedAggregators(fleet_.aggregation_), now);
   RemoveExpiredSessions();
   CheckDrain(now);
   ReportRolloutEvidence();
@@ -305,8 +443,14 @@
         session->Abort();
       }
     }
+    for (const auto& weak : forwards_) {
+      if (const auto session = weak.lock()) {
+        session->Abort();
+      }
+    }
   }
-  const bool idle = caller_listener_.CountOpen() == 0;
+  const bool idle = caller_listener_.CountOpen() == 0 &&
+                    forward_listener_.CountServing() == 0;
   if ((idle || must_end) && stopped_) {
     const auto stopped = std::move(stopped_);
     stopped_ = nullptr;
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -7,13 +7,17 @@
 #include <optional>
 #include <string>
 
+#include "gateway/aggregator_pool.h"
 #include "gateway/connection_pool.h"
+#include "gateway/forward_header.h"
+#include "gateway/forward_session.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
 #include "gateway/query_session.h"
 #include "http/event_loop.h"
 #include "http/listener.h"
 #include "traffic/fleet_state.h"
+#include "traffic/start_query.h"
 
 namespace clementinerill::gateway {
 
@@ -60,9 +64,25 @@
                           const http::HttpRequest& request);
   void RejectStopping(const Caller& caller, const http::HttpRequest& request);
   void RejectUnrouted(const Caller& caller, const http::HttpRequest& request);
+  void OnForwardedRequest(const Caller& caller, http::HttpRequest request);
+  [[nodiscard]] bool MayGatherForOthers(const traffic::RouteRule& route,
+                                        const ForwardHeader& header) const;
   void Serve(const Caller& caller,
              http::HttpRequest request,
              const traffic::RouteRule& route);
+  /// Forwards the query if an aggregator is usable. Returns whether it did;
+  /// `request` is moved from only then.
+  [[nodiscard]] bool TryForward(const Caller& caller,
+                                http::HttpRequest& request,
+                                const traffic::RouteRule& route,
+                                Duration timeout,
+                                Instant now);
+  void GatherAfterForward(ForwardedQuery query, bool may_have_run);
+  void StartSession(const Caller& caller,
+                    http::HttpRequest request,
+                    const traffic::RouteRule& route,
+                    Duration timeout,
+                    const traffic::QueryOrigin& origin);
   [[nodiscard]] Duration RequestTimeout(const http::HttpRequest& request,
                                         const traffic::RouteRule& route) const;
   [[nodiscard]] bool IsReady() const;
@@ -78,12 +98,16 @@
   GatewayMetrics& metrics_;
   traffic::FleetState fleet_;
   ConnectionPool pool_;
+  AggregatorPool aggregators_;
+  traffic::PartRate part_rate_;  ///< Of the queries of this daemon's callers.
   bool draining_ = false;
   SessionContext context_;
   http::Listener caller_listener_;
   http::Listener balancer_listener_;
   http::Listener operator_listener_;
+  http::Listener forward_listener_;
   std::list<std::weak_ptr<QuerySession>> sessions_;
+  std::list<std::weak_ptr<ForwardSession>> forwards_;
   Duration stop_grace_;  ///< From SIGTERM to SIGKILL.
   std::optional<Instant> drain_started_;
   std::function<void()> stopped_;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -221,6 +221,9 @@
       return;
     }
     ResetParser();  // The final response follows.
+    if (request_.on_interim_) {
+      request_.on_interim_(response.status_);
+    }
     return;
   }
   if (request_.is_matching_response_ &&
@@ -260,6 +263,7 @@
 void ClientConnection::Close() {
   handler_ = nullptr;
   request_.is_matching_response_ = nullptr;
+  request_.on_interim_ = nullptr;
   busy_ = false;
   CloseSocket();
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -38,6 +38,9 @@
   /// a late or duplicate response must not be taken for that of a later
   /// request. Optional; without it every response matches.
   std::function<bool(const HttpResponse&)> is_matching_response_;
+  /// Called with the status of each interim response (RFC 9110 section 15.2).
+  /// Optional.
+  std::function<void(int)> on_interim_;
 };
 
 /// @brief The client side of an HTTP/1.1 connection to one address.
@@ -82,6 +85,10 @@
 
   [[nodiscard]] bool IsClosed() const noexcept { return closed_; }
   [[nodiscard]] bool IsBusy() const noexcept { return busy_; }
+  /// @brief Whether the connection is established.
+  [[nodiscard]] bool IsConnected() const noexcept {
+    return connected_ && !closed_;
+  }
 
   /// @brief Whether the connection can be used for another exchange.
   [[nodiscard]] bool IsReusable() const noexcept {
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -107,10 +107,7 @@
             std::string(parser_->get()[boost::beast::http::field::expect]),
             "100-continue")) {
       continue_sent_ = true;
-      error_code ignored;
-      // Synchronous write: 25 bytes fit into any socket send buffer.
-      socket_.write_some(
-          asio::buffer(std::string("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+      SendInterim(100);
     }
     if (error == boost::beast::http::error::need_more || used == 0) {
       return;
@@ -151,6 +148,17 @@
   Write(ToBytes(response, closes, is_head_), closes);
 }
 
+void ServerConnection::SendInterim(int status) {
+  if (closed_ || writing_) {
+    return;
+  }
+  const std::string bytes = "HTTP/1.1 " + std::to_string(status) + " " +
+                            std::string(ReasonPhrase(status)) + "\r\n\r\n";
+  error_code ignored;
+  // Synchronous write: these few bytes fit into any socket send buffer.
+  socket_.write_some(asio::buffer(bytes), ignored);
+}
+
 void ServerConnection::Write(std::string bytes, bool close) {
   writing_ = true;
   output_ = std::move(bytes);
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -41,6 +41,10 @@
   /// connection is closed afterwards.
   void Respond(const HttpResponse& response, bool close);
 
+  /// @brief Sends an interim response to the request in progress; the final one
+  /// follows by `Respond`.
+  void SendInterim(int status);
+
   /// @brief Closes the connection without sending a response.
   void Close();
 
--- a/src/mirror/daemon_record.h
+++ b/src/mirror/daemon_record.h
@@ -14,7 +14,11 @@
   uint16_t port_ = 0;
   /// CPU share of the daemon on its VM in millicores; 0 if unknown.
   int capacity_ = 0;
-  int64_t revision_ = 0;  ///< Revision of the record in the store.
+  int64_t revision_ = 0;     ///< Revision of the record in the store.
+  std::string region_ = {};  ///< Empty if unknown.
+  /// Address for forwarded queries; empty if the daemon does not take them.
+  std::string forward_address_ = {};
+  uint16_t forward_port_ = 0;
 };
 
 }  // namespace clementinerill::mirror
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -47,7 +47,9 @@
 }
 
 bool MayAttempt(const Query& query, const QueryPart& part) {
-  const int max_attempts = query.route_->max_attempts_;
+  const int used_elsewhere = part.is_repeat_ ? 1 : 0;
+  const int max_attempts =
+      std::max(query.route_->max_attempts_ - used_elsewhere, 1);
   const int ran = CountMayHaveRun(part);
   if (!IsIdempotent(query) && ran > 0) {
     return false;
@@ -171,7 +173,7 @@
     FailPart(part, PartFailureReason::kNoReplica);
     return false;
   }
-  if (CountSent(part) > 0 &&
+  if ((CountSent(part) > 0 || part.is_repeat_) &&
       !SpendExtra(fleet, part, ExtraAttemptUse::kRetry, now)) {
     FailPart(part, PartFailureReason::kLimitReached);
     return false;
@@ -212,7 +214,8 @@
                                       Instant now) {
   std::vector<ReplicaChoice> choices(query.parts_.size());
   for (size_t i = 0; i < choices.size(); ++i) {
-    if (query.parts_[i].state_ == PartState::kPending) {
+    const QueryPart& part = query.parts_[i];
+    if (part.state_ == PartState::kPending && !part.is_delegated_) {
       choices[i] = Choose(fleet, query, query.parts_[i], now);
     }
   }
@@ -235,7 +238,7 @@
                  Instant now,
                  std::vector<SendAction>& sends) {
   QueryPart& part = query.parts_[index];
-  if (part.state_ != PartState::kPending) {
+  if (part.state_ != PartState::kPending || part.is_delegated_) {
     return;
   }
   bool added = false;
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "traffic/connection_shares.h"
+#include "traffic/limit_share.h"
 #include "traffic/replica_eligibility.h"
 
 namespace clementinerill::traffic {
@@ -98,7 +99,7 @@
   const double total =
       (rate * limits.cold_overage_ + limits.cold_slack_) * kUsableColdRateShare;
   const int share =
-      std::max(1, static_cast<int>(total / CountDaemons(*fleet.view_)));
+      std::max(1, static_cast<int>(total * LimitShare(fleet, service)));
   const auto recent = std::count_if(
       replica.cold_sends_.begin(), replica.cold_sends_.end(),
       [now](Instant sent) { return now - sent < std::chrono::seconds(1); });
--- a/src/traffic/connection_shares.cc
+++ b/src/traffic/connection_shares.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/hash.h"
+#include "traffic/limit_share.h"
 #include "traffic/replica_eligibility.h"
 
 namespace clementinerill::traffic {
@@ -43,6 +44,12 @@
   return best == service.replicas_.end() ? nullptr : best->get();
 }
 
+// Whether aggregators hold most of the connections of the service. They send to
+// the replicas of all failure domains, so their shares do not depend on it.
+bool IsShared(const FleetState& fleet, const ServiceState& service) {
+  return service.is_aggregated_ && fleet.aggregation_.aggregator_count_ > 0;
+}
+
 // Returns the share of this daemon in the connections of one replica; may be
 // less than one.
 double ConnectionShare(const FleetState& fleet,
@@ -56,6 +63,9 @@
   if (fleet.view_->daemons_.empty()) {
     return kPreferredShare * max_connections / all;
   }
+  if (IsShared(fleet, service)) {
+    return LimitShare(fleet, service) * max_connections;
+  }
   if (replica.is_preferred_) {
     return kPreferredShare * max_connections /
            std::max(replica.preferring_daemons_, 1.0);
@@ -66,8 +76,10 @@
 
 double EqualConnectionShare(const FleetState& fleet,
                             const ServiceState& service) {
-  return kEqualShare * service.rule_.max_connections_ /
-         CountDaemons(*fleet.view_);
+  const double share = IsShared(fleet, service)
+                           ? LimitShare(fleet, service)
+                           : kEqualShare / CountDaemons(*fleet.view_);
+  return share * service.rule_.max_connections_;
 }
 
 }  // namespace
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -61,7 +61,9 @@
 
 void MarkRouted(FleetState& fleet, const RouteRule& route) {
   for (const std::string& shard : route.shards_) {
-    GetOrCreateService(fleet, shard).is_routed_ = true;
+    ServiceState& service = GetOrCreateService(fleet, shard);
+    service.is_routed_ = true;
+    service.is_aggregated_ = service.is_aggregated_ || IsAggregated(route);
   }
   for (const WeightedService& destination : route.destinations_) {
     GetOrCreateService(fleet, destination.service_).is_routed_ = true;
@@ -71,6 +73,7 @@
 void ApplyRules(FleetState& fleet, const TrafficConfiguration& configuration) {
   for (auto& [name, service] : fleet.services_) {
     service->is_routed_ = false;
+    service->is_aggregated_ = false;
   }
   for (const auto& [host, routes] : configuration.routes_) {
     for (const RouteRule& route : routes) {
@@ -82,6 +85,36 @@
   }
 }
 
+std::map<std::string, int> CountShardReplicas(const FleetState& fleet) {
+  std::map<std::string, int> counts;
+  for (const auto& [name, service] : fleet.services_) {
+    if (!service->is_aggregated_) {
+      continue;
+    }
+    for (const auto& replica : service->replicas_) {
+      const ReplicaEntry& entry = replica->entry_;
+      if (!entry.leaving_since_ &&
+          fleet.view_->evacuated_.count(entry.failure_domain_) == 0) {
+        ++counts[entry.failure_domain_];
+      }
+    }
+  }
+  return counts;
+}
+
+// Plans again only after a change, because plans are made from all daemons.
+void UpdateAggregation(FleetState& fleet) {
+  AggregationInput& input = fleet.aggregation_input_;
+  auto domains = ShardDomains(CountShardReplicas(fleet));
+  if (input.daemons_ == fleet.view_->aggregators_ &&
+      input.shard_domains_ == domains) {
+    return;
+  }
+  input = {fleet.name_, fleet.failure_domain_, fleet.region_,
+           fleet.view_->aggregators_, std::move(domains)};
+  fleet.aggregation_ = PlanAggregation(input);
+}
+
 }  // namespace
 
 void ApplyView(FleetState& fleet, std::shared_ptr<const TrafficView> view) {
@@ -99,6 +132,7 @@
         .replicas_.push_back(FindOrCreateReplica(known, entry));
   }
   fleet.view_ = std::move(view);
+  UpdateAggregation(fleet);
   for (auto& [name, service] : fleet.services_) {
     ApplyRollout(*service, *fleet.view_);
     AssignPreferredReplicas(fleet, *service);
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "traffic/aggregation_plan.h"
 #include "traffic/extra_attempt_budget.h"
 #include "traffic/latency_estimate.h"
 #include "traffic/replica_state.h"
@@ -28,7 +29,8 @@
   std::vector<std::shared_ptr<ReplicaState>> replicas_;
   ExtraAttemptBudget extra_attempt_budget_;
   LatencyEstimate latency_{kInitialLatency};
-  bool is_routed_ = false;  ///< Destination or shard of a configured route.
+  bool is_routed_ = false;      ///< Destination or shard of a configured route.
+  bool is_aggregated_ = false;  ///< Shard of a route that is forwarded.
   /// The current rollout, if there is one.
   std::optional<VersionComparison> rollout_;
 };
@@ -51,10 +53,13 @@
 struct FleetState {
   std::string name_;            ///< Name of this daemon.
   std::string failure_domain_;  ///< Failure domain of this daemon.
+  std::string region_;          ///< Region of this daemon.
   FleetLimits limits_;
   std::shared_ptr<const TrafficView> view_;
   std::map<std::string, std::shared_ptr<ServiceState>, std::less<>> services_;
   std::map<std::string, RouteState, std::less<>> routes_;
+  AggregationInput aggregation_input_;  ///< Of `aggregation_`.
+  AggregationPlan aggregation_;
   uint64_t rotation_ = 0;  ///< Rotates the choice among equal replicas.
 };
 
--- a/src/traffic/forward_declarations.h
+++ b/src/traffic/forward_declarations.h
@@ -5,6 +5,10 @@
 
 class ExtraAttemptBudget;
 class LatencyEstimate;
+struct AggregationInput;
+struct AggregationPlan;
+struct Aggregator;
+struct AggregatorHealth;
 struct Attempt;
 struct FleetComparison;
 struct FleetState;
--- a/src/traffic/part_failure_reason.h
+++ b/src/traffic/part_failure_reason.h
@@ -15,9 +15,10 @@
   kAttemptsUsed,    ///< The route allows no further attempt.
   kLimitReached,    ///< The budget for extra attempts is exhausted.
   kRateLimited,     ///< All replicas have reached the rate that they accept.
+  kDelegated,       ///< Missing in the response of another daemon.
 };
 
-inline constexpr std::array<NameEntry<PartFailureReason>, 6>
+inline constexpr std::array<NameEntry<PartFailureReason>, 7>
     kPartFailureReasonNames = {{
         {PartFailureReason::kNone, "none"},
         {PartFailureReason::kUnknownService, "unknown_service"},
@@ -25,6 +26,7 @@
         {PartFailureReason::kAttemptsUsed, "attempts_used"},
         {PartFailureReason::kLimitReached, "limit_reached"},
         {PartFailureReason::kRateLimited, "rate_limited"},
+        {PartFailureReason::kDelegated, "delegated"},
     }};
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/query.cc
+++ b/src/traffic/query.cc
@@ -13,6 +13,10 @@
 }  // namespace
 
 size_t RequiredParts(const Query& query) {
+  if (query.subset_) {
+    return query.parts_.size() -
+           std::min(query.subset_->max_missing_, query.parts_.size());
+  }
   const double share =
       IsFanOut(*query.route_) ? query.route_->min_coverage_ : 1.0;
   const auto total = static_cast<double>(query.parts_.size());
@@ -21,11 +25,20 @@
 }
 
 bool MayHaveRun(const Query& query) {
-  return std::any_of(
-      query.parts_.begin(), query.parts_.end(), [](const QueryPart& part) {
-        return std::any_of(part.attempts_.begin(), part.attempts_.end(),
-                           [](const Attempt& a) { return MayHaveRun(a); });
-      });
+  const bool is_delegated =
+      std::any_of(query.delegations_.begin(), query.delegations_.end(),
+                  [](const Delegation& delegation) {
+                    return delegation.state_ != DelegationState::kReturned;
+                  });
+  return is_delegated ||
+         std::any_of(
+             query.parts_.begin(), query.parts_.end(),
+             [](const QueryPart& part) {
+               return part.is_repeat_ ||
+                      std::any_of(
+                          part.attempts_.begin(), part.attempts_.end(),
+                          [](const Attempt& a) { return MayHaveRun(a); });
+             });
 }
 
 size_t CountParts(const Query& query, PartState state) {
--- a/src/traffic/query.h
+++ b/src/traffic/query.h
@@ -3,12 +3,14 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/time.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/choose_replica.h"
+#include "traffic/delegation.h"
 #include "traffic/fleet_state.h"
 #include "traffic/part_failure_reason.h"
 #include "traffic/query_outcome.h"
@@ -43,6 +45,11 @@
   /// Response of a replica that ran the request and failed; relayed to the
   /// caller if no attempt succeeds.
   ReplicaResponse failed_response_;
+  /// Gathered by another daemon; see `Query::delegations_`.
+  bool is_delegated_ = false;
+  /// Another daemon may have sent the part to one replica. Each attempt is an
+  /// additional one then, and one fewer is allowed.
+  bool is_repeat_ = false;
   bool hedge_refused_ = false;  ///< No replica or no budget for a hedge.
   PartFailureReason failure_reason_ = PartFailureReason::kNone;  ///< If failed.
 };
@@ -58,7 +65,11 @@
   Instant partial_response_at_{};
   Duration hedge_delay_{};  ///< Time from an attempt to its hedge.
   std::vector<QueryPart> parts_;
-  bool is_started_ = false;  ///< First attempts were chosen.
+  std::vector<Delegation> delegations_;
+  /// Set if another daemon gathers the other parts and answers the caller.
+  std::optional<PartSubset> subset_;
+  bool is_forwarded_ = false;  ///< Received from another daemon.
+  bool is_started_ = false;    ///< First attempts were chosen.
   QueryOutcome outcome_ = QueryOutcome::kOpen;
   Instant wake_at_{};  ///< Latest time of the next call of `Advance`.
 };
--- a/src/traffic/record_report.cc
+++ b/src/traffic/record_report.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/hash.h"
+#include "traffic/limit_share.h"
 
 namespace clementinerill::traffic {
 namespace {
@@ -24,6 +25,13 @@
   return static_cast<double>(step) / static_cast<double>(kSteps);
 }
 
+// Returns the share of this daemon in the rate limit of the replica.
+double ShareOf(const FleetState& fleet, const ReplicaState& replica) {
+  const auto service = FindService(fleet, replica.entry_.service_);
+  return service ? LimitShare(fleet, *service)
+                 : 1.0 / CountDaemons(*fleet.view_);
+}
+
 void RecordRateLimit(const FleetState& fleet,
                      ReplicaState& replica,
                      const std::optional<double>& requests_per_s,
@@ -36,8 +44,8 @@
     return;
   }
   const double share =
-      std::clamp(*requests_per_s, kMinRequestsPerS, kMaxRequestsPerS) /
-      CountDaemons(*fleet.view_);
+      std::clamp(*requests_per_s, kMinRequestsPerS, kMaxRequestsPerS) *
+      ShareOf(fleet, replica);
   if (replica.rate_limit_) {
     SetRate(replica.rate_allowance_, share, now);
   } else {
--- a/src/traffic/skip_overloaded_parts.cc
+++ b/src/traffic/skip_overloaded_parts.cc
@@ -19,8 +19,18 @@
   for (const ReplicaChoice& choice : choices) {
     usable += choice.replica_ ? 1.0 - choice.failure_probability_ : 0.0;
   }
-  const auto required = static_cast<double>(RequiredParts(query));
-  return static_cast<size_t>(std::max(0.0, std::round(usable - required)));
+  // Other daemons may skip some of the delegated parts.
+  for (const Delegation& delegation : query.delegations_) {
+    if (delegation.state_ == DelegationState::kOpen) {
+      usable += static_cast<double>(delegation.subset_.parts_.size() -
+                                    delegation.subset_.max_skipped_);
+    }
+  }
+  const size_t required =
+      query.subset_ ? query.parts_.size() - query.subset_->max_skipped_
+                    : RequiredParts(query);
+  return static_cast<size_t>(
+      std::max(0.0, std::round(usable - static_cast<double>(required))));
 }
 
 bool IsScarce(const ReplicaChoice& choice) {
@@ -38,7 +48,8 @@
 void SkipRateLimitedParts(Query& query,
                           const std::vector<ReplicaChoice>& choices) {
   for (size_t i = 0; i < choices.size(); ++i) {
-    if (choices[i].reason_ == NoReplicaReason::kRateLimited) {
+    if (choices[i].reason_ == NoReplicaReason::kRateLimited &&
+        !query.parts_[i].is_delegated_) {
       query.parts_[i].state_ = PartState::kSkipped;
     }
   }
--- a/src/traffic/start_query.cc
+++ b/src/traffic/start_query.cc
@@ -42,11 +42,12 @@
   return FindService(fleet, best->service_);
 }
 
-void AddPart(Query& query, std::shared_ptr<ServiceState> service, Instant now) {
+void AddPart(Query& query,
+             std::shared_ptr<ServiceState> service,
+             bool is_repeat) {
   QueryPart part;
-  if (service) {
-    service->extra_attempt_budget_.RecordRequest(now);
-  } else {
+  part.is_repeat_ = is_repeat;
+  if (!service) {
     part.state_ = PartState::kFailed;
     part.failure_reason_ = PartFailureReason::kUnknownService;
   }
@@ -54,6 +55,33 @@
   query.parts_.push_back(std::move(part));
 }
 
+void AddParts(FleetState& fleet, Query& query, const QueryOrigin& origin) {
+  const RouteRule& route = *query.route_;
+  if (!IsFanOut(route)) {
+    AddPart(query, ChooseDestination(fleet, route), origin.is_repeat_);
+    return;
+  }
+  if (origin.subset_) {
+    for (const size_t part : origin.subset_->parts_) {
+      AddPart(query, FindService(fleet, route.shards_[part]), false);
+    }
+    return;
+  }
+  for (const std::string& shard : route.shards_) {
+    AddPart(query, FindService(fleet, shard), origin.is_repeat_);
+  }
+}
+
+// The daemon that sends a part to its first replica counts the request, by
+// which additional attempts are limited.
+void RecordRequests(Query& query, Instant now) {
+  for (QueryPart& part : query.parts_) {
+    if (part.service_ && !part.is_delegated_ && !part.is_repeat_) {
+      part.service_->extra_attempt_budget_.RecordRequest(now);
+    }
+  }
+}
+
 Duration PartialResponseMargin(const RouteRule& route) {
   return kPartialResponseMargin +
          Scale(route.objective_, kPartialResponseMarginShareOfObjective);
@@ -73,23 +101,22 @@
                  const RouteRule& route,
                  std::string id,
                  Duration caller_timeout,
-                 Instant now) {
+                 Instant now,
+                 const QueryOrigin& origin) {
   Query query;
+  query.subset_ = origin.subset_;
+  query.is_forwarded_ = origin.is_forwarded_;
   query.id_ = std::move(id);
   query.view_ = fleet.view_;
   query.route_ = &route;
-  query.started_ = now;
+  query.started_ = now - origin.elapsed_;
   query.deadline_ = now + std::min(caller_timeout, route.timeout_);
   query.partial_response_at_ =
-      now + route.objective_ - PartialResponseMargin(route);
+      query.started_ + route.objective_ - PartialResponseMargin(route);
   query.hedge_delay_ = HedgeDelay(fleet, route);
-  if (IsFanOut(route)) {
-    for (const std::string& shard : route.shards_) {
-      AddPart(query, FindService(fleet, shard), now);
-    }
-  } else {
-    AddPart(query, ChooseDestination(fleet, route), now);
-  }
+  AddParts(fleet, query, origin);
+  DelegateParts(fleet, query, now);
+  RecordRequests(query, now);
   return query;
 }
 
--- a/src/traffic/traffic_view.h
+++ b/src/traffic/traffic_view.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "traffic/aggregation_plan.h"
 #include "traffic/replica_entry.h"
 #include "traffic/rollout_order.h"
 #include "traffic/traffic_configuration.h"
@@ -30,6 +31,8 @@
   std::vector<RolloutOrder> rollouts_;
   /// Daemons that share the limits, by failure domain; empty when unknown.
   std::map<std::string, int> daemons_;
+  /// Registered daemons that gather queries for others; null if unknown.
+  std::shared_ptr<const std::vector<Aggregator>> aggregators_;
   /// For the status page; a bounded number of them.
   std::vector<UnusableObject> unusable_;
 };
--- /dev/null
+++ b/tests/gateway/aggregation_test.cc
@@ -0,0 +1,295 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "gateway/forward_header.h"
+#include "gateway/gateway_fixture.h"
+
+namespace clementinerill::gateway {
+namespace {
+
+using traffic::ForwardOutcome;
+
+constexpr int kShards = 20;
+
+/// A fleet that is large enough for aggregators, in which the daemon under test
+/// may be started beside an aggregator. The other daemons only have records.
+struct AggregationFixture : GatewayFixture {
+  AggregationFixture() {
+    auto configuration = Configuration(5);
+    auto& shards = configuration["routes"][0]["gather"];
+    shards = nlohmann::json::array();
+    for (int i = 0; i < kShards; ++i) {
+      const std::string shard = "shard-" + std::to_string(i);
+      shards.push_back(shard);
+      shard_replicas_.push_back(
+          std::make_unique<FakeReplica>(loop_, "r" + std::to_string(i)));
+      store_.Put("servers", "r" + std::to_string(i),
+                 shard_replicas_.back()->Entry(shard));
+    }
+    store_.Put("config", "main", configuration);
+    for (int i = 0; i < 16; ++i) {
+      PutRecord("other-" + std::to_string(i), FreePort(loop_), 100);
+    }
+  }
+
+  void PutRecord(const std::string& name, uint16_t port, int capacity) {
+    store_.Put("clementinerill-daemons", name,
+               {{"failure_domain", "z1"},
+                {"forward", "127.0.0.1:" + std::to_string(port)},
+                {"capacity", capacity}});
+  }
+
+  Daemon& StartDaemon(const std::string& name, int capacity) {
+    GatewayOptions options = Options(name);
+    options.capacity_ = capacity;
+    // Enough for a repeated query, although the fleet shares it.
+    options.limits_.extra_attempts_ = {0.2, 100, std::chrono::seconds(10)};
+    options.forward_listen_ = Endpoint{"127.0.0.1", FreePort(loop_)};
+    Daemon& daemon = Start(options);
+    REQUIRE(RunUntil([&] { return IsReady(daemon); }));
+    return daemon;
+  }
+
+  /// Sends queries until the daemon has forwarded one; returns its response.
+  /// They are so few that the aggregators have the capacity for all daemons.
+  http::HttpResponse ForwardOne(const Daemon& daemon) {
+    http::HttpResponse response;
+    for (int i = 0; i < 30 && CountForwards(daemon) == 0; ++i) {
+      RunFor(std::chrono::milliseconds(200));
+      response = FanOut(daemon);
+    }
+    return response;
+  }
+
+  static uint64_t CountForwards(const Daemon& daemon) {
+    uint64_t count = 0;
+    for (const auto& entry : traffic::kForwardOutcomeNames) {
+      count += daemon.metrics_.forwards_.Value(entry.value_);
+    }
+    return count;
+  }
+
+  /// Most requests that any replica received for one query id.
+  [[nodiscard]] size_t MostRequests() const {
+    size_t most = 0;
+    for (const auto& replica : shard_replicas_) {
+      most = std::max(most, replica->requests_.size());
+    }
+    return most;
+  }
+
+  void ForgetRequests() {
+    for (const auto& replica : shard_replicas_) {
+      replica->requests_.clear();
+    }
+  }
+
+  std::vector<std::unique_ptr<FakeReplica>> shard_replicas_;
+};
+
+/// An aggregator whose behaviour the test decides.
+struct FakeAggregator {
+  using Caller = std::shared_ptr<http::ServerConnection>;
+  using Handler = std::function<void(const Caller&, const http::HttpRequest&)>;
+
+  FakeAggregator(AggregationFixture& fixture, Handler handler)
+      : listener_(fixture.loop_, [this, handler](auto caller, auto request) {
+          requests_.push_back(request);
+          handler(caller, request);
+        }) {
+    fixture.PutRecord("aggregator", *listener_.Listen("127.0.0.1", 0), 1000);
+  }
+
+  std::vector<http::HttpRequest> requests_;
+  http::Listener listener_;
+};
+
+void CheckComplete(const http::HttpResponse& response) {
+  CHECK(response.status_ == 200);
+  CHECK(http::FindHeader(response.headers_, "X-Missing-Parts") == "0");
+}
+
+}  // namespace
+
+// Guards against an entry daemon that sends every part itself.
+TEST_CASE("an aggregator gathers the queries of other daemons",
+          "[aggregation]") {
+  AggregationFixture fixture;
+  Daemon& aggregator = fixture.StartDaemon("aggregator", 1000);
+  Daemon& entry = fixture.StartDaemon("vm-entry", 100);
+  CheckComplete(fixture.ForwardOne(entry));
+  CHECK(entry.metrics_.forwards_.Value(ForwardOutcome::kAnswered) == 1);
+  CHECK(aggregator.metrics_.gathered_for_others_.Value() == 1);
+  for (const auto& replica : fixture.shard_replicas_) {
+    CHECK(http::FindHeader(replica->requests_.back().headers_, kForwardHeader)
+              .empty());
+    CHECK(http::FindHeader(replica->requests_.back().headers_,
+                           "X-Request-Id") == "id-1");
+  }
+  // The aggregator does not forward its own.
+  CheckComplete(fixture.FanOut(aggregator));
+  CHECK(AggregationFixture::CountForwards(aggregator) == 0);
+}
+
+// Guards against queries that are lost with an aggregator.
+TEST_CASE("a daemon gathers by itself when its aggregators are gone",
+          "[aggregation]") {
+  AggregationFixture fixture;
+  FakeAggregator* running = nullptr;
+  FakeAggregator lost(fixture, [&running](const auto& caller, const auto&) {
+    caller->SendInterim(kForwardStarted);
+    caller->Respond({200, {{"X-Missing-Parts", "0"}}, "", true}, true);
+    running->listener_.StopAccepting();
+  });
+  running = &lost;
+  Daemon& entry = fixture.StartDaemon("vm-entry", 100);
+  CheckComplete(fixture.ForwardOne(entry));
+  for (int i = 0; i < 3; ++i) {
+    fixture.ForgetRequests();
+    CheckComplete(fixture.FanOut(entry));
+    CHECK(fixture.MostRequests() == 1);
+  }
+  CHECK(lost.requests_.size() == 1);
+}
+
+// Guards against a query that waits for an aggregator that is frozen or cut
+// off, and against parts that both of them send more often than allowed.
+TEST_CASE("a silent aggregator costs a part of the objective",
+          "[aggregation]") {
+  AggregationFixture fixture;
+  FakeAggregator silent(fixture, [](const auto&, const auto&) {});
+  Daemon& entry = fixture.StartDaemon("vm-entry", 100);
+  CheckComplete(fixture.ForwardOne(entry));
+  CHECK(entry.metrics_.forwards_.Value(ForwardOutcome::kUnacknowledged) == 1);
+  fixture.ForgetRequests();
+  const Instant asked = http::EventLoop::Now();
+  CheckComplete(fixture.FanOut(entry));  // Avoided by now.
+  CHECK(http::EventLoop::Now() - asked < std::chrono::milliseconds(150));
+  CHECK(silent.requests_.size() == 1);
+  CHECK(fixture.MostRequests() == 1);
+}
+
+// Guards against an answer of another configuration than that of the daemon
+// that the caller is connected to.
+TEST_CASE("an aggregator refuses queries of another configuration",
+          "[aggregation]") {
+  AggregationFixture fixture;
+  Daemon& aggregator = fixture.StartDaemon("aggregator", 1000);
+  const auto status = [&](const std::string& header) {
+    const auto connection = std::make_shared<http::ClientConnection>(
+        fixture.loop_, "127.0.0.1", aggregator.options_.forward_listen_->port_,
+        1 << 20);
+    std::optional<http::ExchangeResult> result;
+    http::ExchangeRequest request;
+    request.bytes_ =
+        "GET /s/1 HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: 1\r\n" +
+        header + "\r\n\r\n";
+    connection->Start(std::move(request),
+                      [&result](http::ExchangeResult r) { result = r; });
+    fixture.RunUntil([&result] { return result.has_value(); });
+    connection->Close();
+    return result->response_.status_;
+  };
+  const std::string name = std::string(kForwardHeader) + ": ";
+  CHECK(status(name + EncodeForwardHeader({5, {}})) == 200);
+  CHECK(status(name + EncodeForwardHeader({4, {}})) == kForwardRefused);
+  CHECK(status(name + EncodeForwardHeader({6, {}})) == kForwardRefused);
+  CHECK(status(name + "1 5 0 1 0 0,3,19") == 200);
+  for (const char* odd : {"2 5 0", "1 5", "1 5 0 0", "1 5 -1", "1 x 0", "",
+                          "1 18446744073709551615 0", "1  5 0",
+                          "1 5 0 1 0 0,3,20", "1 5 0 1 0 3,0", "1 5 0 1 0 3,3",
+                          "1 5 0 1 0 ", "1 5 0 x 0 1", "1 5 0 1 0 1 2"}) {
+    INFO(odd);
+    CHECK(status(name + odd) == kForwardRefused);
+  }
+  CHECK(status("X: y") == kForwardRefused);
+}
+
+TEST_CASE("a refused query is gathered by the daemon itself", "[aggregation]") {
+  AggregationFixture fixture;
+  FakeAggregator refusing(fixture, [](const auto& caller, const auto&) {
+    caller->Respond({kForwardRefused, {}, "", true}, false);
+  });
+  Daemon& entry = fixture.StartDaemon("vm-entry", 100);
+  CheckComplete(fixture.ForwardOne(entry));
+  CHECK(entry.metrics_.forwards_.Value(ForwardOutcome::kRefused) == 1);
+}
+
+// Guards against more attempts at replicas than the route allows: what the
+// aggregator has sent before it was lost is unknown.
+TEST_CASE("an aggregator that is lost after the start ends the query",
+          "[aggregation]") {
+  AggregationFixture fixture;
+  FakeAggregator lost(fixture, [](const auto& caller, const auto&) {
+    caller->SendInterim(kForwardStarted);
+    caller->Close();
+  });
+  Daemon& entry = fixture.StartDaemon("vm-entry", 100);
+  CHECK(fixture.ForwardOne(entry).status_ == 502);
+  CHECK(entry.metrics_.forwards_.Value(ForwardOutcome::kBroken) == 1);
+}
+
+// Guards against replicas that go on working for a caller that has left.
+TEST_CASE("a disconnecting caller cancels the query at the aggregator",
+          "[aggregation]") {
+  AggregationFixture fixture;
+  bool cancelled = false;
+  FakeAggregator busy(fixture, [&cancelled](const auto& caller, const auto&) {
+    caller->SendInterim(kForwardStarted);
+    caller->OnDisconnect([&cancelled] { cancelled = true; });
+  });
+  Daemon& entry = fixture.StartDaemon("vm-entry", 100);
+  while (busy.requests_.empty()) {
+    const auto connection = std::make_shared<http::ClientConnection>(
+        fixture.loop_, "127.0.0.1", entry.options_.caller_listen_.port_, 1000);
+    http::ExchangeRequest request;
+    request.bytes_ =
+        "GET /s/1 HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: 1\r\n\r\n";
+    connection->Start(std::move(request), [](const http::ExchangeResult&) {});
+    fixture.RunFor(std::chrono::milliseconds(100));
+    connection->Close();
+  }
+  CHECK(fixture.RunUntil([&] { return cancelled; }));
+  CHECK(entry.metrics_.forwards_.Value(ForwardOutcome::kCancelled) == 1);
+}
+
+// Guards against parts that are lost or counted twice when two daemons gather
+// one query, and against parts that cross failure domains one by one.
+TEST_CASE("aggregators gather for each other across failure domains",
+          "[aggregation]") {
+  AggregationFixture fixture;
+  // Half of the shards have their only replica in another failure domain.
+  for (int i = 0; i < kShards; i += 2) {
+    auto spec = fixture.shard_replicas_[static_cast<size_t>(i)]->Entry(
+        "shard-" + std::to_string(i));
+    spec["zone"] = "z2";
+    fixture.store_.Put("servers", "r" + std::to_string(i), spec);
+  }
+  GatewayOptions options = fixture.Options("far");
+  options.failure_domain_ = "z2";
+  options.capacity_ = 1000;
+  options.forward_listen_ = Endpoint{"127.0.0.1", FreePort(fixture.loop_)};
+  Daemon& far = fixture.Start(options);
+  Daemon& near = fixture.StartDaemon("near", 1000);
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsReady(far); }));
+  http::HttpResponse response;
+  for (int i = 0; i < 30 && AggregationFixture::CountForwards(near) == 0; ++i) {
+    fixture.RunFor(std::chrono::milliseconds(200));
+    fixture.ForgetRequests();
+    response = fixture.FanOut(near);
+  }
+  CheckComplete(response);
+  CHECK(far.metrics_.gathered_for_others_.Value() == 1);
+  CHECK(near.metrics_.forwards_.Value(ForwardOutcome::kAnswered) == 1);
+  const auto signatures = http::FindHeader(response.headers_, "X-Part-Stamps");
+  CHECK(std::count(signatures.begin(), signatures.end(), ',') == kShards - 1);
+  CHECK(response.body_.size() == 5 * 16);
+  for (const auto& replica : fixture.shard_replicas_) {
+    CHECK(replica->requests_.size() == 1);
+  }
+}
+
+}  // namespace clementinerill::gateway
--- a/tests/traffic/load_test.cc
+++ b/tests/traffic/load_test.cc
@@ -110,6 +110,29 @@
   CHECK(result.ExtraRatio() <= 0.12);
 }
 
+// A wave of slow replicas hits a fleet of 290 daemons that get a third of a
+// query per second each, as at 295 VMs. Guards against daemons that learn of
+// each slow replica alone, one query after the other: an aggregator, which gets
+// the queries of a tenth of them, learns within the first seconds.
+TEST_CASE("an aggregator avoids a wave of slow replicas", "[load]") {
+  const auto simulate = [](double queries_per_s, int daemons, Duration length) {
+    RouteRule route = MakeFanOutRoute(90);
+    route.min_coverage_ = 0.95;
+    LoadModel model(route, queries_per_s, 5, daemons);
+    model.fleet_.state_.limits_.extra_attempts_ = {0.2, 630, seconds(10)};
+    for (int shard = 0; shard < 90; shard += 2) {
+      model.behaviours_[Id(shard, "a")].slow_factor_ = 8.5;
+    }
+    return model.Simulate(length);
+  };
+  const LoadResult alone = simulate(0.33, 290, seconds(60));
+  const LoadResult aggregator = simulate(10, 290, seconds(10));
+  INFO("in time: a daemon alone " << alone.InTimeRatio() << ", an aggregator "
+                                  << aggregator.InTimeRatio());
+  CHECK(aggregator.InTimeRatio() >= 0.9);
+  CHECK(aggregator.InTimeRatio() >= alone.InTimeRatio() + 0.2);
+}
+
 // One replica of every third shard accepts requests and never responds. Guards
 // against fan-out queries that wait for it each time.
 TEST_CASE("unresponsive replicas in several shards", "[load]") {
