gateway: let aggregators refuse what they cannot gather in time

Cause: an aggregator took 2,000 parts at a time, a quarter of a second of its CPU, so that queries waited there; entry daemons gave up waiting for its confirmation and sent the parts themselves, and the aggregator, which read the query 75 ms later, sent them too. Entry daemons that got more than others took the load of the fleet to be as high and did not forward at all, on VMs of 0.12 cores.

Now an aggregator counts all parts that it gathers and refuses beyond 0.8 for each millicore (400 at half a core); the entry daemon turns to the next of three aggregators at once. An aggregator drops a query whose daemon has closed the connection. Entry daemons estimate nothing.

--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -21,6 +21,7 @@
   const traffic::RouteRule* route_ = nullptr;
   Instant started_{};   ///< When this daemon received the query.
   Instant deadline_{};  ///< The caller's or the route's, whichever is earlier.
+  int tries_ = 0;       ///< Aggregators that it was sent to.
 };
 
 /// @brief Forwards one query to an aggregator and passes its response on.
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -29,6 +29,10 @@
 // answer, which covers the way back and the merge.
 constexpr Duration kDelegationMargin = std::chrono::milliseconds(4);
 
+// Aggregators of a failure domain that a delegation is sent to until one does
+// not refuse it.
+constexpr int kMaxDelegationTries = 2;
+
 // Cap of the idle timeout that a replica names; longer ones would overflow when
 // added to a time.
 constexpr std::chrono::seconds kMaxKeepAlive = std::chrono::hours(1);
@@ -76,15 +80,27 @@
 
 void QuerySession::StartDelegations(Instant now) {
   for (size_t i = 0; i < query_.delegations_.size(); ++i) {
-    StartDelegation(i, now);
+    StartDelegation(i, kMaxDelegationTries, now);
+  }
+}
+
+size_t QuerySession::PartsInProgress() const noexcept {
+  if (!IsOpen()) {
+    return 0;
   }
+  return static_cast<size_t>(
+      std::count_if(query_.parts_.begin(), query_.parts_.end(),
+                    [](const traffic::QueryPart& part) {
+                      return part.state_ == traffic::PartState::kPending &&
+                             !part.is_delegated_;
+                    }));
 }
 
-void QuerySession::StartDelegation(size_t index, Instant now) {
+void QuerySession::StartDelegation(size_t index, int tries_left, Instant now) {
   const traffic::Delegation& delegation = query_.delegations_[index];
   const auto& remote = context_.fleet_.aggregation_.remote_;
   const auto aggregators = remote.find(delegation.failure_domain_);
-  auto lease = aggregators == remote.end()
+  auto lease = aggregators == remote.end() || tries_left == 0
                    ? std::nullopt
                    : context_.aggregators_.Acquire(aggregators->second, now);
   if (!lease) {
@@ -104,12 +120,15 @@
   exchange->Start(MakeForwardedRequest(request_, header, context_.names_,
                                        traffic::RemainingTime(query_, now)),
                   now + traffic::AcknowledgeTimeout(*query_.route_),
-                  query_.deadline_, [self, index](const ForwardResult& result) {
-                    self->OnDelegation(index, result);
+                  query_.deadline_,
+                  [self, index, tries_left](const ForwardResult& result) {
+                    self->OnDelegation(index, tries_left - 1, result);
                   });
 }
 
-void QuerySession::OnDelegation(size_t index, const ForwardResult& result) {
+void QuerySession::OnDelegation(size_t index,
+                                int tries_left,
+                                const ForwardResult& result) {
   if (!IsOpen()) {
     return;
   }
@@ -120,7 +139,7 @@
       break;
     case traffic::ForwardOutcome::kRefused:
     case traffic::ForwardOutcome::kNotSent:
-      traffic::ReturnDelegation(query_, index, false, now);
+      StartDelegation(index, tries_left, now);
       break;
     case traffic::ForwardOutcome::kUnacknowledged:
       traffic::ReturnDelegation(query_, index, true, now);
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -47,10 +47,8 @@
   /// as refused if no attempt may have been executed, else as timed out.
   void Abort();
 
-  /// @brief Parts that this session gathers for another daemon now.
-  [[nodiscard]] size_t ForwardedParts() const noexcept {
-    return query_.is_forwarded_ && IsOpen() ? query_.parts_.size() : 0;
-  }
+  /// @brief Parts without an outcome that this daemon gathers.
+  [[nodiscard]] size_t PartsInProgress() const noexcept;
 
   [[nodiscard]] bool IsOpen() const noexcept {
     return query_.outcome_ == traffic::QueryOutcome::kOpen;
@@ -65,8 +63,8 @@
   void Step();
   void Send(traffic::SendAction action, Instant now);
   void StartDelegations(Instant now);
-  void StartDelegation(size_t index, Instant now);
-  void OnDelegation(size_t index, const ForwardResult& result);
+  void StartDelegation(size_t index, int tries_left, Instant now);
+  void OnDelegation(size_t index, int tries_left, const ForwardResult& result);
   void RecordDelegation(size_t index, const http::HttpResponse& response);
   void CancelDelegations();
   [[nodiscard]] http::ExchangeRequest MakeExchange(
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -35,6 +35,9 @@
 // Lower bound of that time.
 constexpr Duration kMinServeTime = milliseconds(100);
 
+// Aggregators that a query is forwarded to until one does not refuse it.
+constexpr int kMaxForwardTries = 3;
+
 // Cap of the time that a caller names; longer ones would overflow when added to
 // a time. The timeout of the route applies besides.
 constexpr milliseconds kMaxCallerTimeout = std::chrono::hours(24);
@@ -254,9 +257,20 @@
     }
     timeout = std::min(timeout, left);
   }
-  if (!TryForward(caller, request, route, timeout, now)) {
+  if (!traffic::IsAggregated(route)) {
     StartSession(caller, std::move(request), route, timeout, {});
+    return;
   }
+  ForwardedQuery query;
+  query.id_ = std::string(
+      http::FindHeader(request.headers_, options_.names_.request_id_));
+  query.caller_ = caller;
+  query.request_ = std::move(request);
+  query.view_ = fleet_.view_;
+  query.route_ = &route;
+  query.started_ = now;
+  query.deadline_ = now + std::min(timeout, route.timeout_);
+  Forward(std::move(query), now);
 }
 
 void TrafficServer::StartSession(const Caller& caller,
@@ -274,47 +288,36 @@
   session->Start();
 }
 
-bool TrafficServer::TryForward(const Caller& caller,
-                               http::HttpRequest& request,
-                               const traffic::RouteRule& route,
-                               Duration timeout,
-                               Instant now) {
-  if (!traffic::IsAggregated(route)) {
-    return false;
-  }
-  traffic::RecordParts(part_rate_, route.shards_.size(), now);
-  const auto daemons =
-      static_cast<size_t>(traffic::CountDaemons(*fleet_.view_));
-  if (!traffic::HasAggregatorCapacity(fleet_.aggregation_, daemons,
-                                      part_rate_.per_s_)) {
-    return false;
-  }
-  auto lease = aggregators_.Acquire(fleet_.aggregation_.preferred_, now);
+void TrafficServer::Forward(ForwardedQuery query, Instant now) {
+  auto lease = query.tries_ < kMaxForwardTries
+                   ? aggregators_.Acquire(fleet_.aggregation_.preferred_, now)
+                   : std::nullopt;
   if (!lease) {
-    return false;
+    GatherHere(std::move(query), false, now);
+    return;
   }
-  ForwardedQuery query;
-  query.id_ = std::string(
-      http::FindHeader(request.headers_, options_.names_.request_id_));
-  query.caller_ = caller;
-  query.request_ = std::move(request);
-  query.view_ = fleet_.view_;
-  query.route_ = &route;
-  query.started_ = now;
-  query.deadline_ = now + std::min(timeout, route.timeout_);
+  ++query.tries_;
   const auto session = std::make_shared<ForwardSession>(
       context_, std::move(query), std::move(*lease),
       [this](ForwardedQuery returned, bool may_have_run) {
-        GatherAfterForward(std::move(returned), may_have_run);
+        OnNotForwarded(std::move(returned), may_have_run);
       });
   forwards_.push_back(session);
   session->Start();
-  return true;
 }
 
-void TrafficServer::GatherAfterForward(ForwardedQuery query,
-                                       bool may_have_run) {
+void TrafficServer::OnNotForwarded(ForwardedQuery query, bool may_have_run) {
   const Instant now = http::EventLoop::Now();
+  if (may_have_run) {
+    GatherHere(std::move(query), true, now);
+  } else {
+    Forward(std::move(query), now);
+  }
+}
+
+void TrafficServer::GatherHere(ForwardedQuery query,
+                               bool may_have_run,
+                               Instant now) {
   // The configuration may have changed since the query was received.
   const traffic::RouteRule* route =
       traffic::FindRoute(*fleet_.view_->configuration_,
@@ -331,6 +334,15 @@
                query.deadline_ - now, origin);
 }
 
+size_t TrafficServer::CountPartsInProgress() const {
+  size_t parts = 0;
+  for (const auto& weak : sessions_) {
+    const auto session = weak.lock();
+    parts += session ? session->PartsInProgress() : 0;
+  }
+  return parts;
+}
+
 bool TrafficServer::MayGatherForOthers(const traffic::RouteRule& route,
                                        const ForwardHeader& header) const {
   if (!traffic::IsAggregated(route) || draining_ ||
@@ -344,11 +356,8 @@
     }
     parts = header.subset_->parts_.size();
   }
-  for (const auto& weak : sessions_) {
-    const auto session = weak.lock();
-    parts += session ? session->ForwardedParts() : 0;
-  }
-  return parts <= traffic::MaxForwardedParts(options_.capacity_);
+  return CountPartsInProgress() + parts <=
+         traffic::MaxPartsInProgress(options_.capacity_);
 }
 
 void TrafficServer::OnForwardedRequest(const Caller& caller,
@@ -362,6 +371,11 @@
                                http::FindHeader(request.headers_, "Host"),
                                request.target_)
           : nullptr;
+  if (caller->IsPeerClosed()) {
+    // Its daemon has turned elsewhere while the query waited for the CPU here.
+    caller->Close();
+    return;
+  }
   if (!header || !route || !MayGatherForOthers(*route, *header)) {
     metrics_.forwards_refused_.Increment();
     http::HttpResponse response;
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -70,14 +70,12 @@
   void Serve(const Caller& caller,
              http::HttpRequest request,
              const traffic::RouteRule& route);
-  /// Forwards the query if an aggregator is usable. Returns whether it did;
-  /// `request` is moved from only then.
-  [[nodiscard]] bool TryForward(const Caller& caller,
-                                http::HttpRequest& request,
-                                const traffic::RouteRule& route,
-                                Duration timeout,
-                                Instant now);
-  void GatherAfterForward(ForwardedQuery query, bool may_have_run);
+  /// Forwards the query if an aggregator is usable, otherwise gathers it here.
+  void Forward(ForwardedQuery query, Instant now);
+  void OnNotForwarded(ForwardedQuery query, bool may_have_run);
+  void GatherHere(ForwardedQuery query, bool may_have_run, Instant now);
+  /// Parts of the queries in progress that this daemon gathers.
+  [[nodiscard]] size_t CountPartsInProgress() const;
   void StartSession(const Caller& caller,
                     http::HttpRequest request,
                     const traffic::RouteRule& route,
@@ -99,7 +97,6 @@
   traffic::FleetState fleet_;
   ConnectionPool pool_;
   AggregatorPool aggregators_;
-  traffic::PartRate part_rate_;  ///< Of the queries of this daemon's callers.
   bool draining_ = false;
   SessionContext context_;
   http::Listener caller_listener_;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -159,6 +159,14 @@
   socket_.write_some(asio::buffer(bytes), ignored);
 }
 
+bool ServerConnection::IsPeerClosed() {
+  char byte = 0;
+  error_code error;
+  const size_t bytes = socket_.receive(
+      asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+  return error ? error != asio::error::would_block : bytes == 0;
+}
+
 void ServerConnection::Write(std::string bytes, bool close) {
   writing_ = true;
   output_ = std::move(bytes);
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -58,6 +58,10 @@
   /// `draining`; rejects a request that is not received in time.
   void CheckTimeouts(const CallerLimits& limits, bool draining, Instant now);
 
+  /// @brief Whether the client has closed the connection, as far as its packets
+  /// have arrived. Data that was sent before may not have been read yet.
+  [[nodiscard]] bool IsPeerClosed();
+
   [[nodiscard]] bool IsClosed() const noexcept { return closed_; }
   [[nodiscard]] bool IsServing() const noexcept { return serving_; }
   /// @brief When the first bytes of the current request were received.
--- a/src/traffic/aggregation_plan.cc
+++ b/src/traffic/aggregation_plan.cc
@@ -1,8 +1,6 @@
 #include "traffic/aggregation_plan.h"
 
 #include <algorithm>
-#include <chrono>
-#include <cmath>
 #include <iterator>
 
 #include "base/rendezvous.h"
@@ -15,7 +13,7 @@
 constexpr size_t kMinDaemons = 16;
 // Queries with fewer parts gain less than the additional hop costs.
 constexpr size_t kMinParts = 20;
-constexpr size_t kDaemonsPerAggregator = 32;
+constexpr size_t kDaemonsPerAggregator = 16;
 // A second aggregator of a failure domain takes over when the first is lost.
 constexpr size_t kMinAggregatorsPerDomain = 2;
 // VMs with less than this share of the best capacity gather only if there are
@@ -26,15 +24,10 @@
 constexpr double kMinReplicaShare = 0.5;
 // Aggregators of other failure domains that a daemon turns to.
 constexpr size_t kRemoteDomains = 2;
-// Processor time of an aggregator for one part, and the share of its CPU that
-// forwarded queries may take.
-constexpr double kCpuSecondsPerPart = 60e-6;
-constexpr Duration kRatePeriod = std::chrono::seconds(10);
-constexpr double kMaxCpuShare = 1.0 / 3;
-// Parts in progress for each millicore: eight times the number at which the
-// share of the CPU above is in use, if a part takes 60 ms. Bursts are longer
-// than that.
-constexpr double kPartsPerMillicore = 4;
+// Parts in progress for each millicore. With 60 us of processor time a part and
+// 60 ms until its response, 0.6 of the CPU is in use at this number; beyond it
+// queries would wait for the CPU.
+constexpr double kPartsPerMillicore = 0.8;
 constexpr int kMinCapacity = 100;
 
 std::vector<Aggregator> SelectInDomain(const AggregationInput& input,
@@ -177,28 +170,7 @@
          route.shards_.size() >= kMinParts;
 }
 
-void RecordParts(PartRate& rate, size_t parts, Instant now) {
-  const std::chrono::duration<double> elapsed = now - rate.updated_at_;
-  const std::chrono::duration<double> period = kRatePeriod;
-  rate.per_s_ = rate.per_s_ * std::exp(-elapsed / period) +
-                static_cast<double>(parts) / period.count();
-  rate.updated_at_ = now;
-}
-
-bool HasAggregatorCapacity(const AggregationPlan& plan,
-                           size_t daemons,
-                           double parts_per_s) noexcept {
-  if (plan.preferred_.empty() || plan.aggregator_count_ <= 0) {
-    return false;
-  }
-  const int capacity =
-      std::max(plan.preferred_.front().capacity_, kMinCapacity);
-  const double needed =
-      parts_per_s * static_cast<double>(daemons) * kCpuSecondsPerPart;
-  return needed <= kMaxCpuShare * plan.aggregator_count_ * capacity / 1000.0;
-}
-
-size_t MaxForwardedParts(int capacity) noexcept {
+size_t MaxPartsInProgress(int capacity) noexcept {
   return static_cast<size_t>(std::max(capacity, kMinCapacity) *
                              kPartsPerMillicore);
 }
--- a/src/traffic/aggregation_plan.h
+++ b/src/traffic/aggregation_plan.h
@@ -8,7 +8,6 @@
 #include <string>
 #include <vector>
 
-#include "base/time.h"
 #include "traffic/route_rule.h"
 
 namespace clementinerill::traffic {
@@ -70,23 +69,9 @@
 /// queries with many parts.
 [[nodiscard]] bool IsAggregated(const RouteRule& route) noexcept;
 
-/// @brief Moving average of the parts per second of this daemon's queries.
-struct PartRate {
-  double per_s_ = 0;
-  Instant updated_at_{};
-};
-
-void RecordParts(PartRate& rate, size_t parts, Instant now);
-
-/// @brief Whether aggregators can gather the queries of the whole fleet within
-/// their share of the CPU, if all daemons get `parts_per_s` like this one.
-[[nodiscard]] bool HasAggregatorCapacity(const AggregationPlan& plan,
-                                         size_t daemons,
-                                         double parts_per_s) noexcept;
-
-/// @brief Parts of forwarded queries that an aggregator gathers at a time. It
-/// refuses further queries, so that their daemons turn elsewhere at once.
-[[nodiscard]] size_t MaxForwardedParts(int capacity) noexcept;
+/// @brief Parts that an aggregator gathers at a time. It refuses further
+/// queries of other daemons, so that they turn elsewhere at once.
+[[nodiscard]] size_t MaxPartsInProgress(int capacity) noexcept;
 
 }  // namespace clementinerill::traffic
 
