Tests: mutated pages of the store, nested documents of `serve`

What they guard against: an entry of another writer that ends the process or hides a good one, whatever it contains (1,000 mutated pages with a fixed seed); a document of the product's own interface that ends the process by its nesting.

--- a/tests/config/configuration_json_test.cc
+++ b/tests/config/configuration_json_test.cc
@@ -39,6 +39,16 @@
 }
 
 // Guards against a route that refers to an undeclared pool being accepted.
+// Guards against a document that ends the process by its nesting.
+TEST_CASE("a deeply nested document is an error", "[config]") {
+  const std::string deep = std::string(300000, '[') + std::string(300000, ']');
+  CHECK_FALSE(ParseConfiguration(deep));
+  CHECK_FALSE(ParseConfiguration(R"({"version": 1, "pools": )" + deep + "}"));
+  CHECK_FALSE(ParseConfiguration(R"({"version": 1, "pools": [)" + deep + "]}"));
+  CHECK_FALSE(ParseConfiguration(R"({"version": 1e999})"));
+  CHECK_FALSE(ParseConfiguration(R"({"version": 18446744073709551616})"));
+}
+
 TEST_CASE("unresolved references are errors", "[config]") {
   const auto result = ParseConfiguration(
       R"({"routes": [{"name": "r", "kind": "fetch", "pool": "none"}]})");
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -1,4 +1,5 @@
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -6,6 +7,7 @@
 #include "platform/node_settings.h"
 #include "platform/replica_decoder.h"
 #include "platform/store_codec.h"
+#include "property.h"
 
 namespace clementinerill::platform_adapter {
 namespace {
@@ -169,6 +171,44 @@
   CHECK(error("3", {}) == "object must be a JSON object");
 }
 
+// Guards against an entry of another writer that ends the process or hides a
+// good one, whatever it contains.
+TEST_CASE("good entries survive any mutation of another one", "[decoder]") {
+  const std::string good =
+      R"({"meta":{"name":"good","rev":7},"spec":)" + ReplicaSpec().dump() + "}";
+  CheckProperty(20261208, 1000, [&good] {
+    std::string odd = ReplicaSpec().dump();
+    const auto mutations = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < mutations; ++i) {
+      const auto at = *rc::gen::inRange<size_t>(0, odd.size());
+      const std::string replacement =
+          *rc::gen::elementOf(std::vector<std::string>{
+              "1e999", "-1", "99999999999999999999", "null", "\xff", "[[[]]]",
+              "tru", "65536", "e", ""});
+      // Quotes, brackets and commas tell entries apart.
+      if (std::string("\"[]{},:\\").find(odd[at]) == std::string::npos) {
+        odd.replace(at, 1, replacement);
+      }
+    }
+    const std::string page = R"({"items":[)" + good +
+                             R"(,{"meta":{"name":"odd"},"spec":)" + odd + "}," +
+                             good + R"(],"current_rev":9})";
+    const auto decoded = DecodePage(page);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded->objects_.size() == 3U);
+    const Instant now{seconds(100)};
+    RC_ASSERT(DecodeReplica(decoded->objects_.front(), now).has_value());
+    RC_ASSERT(DecodeReplica(decoded->objects_.back(), now).has_value());
+    const auto entry = DecodeReplica(decoded->objects_[1], now);
+    if (entry) {
+      RC_ASSERT(entry->slots_ >= 1);
+      RC_ASSERT(entry->port_ >= 1);
+      RC_ASSERT(!entry->cold_until_ ||
+                *entry->cold_until_ <= now + std::chrono::hours(24));
+    }
+  });
+}
+
 TEST_CASE("responses of the store are decoded", "[decoder]") {
   const auto page = DecodePage(
       R"({"items": [{"meta": {"name": "i-1"}, "spec": {"a": 1}}, "broken"],
