gateway: reconnect to an aggregator that returns during a query

What would be seen: a daemon never uses an aggregator again until it restarts, and gathers its queries itself or turns to others.

Cause: the pool forgets an aggregator that leaves the plan, for example in an evacuation. If a query is with it and it returns before the response, the new entry counts a lease that it never gave, and then connects no more, as the count is not zero.

Ruled out: a leak of connections; the old one is closed by its lease.

--- a/src/gateway/aggregator_pool.cc
+++ b/src/gateway/aggregator_pool.cc
@@ -83,7 +83,8 @@
     return;
   }
   Entry& entry = found->second;
-  --entry.leased_;
+  // The entry may be newer than the lease, if the aggregator left and returned.
+  entry.leased_ = std::max(entry.leased_ - 1, 0);
   const int failures = entry.health_.failures_in_row_;
   traffic::RecordForward(entry.health_, outcome, now);
   if (entry.health_.failures_in_row_ > failures) {
