Revert "gateway: take the list of daemons from a seed at a start"

Cause: after a restart a daemon follows the store once it knows the others. It stopped asking the seed when that had sent a configuration, often before the seed had listed the daemons, and then waited 0.7 s for the store.

Tried: asking the seed until the list is known, and 0.2 s.

Conclusion: reverted; earlier deployments keep what they have.

--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -45,10 +45,6 @@
 // In fleets smaller than this every daemon follows the store: relaying needs
 // shorter long polls, which cost more requests than it saves.
 constexpr size_t kMinDaemonsForRelays = 16;
-// Time in which a starting daemon gets the list of daemons from a seed. It then
-// reads it from the store: when a fleet starts, one list for each daemon would
-// be most of the requests of a day.
-constexpr Duration kSeedListDelay = milliseconds(700);
 // Bounds of objects other than the configuration, whose entries take a few
 // hundred bytes. The copy holds all of them, on VMs of 160 MB.
 constexpr JsonBounds kEntryBounds{64 * 1024, 32};
@@ -123,22 +119,7 @@
 }
 
 void StoreFollower::WatchDaemons() {
-  const auto watch = [this] {
-    if (!knows_daemons_) {
-      kinds_[options_.store_codec_.kinds_.daemons_].watch_->SetActive(true);
-    }
-  };
-  if (IsSeed() || options_.seeds_.empty()) {
-    watch();
-  } else {
-    loop_.Timers().Add(http::EventLoop::Now() + kSeedListDelay, watch);
-  }
-}
-
-bool StoreFollower::IsSeed() const {
-  return options_.relay_listen_ &&
-         std::find(options_.seeds_.begin(), options_.seeds_.end(),
-                   *options_.relay_listen_) != options_.seeds_.end();
+  kinds_[options_.store_codec_.kinds_.daemons_].watch_->SetActive(true);
 }
 
 void StoreFollower::SetDaemons(
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -57,9 +57,8 @@
   /// @brief Starts listening for other daemons and polling the seeds.
   void Start();
 
-  /// @brief Reads the registered daemons, unless a relay has named them: from
-  /// the store, or from a seed if one answers in time. The role of this daemon
-  /// is determined once they are known.
+  /// @brief Starts watching the registered daemons in the store. The role of
+  /// this daemon is determined once they are known.
   void WatchDaemons();
 
   /// @brief Sets the registered daemons, which determine who follows the store.
@@ -87,8 +86,6 @@
                      const mirror::KindChanges& changes);
   void SetFollowsStore(bool follows_store, const std::string& reason);
   void ActivateWatches();
-  /// Whether other daemons start from this one.
-  [[nodiscard]] bool IsSeed() const;
   void PollRelay();
   void PollRelayAfter(Duration pause);
   void OnRelayReply(const http::ClientResponse& reply);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -207,37 +207,6 @@
   CHECK(fixture.store_.request_counts_["GET config"] - before <= 2);
 }
 
-// Guards against a list of all daemons for each daemon when a fleet starts, and
-// against daemons that never learn of the others when no seed answers.
-TEST_CASE("a starting daemon gets the list of daemons from a seed",
-          "[gateway]") {
-  GatewayFixture fixture;
-  fixture.PutEverything();
-  fixture.AddRemoteDaemons(30);
-  const GatewayOptions seed = fixture.Options("seed");
-  const bool seed_runs = GENERATE(true, false);
-  std::vector<GatewayOptions> all;
-  for (const char* name : {"vm-1", "vm-2", "vm-3", "vm-4"}) {
-    all.push_back(fixture.Options(name));
-  }
-  if (seed_runs) {
-    all.push_back(seed);
-  }
-  for (GatewayOptions& options : all) {
-    options.seeds_ = {*seed.relay_listen_};
-    fixture.Start(options);
-  }
-  REQUIRE(fixture.RunUntil([&] {
-    return std::all_of(
-        fixture.daemons_.begin(), fixture.daemons_.end(),
-        [&](const auto& daemon) { return fixture.IsRegistered(*daemon); });
-  }));
-  REQUIRE(fixture.RunUntil([&] { return fixture.AllReady(); }));
-  const int lists =
-      fixture.store_.request_counts_["GET clementinerill-daemons"];
-  CHECK((seed_runs ? lists <= 6 : lists >= 4));
-}
-
 // Guards against a fleet that misses changes when its watcher has failed, and
 // against every daemon then turning to the store.
 TEST_CASE("the standby takes over from a failed watcher", "[gateway]") {
