--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -26,12 +26,13 @@
 
 /// @brief Forwards one query to an aggregator and passes its response on.
 ///
-/// If the aggregator does not confirm the start in time, or refuses, this
-/// daemon gathers the query itself. A failure after the start ends the query.
+/// If the aggregator refuses or does not confirm the start in time, the query
+/// is handed back to the owner. A failure after the start ends the query.
 class ForwardSession : public std::enable_shared_from_this<ForwardSession> {
  public:
-  /// @brief Gathers a query here. With `may_have_run` the aggregator may have
-  /// sent it to replicas already.
+  /// @brief Takes back a query that was not gathered. With `may_have_run` the
+  /// aggregator may have sent it to replicas already; otherwise another one may
+  /// be asked.
   using GatherHere = std::function<void(ForwardedQuery, bool may_have_run)>;
 
   ForwardSession(SessionContext& context,
