Rollouts: log what each daemon saw when a rollout is decided

Each daemon now logs `rollout: decided` with its own counts; verdict and /status name the attempts that were not judged, the verdict also the age of the order. No decision changes.

--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -55,6 +55,10 @@
     taken.revision_ = object.revision_;
     if (known != before.end()) {
       taken.evidence_ = known->second.evidence_;
+      if (known->second.order_.state_ == RolloutState::kInProgress &&
+          taken.order_.state_ != RolloutState::kInProgress) {
+        LogDecision(taken, now);
+      }
     }
   }
   for (const std::string& name : changes.removed_) {
@@ -63,6 +67,23 @@
   }
 }
 
+void RolloutControl::LogDecision(const TrackedOrder& known, Instant now) const {
+  const auto own = known.evidence_.by_daemon_.find(options_.name_);
+  const auto seen = own == known.evidence_.by_daemon_.end()
+                        ? traffic::VersionComparison()
+                        : own->second;
+  Log(LogLevel::kInfo, "rollout", "decided",
+      {{"service", known.order_.service_},
+       {"target_version", known.order_.target_version_},
+       {"state", StateName(known.order_.state_)},
+       {"age_ms", ToMilliseconds(now - known.order_.ordered_)},
+       {"own_target_attempts", seen.target_.attempts_},
+       {"own_target_bad", seen.target_.bad_},
+       {"own_target_unjudged", seen.target_.unjudged_},
+       {"own_present_attempts", seen.current_.attempts_},
+       {"own_present_bad", seen.current_.bad_}});
+}
+
 std::vector<RolloutOrder> RolloutControl::Orders() const {
   std::vector<RolloutOrder> orders;
   for (const auto& [service, known] : orders_) {
@@ -83,9 +104,9 @@
   traffic::RecordEvidence(known.evidence_, daemon, evidence);
   const auto sum = traffic::AggregateEvidence(known.evidence_, known.order_);
   if (sum.is_bad_) {
-    WriteVerdict(known, sum, RolloutState::kRolledBack);
+    WriteVerdict(known, sum, RolloutState::kRolledBack, now);
   } else if (may_complete && traffic::MayComplete(sum, now)) {
-    WriteVerdict(known, sum, RolloutState::kCompleted);
+    WriteVerdict(known, sum, RolloutState::kCompleted, now);
   }
 }
 
@@ -109,7 +130,8 @@
 
 void RolloutControl::WriteVerdict(const TrackedOrder& known,
                                   const traffic::VersionComparison& sum,
-                                  RolloutState state) {
+                                  RolloutState state,
+                                  Instant now) {
   if (writing_ || known.order_.state_ != RolloutState::kInProgress) {
     return;
   }
@@ -119,11 +141,14 @@
       {{"service", service},
        {"target_version", known.order_.target_version_},
        {"state", StateName(state)},
+       {"age_ms", ToMilliseconds(now - known.order_.ordered_)},
        {"daemons", known.evidence_.by_daemon_.size()},
        {"target_attempts", sum.target_.attempts_},
        {"target_bad", sum.target_.bad_},
+       {"target_unjudged", sum.target_.unjudged_},
        {"present_attempts", sum.current_.attempts_},
-       {"present_bad", sum.current_.bad_}});
+       {"present_bad", sum.current_.bad_},
+       {"present_unjudged", sum.current_.unjudged_}});
   writing_ = true;
   http::ClientRequest request;
   request.method_ = "PUT";
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -52,7 +52,10 @@
 
   void WriteVerdict(const TrackedOrder& known,
                     const traffic::VersionComparison& sum,
-                    traffic::RolloutState state);
+                    traffic::RolloutState state,
+                    Instant now);
+  /// Logs this daemon's evidence when an order has been decided.
+  void LogDecision(const TrackedOrder& known, Instant now) const;
 
   const GatewayOptions& options_;
   http::Client writer_;
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -61,8 +61,10 @@
       const traffic::VersionComparison& seen = *service->rollout_;
       rollout["target_attempts"] = seen.target_.attempts_;
       rollout["target_bad"] = seen.target_.bad_;
+      rollout["target_unjudged"] = seen.target_.unjudged_;
       rollout["present_attempts"] = seen.current_.attempts_;
       rollout["present_bad"] = seen.current_.bad_;
+      rollout["present_unjudged"] = seen.current_.unjudged_;
       rollout["found_bad"] = seen.is_bad_;
     }
     rollouts.push_back(std::move(rollout));
--- a/src/traffic/fleet_comparison.cc
+++ b/src/traffic/fleet_comparison.cc
@@ -6,6 +6,7 @@
 void Add(VersionOutcomes& sum, const VersionOutcomes& more) {
   sum.attempts_ += more.attempts_;
   sum.bad_ += more.bad_;
+  sum.unjudged_ += more.unjudged_;
 }
 
 }  // namespace
--- a/src/traffic/version_comparison.cc
+++ b/src/traffic/version_comparison.cc
@@ -42,11 +42,12 @@
                           AttemptOutcome outcome,
                           Duration took,
                           Duration median_latency) {
+  VersionOutcomes& outcomes =
+      is_target ? comparison.target_ : comparison.current_;
   if (!IsEvidence(outcome)) {
+    outcomes.unjudged_ += IsNotRun(outcome) ? 0 : 1;
     return;
   }
-  VersionOutcomes& outcomes =
-      is_target ? comparison.target_ : comparison.current_;
   const bool slow =
       median_latency > Duration::zero() && took > median_latency * kSlowFactor;
   ++outcomes.attempts_;
--- a/src/traffic/version_comparison.h
+++ b/src/traffic/version_comparison.h
@@ -13,6 +13,8 @@
 struct VersionOutcomes {
   int64_t attempts_ = 0;
   int64_t bad_ = 0;  ///< Failed, or several times slower than the median.
+  /// Attempts that may have run and are no evidence; not part of `attempts_`.
+  int64_t unjudged_ = 0;
 };
 
 /// @brief Evidence of one daemon about the target and the current version of a
