--- a/scripts/lib/soak_world.py
+++ b/scripts/lib/soak_world.py
@@ -122,8 +122,12 @@
         self.port = server.sockets[0].getsockname()[1]
 
     async def put(self, kind, name, spec):
+        known = self.objects.get(kind, {}).get(name)
+        await self.change(kind, name, spec, known["status"] if known else None)
+
+    async def change(self, kind, name, spec, status):
         self.revision += 1
-        item = {"meta": {"name": name, "rev": self.revision}, "spec": spec, "status": None}
+        item = {"meta": {"name": name, "rev": self.revision}, "spec": spec, "status": status}
         if spec is None:
             self.objects.get(kind, {}).pop(name, None)
         else:
@@ -132,6 +136,16 @@
         async with self.changed:
             self.changed.notify_all()
 
+    async def write_status(self, kind, name, body):
+        """Replaces the status of an object, if it is still at the revision that the call names."""
+        known = self.objects.get(kind, {}).get(name)
+        if not known:
+            return 404, {}
+        if body["meta"].get("rev", known["meta"]["rev"]) != known["meta"]["rev"]:
+            return 409, known
+        await self.change(kind, name, known["spec"], body["status"])
+        return 200, self.objects[kind][name]
+
     def compact(self):
         self.floor, self.events = self.revision, []
 
@@ -161,7 +175,13 @@
         if self.busy:
             return 503, {}
         if method != "GET":
+            if method == "DELETE":
+                await self.put(kind, name, None)
+                return 200, {}
             spec = json.loads(body)
+            if name.endswith("/status"):
+                status, reply = await self.write_status(kind, name.removesuffix("/status"), spec)
+                return (None, None) if random.random() < self.loses else (status, reply)
             if method == "POST" and spec["meta"]["name"] in self.objects.get(kind, {}):
                 return 409, {}
             await self.put(kind, name or spec["meta"]["name"], spec["spec"])
