--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -21,6 +21,9 @@
 // Delay between the first registration and reading the list of daemons. All VMs
 // of a fleet start within 0.3 s, so the list then has all daemons.
 constexpr Duration kFleetStartDelay = milliseconds(500);
+// Period of the judgement of rollouts. Daemons report their evidence half as
+// often.
+constexpr Duration kJudgementPeriod = milliseconds(250);
 // Period of the check for departed replicas to evict.
 constexpr Duration kEvictionPeriod = seconds(1);
 
@@ -33,10 +36,12 @@
 ControlLoop::ControlLoop(http::EventLoop& loop,
                          const GatewayOptions& options,
                          GatewayMetrics& metrics,
-                         Publish publish)
+                         Publish publish,
+                         PublishShares publish_shares)
     : loop_(loop),
       options_(options),
       publish_(std::move(publish)),
+      publish_shares_(std::move(publish_shares)),
       follower_(
           loop,
           options,
@@ -46,6 +51,10 @@
           }),
       unusable_(metrics),
       rollouts_(loop, options),
+      exchange_(loop,
+                [this](const mirror::EvidenceReport& report) {
+                  RecordReport(report.process_, report.evidence_, false);
+                }),
       prober_(loop,
               [this](const mirror::DaemonRecord& daemon) {
                 DeleteDaemonRecord(daemon);
@@ -54,13 +63,11 @@
       deleter_(loop, options.store_.address_, options.store_.port_) {}
 
 void ControlLoop::Start() {
-  follower_.SetEvidenceHandlers([this] { return rollouts_.OwnEvidence(); },
-                                [this](const mirror::RelayRequest& request) {
-                                  RecordReaderEvidence(request);
-                                });
+  follower_.SetEvidenceHandlers(MakeEvidenceHandlers());
   follower_.Start();
   Register();
   prober_.Start();
+  JudgeRollouts();
   Tick();
 }
 
@@ -216,6 +223,7 @@
   }
   follower_.SetDaemons(records);
   prober_.SetDaemons(records, options_.name_);
+  exchange_.SetPeers(follower_.OtherWatchers());
   UpdateAggregators();
   const bool is_listed = daemons_.count(options_.name_) > 0;
   if (was_listed_ && !is_listed) {
@@ -263,23 +271,61 @@
                 });
 }
 
-void ControlLoop::RecordDaemonEvidence(
-    const std::string& daemon,
-    const traffic::VersionComparison& evidence) {
-  rollouts_.RecordEvidence(daemon, evidence, follower_.IsWatcher(),
-                           http::EventLoop::Now());
+EvidenceHandlers ControlLoop::MakeEvidenceHandlers() {
+  using Evidence = EvidenceHandlers::Evidence;
+  EvidenceHandlers handlers;
+  handlers.own_ = [this] {
+    return rollouts_.OwnEvidence(http::EventLoop::Now());
+  };
+  handlers.sums_ = [this] { return rollouts_.Sums(http::EventLoop::Now()); };
+  handlers.on_request_ = [this](const mirror::RelayRequest& request) {
+    RecordReport(request.daemon_, request.evidence_, true);
+  };
+  handlers.on_sums_ = [this](const Evidence& sums) {
+    rollouts_.RecordSums(sums, http::EventLoop::Now());
+  };
+  handlers.on_report_ = [this](const mirror::EvidenceReport& report) {
+    RecordReport(report.process_, report.evidence_, false);
+    return OwnReport();
+  };
+  return handlers;
 }
 
-void ControlLoop::RecordReaderEvidence(const mirror::RelayRequest& request) {
-  for (const mirror::RolloutEvidence& entry : request.evidence_) {
-    traffic::VersionComparison evidence;
-    evidence.order_.service_ = entry.service_;
-    evidence.order_.target_version_ = entry.target_version_;
-    evidence.order_.length_ = entry.length_;
-    evidence.target_ = {entry.target_attempts_, entry.target_bad_};
-    evidence.current_ = {entry.current_attempts_, entry.current_bad_};
-    RecordDaemonEvidence(request.daemon_, evidence);
+void ControlLoop::RecordEvidence(const traffic::VersionComparison& evidence) {
+  rollouts_.RecordOwn(evidence, http::EventLoop::Now());
+}
+
+void ControlLoop::RecordReport(
+    const std::string& process,
+    const std::vector<mirror::RolloutEvidence>& evidence,
+    bool is_direct) {
+  if (rollouts_.RecordReport(process, evidence, is_direct,
+                             http::EventLoop::Now())) {
+    PublishView();
+  }
+}
+
+// The evidence of a daemon that follows another one is part of the report of
+// that one.
+mirror::EvidenceReport ControlLoop::OwnReport() const {
+  if (!follower_.IsWatcher()) {
+    return {};
+  }
+  return {rollouts_.Process(),
+          rollouts_.DirectEvidence(http::EventLoop::Now())};
+}
+
+void ControlLoop::JudgeRollouts() {
+  const Instant now = http::EventLoop::Now();
+  if (rollouts_.HasOpenOrder()) {
+    const bool is_judge = follower_.IsWatcher();
+    publish_shares_(
+        rollouts_.Decide({static_cast<int>(daemons_.size()), is_judge}, now));
+    if (is_judge && ++judgements_ % 2 == 0) {
+      exchange_.Send(OwnReport());
+    }
   }
+  loop_.Timers().Add(now + kJudgementPeriod, [this] { JudgeRollouts(); });
 }
 
 void ControlLoop::Register() {
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -12,6 +12,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
 #include "gateway/rollout_control.h"
+#include "gateway/rollout_exchange.h"
 #include "gateway/store_follower.h"
 #include "gateway/unusable_objects.h"
 #include "http/client.h"
@@ -28,18 +29,20 @@
   using Publish =
       std::function<void(std::shared_ptr<const traffic::TrafficView>)>;
 
+  using PublishShares =
+      std::function<void(const std::vector<traffic::VersionShare>&)>;
+
   ControlLoop(http::EventLoop& loop,
               const GatewayOptions& options,
               GatewayMetrics& metrics,
-              Publish publish);
+              Publish publish,
+              PublishShares publish_shares);
 
   void Start();
 
   /// @brief Records the version comparison that this daemon's traffic gives for
   /// a rollout.
-  void RecordEvidence(const traffic::VersionComparison& evidence) {
-    RecordDaemonEvidence(options_.name_, evidence);
-  }
+  void RecordEvidence(const traffic::VersionComparison& evidence);
 
  private:
   void OnChanges(const std::string& kind, const mirror::KindChanges& changes);
@@ -55,9 +58,12 @@
   void ApplyEvacuationChanges(const mirror::KindChanges& changes);
   void ApplyDaemonChanges(const mirror::KindChanges& changes);
   void UpdateAggregators();
-  void RecordDaemonEvidence(const std::string& daemon,
-                            const traffic::VersionComparison& evidence);
-  void RecordReaderEvidence(const mirror::RelayRequest& request);
+  [[nodiscard]] EvidenceHandlers MakeEvidenceHandlers();
+  [[nodiscard]] mirror::EvidenceReport OwnReport() const;
+  void RecordReport(const std::string& process,
+                    const std::vector<mirror::RolloutEvidence>& evidence,
+                    bool is_direct);
+  void JudgeRollouts();
   void DeleteDaemonRecord(const mirror::DaemonRecord& daemon);
   void Register();
   void OnRegistered(const http::ClientResponse& reply);
@@ -72,9 +78,12 @@
   http::EventLoop& loop_;
   const GatewayOptions& options_;
   const Publish publish_;
+  const PublishShares publish_shares_;
   StoreFollower follower_;
   UnusableObjects unusable_;
   RolloutControl rollouts_;
+  RolloutExchange exchange_;
+  int judgements_ = 0;  ///< Since the start; every second one sends a report.
   DaemonProber prober_;
   http::Client writer_;
   http::Client deleter_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -135,9 +135,14 @@
   SettingsReloader settings(traffic_loop, traffic, options);
   const SignalHandler signals(traffic_loop, traffic, settings);
   ControlLoop control(
-      control_loop, options, metrics, [&traffic_loop, &traffic](auto view) {
+      control_loop, options, metrics,
+      [&traffic_loop, &traffic](auto view) {
         traffic_loop.Post(
             [&traffic, view = std::move(view)] { traffic.SetView(view); });
+      },
+      [&traffic_loop, &traffic](const auto& shares) {
+        traffic_loop.Post(
+            [&traffic, shares] { traffic.SetVersionShares(shares); });
       });
   traffic.SetOnEvidence(
       [&control_loop, &control](const traffic::VersionComparison& evidence) {
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -1,7 +1,11 @@
 #include "gateway/rollout_control.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "base/backoff.h"
+#include "base/hash.h"
+#include "gateway/rollout_evidence.h"
 #include "gateway/unusable_objects.h"
 #include "logging/log.h"
 
@@ -11,7 +15,28 @@
 using traffic::RolloutOrder;
 using traffic::RolloutState;
 
-constexpr Duration kWriteTimeout = std::chrono::milliseconds(1500);
+using std::chrono::milliseconds;
+
+constexpr Duration kWriteTimeout = milliseconds(1500);
+// All daemons decide at about the same time. They write one after the other,
+// so that the others learn of the first verdict before their turn.
+constexpr uint64_t kWriteTurns = 16;
+constexpr Duration kWriteTurn = milliseconds(50);
+// Delay after a write that was refused or lost.
+constexpr BackoffPolicy kWriteBackoff{milliseconds(300), milliseconds(2000)};
+// Sums of a relay arrive about twice a second.
+constexpr Duration kMaxSumAge = milliseconds(2000);
+// Difference from which the age of an order is corrected.
+constexpr Duration kMinAgeDifference = milliseconds(100);
+
+Duration WriteTurn(const std::string& daemon, const std::string& service) {
+  return kWriteTurn * static_cast<int>(Hash64(daemon + service) % kWriteTurns);
+}
+
+std::string ProcessName(const std::string& daemon) {
+  const auto started = http::EventLoop::Now().time_since_epoch().count();
+  return daemon + "@" + std::to_string(started);
+}
 
 std::string StateName(RolloutState state) {
   return std::string(NameOf(traffic::kRolloutStateNames, state));
@@ -22,6 +47,7 @@
 RolloutControl::RolloutControl(http::EventLoop& loop,
                                const GatewayOptions& options)
     : options_(options),
+      process_(ProcessName(options.name_)),
       writer_(loop, options.store_.address_, options.store_.port_) {}
 
 void RolloutControl::ApplyChanges(const mirror::KindChanges& changes,
@@ -55,6 +81,7 @@
     taken.revision_ = object.revision_;
     if (known != before.end()) {
       taken.evidence_ = known->second.evidence_;
+      traffic::DropOutdatedEvidence(taken.evidence_, taken.order_, now);
       if (known->second.order_.state_ == RolloutState::kInProgress &&
           taken.order_.state_ != RolloutState::kInProgress) {
         LogDecision(taken, now);
@@ -68,20 +95,22 @@
 }
 
 void RolloutControl::LogDecision(const TrackedOrder& known, Instant now) const {
-  const auto own = known.evidence_.by_daemon_.find(options_.name_);
-  const auto seen = own == known.evidence_.by_daemon_.end()
+  const auto own = known.evidence_.by_process_.find(process_);
+  const auto seen = own == known.evidence_.by_process_.end()
                         ? traffic::VersionComparison()
-                        : own->second;
+                        : own->second.evidence_;
+  const auto outcomes = traffic::SumOfOutcomes(seen);
   Log(LogLevel::kInfo, "rollout", "decided",
       {{"service", known.order_.service_},
        {"target_version", known.order_.target_version_},
        {"state", StateName(known.order_.state_)},
        {"age_ms", ToMilliseconds(now - known.order_.ordered_)},
-       {"own_target_attempts", seen.target_.attempts_},
-       {"own_target_bad", seen.target_.bad_},
-       {"own_target_unjudged", seen.target_.unjudged_},
-       {"own_present_attempts", seen.current_.attempts_},
-       {"own_present_bad", seen.current_.bad_}});
+       {"own_target_attempts", seen.target_attempts_},
+       {"own_target_judged", outcomes.target_.judged_},
+       {"own_target_bad", outcomes.target_.bad_},
+       {"own_present_attempts", seen.current_attempts_},
+       {"own_present_judged", outcomes.current_.judged_},
+       {"own_present_bad", outcomes.current_.bad_}});
 }
 
 std::vector<RolloutOrder> RolloutControl::Orders() const {
@@ -92,64 +121,163 @@
   return orders;
 }
 
-void RolloutControl::RecordEvidence(const std::string& daemon,
-                                    const traffic::VersionComparison& evidence,
-                                    bool may_complete,
-                                    Instant now) {
-  const auto found = orders_.find(evidence.order_.service_);
-  if (found == orders_.end()) {
-    return;
+bool RolloutControl::HasOpenOrder() const {
+  return std::any_of(orders_.begin(), orders_.end(), [](const auto& entry) {
+    return entry.second.order_.state_ == RolloutState::kInProgress;
+  });
+}
+
+RolloutControl::TrackedOrder* RolloutControl::FindOpenOrder(
+    const RolloutOrder& order) {
+  const auto found = orders_.find(order.service_);
+  return found != orders_.end() && IsSameOrder(found->second.order_, order) &&
+                 found->second.order_.state_ == RolloutState::kInProgress
+             ? &found->second
+             : nullptr;
+}
+
+void RolloutControl::RecordOwn(const traffic::VersionComparison& evidence,
+                               Instant now) {
+  if (TrackedOrder* known = FindOpenOrder(evidence.order_)) {
+    traffic::RecordEvidence(known->evidence_, process_, evidence, true, now);
   }
-  TrackedOrder& known = found->second;
-  traffic::RecordEvidence(known.evidence_, daemon, evidence);
-  const auto sum = traffic::AggregateEvidence(known.evidence_, known.order_);
-  if (sum.is_bad_) {
-    WriteVerdict(known, sum, RolloutState::kRolledBack, now);
-  } else if (may_complete && traffic::MayComplete(sum, now)) {
-    WriteVerdict(known, sum, RolloutState::kCompleted, now);
+}
+
+bool RolloutControl::RecordReport(
+    const std::string& process,
+    const std::vector<mirror::RolloutEvidence>& evidence,
+    bool is_direct,
+    Instant now) {
+  bool is_older = false;
+  for (const mirror::RolloutEvidence& entry : evidence) {
+    const auto reported = FromMessage(entry, now);
+    TrackedOrder* known = FindOpenOrder(reported.order_);
+    if (!known) {
+      continue;
+    }
+    traffic::RecordEvidence(known->evidence_, process, reported, is_direct,
+                            now);
+    if (reported.order_.ordered_ + kMinAgeDifference < known->order_.ordered_) {
+      known->order_.ordered_ = reported.order_.ordered_;
+      is_older = true;
+    }
+  }
+  return is_older;
+}
+
+void RolloutControl::RecordSums(
+    const std::vector<mirror::RolloutEvidence>& sums,
+    Instant now) {
+  for (const mirror::RolloutEvidence& entry : sums) {
+    const auto sum = FromMessage(entry, now);
+    if (TrackedOrder* known = FindOpenOrder(sum.order_)) {
+      known->sum_ = traffic::FleetComparison::Report{sum, now, false};
+    }
   }
 }
 
-std::vector<mirror::RolloutEvidence> RolloutControl::OwnEvidence() const {
+std::vector<mirror::RolloutEvidence> RolloutControl::OwnEvidence(
+    Instant now) const {
   std::vector<mirror::RolloutEvidence> all;
   for (const auto& [service, known] : orders_) {
-    const auto own = known.evidence_.by_daemon_.find(options_.name_);
-    if (known.order_.state_ != RolloutState::kInProgress ||
-        own == known.evidence_.by_daemon_.end()) {
-      continue;
+    const auto own = known.evidence_.by_process_.find(process_);
+    if (known.order_.state_ == RolloutState::kInProgress &&
+        own != known.evidence_.by_process_.end()) {
+      all.push_back(ToMessage(own->second.evidence_, now));
+    }
+  }
+  return all;
+}
+
+std::vector<mirror::RolloutEvidence> RolloutControl::DirectEvidence(
+    Instant now) const {
+  std::vector<mirror::RolloutEvidence> all;
+  for (const auto& [service, known] : orders_) {
+    if (known.order_.state_ == RolloutState::kInProgress) {
+      all.push_back(ToMessage(
+          traffic::AggregateDirectEvidence(known.evidence_, known.order_),
+          now));
+    }
+  }
+  return all;
+}
+
+std::vector<mirror::RolloutEvidence> RolloutControl::Sums(Instant now) const {
+  std::vector<mirror::RolloutEvidence> all;
+  for (const auto& [service, known] : orders_) {
+    if (known.order_.state_ == RolloutState::kInProgress) {
+      all.push_back(ToMessage(SumOf(known, now), now));
     }
-    const traffic::VersionComparison& seen = own->second;
-    all.push_back(
-        {service, seen.order_.target_version_,
-         std::chrono::milliseconds(ToMilliseconds(seen.order_.length_)),
-         seen.target_.attempts_, seen.target_.bad_, seen.current_.attempts_,
-         seen.current_.bad_});
   }
   return all;
 }
 
-void RolloutControl::WriteVerdict(const TrackedOrder& known,
+traffic::VersionComparison RolloutControl::SumOf(const TrackedOrder& known,
+                                                 Instant now) const {
+  auto sum = traffic::AggregateEvidence(known.evidence_, known.order_);
+  if (known.sum_ && now - known.sum_->reported_ < kMaxSumAge) {
+    const bool is_bad = sum.is_bad_;
+    sum = known.sum_->evidence_;
+    sum.is_bad_ = sum.is_bad_ || is_bad;
+  }
+  return sum;
+}
+
+std::vector<traffic::VersionShare> RolloutControl::Decide(const FleetRole& role,
+                                                          Instant now) {
+  std::vector<traffic::VersionShare> shares;
+  for (auto& [service, known] : orders_) {
+    if (known.order_.state_ != RolloutState::kInProgress) {
+      continue;
+    }
+    traffic::DropOutdatedEvidence(known.evidence_, known.order_, now);
+    if (role.is_judge_) {
+      known.sum_.reset();
+    }
+    const auto sum = SumOf(known, now);
+    const auto due = role.is_judge_ || sum.is_bad_
+                         ? traffic::DueDecision(sum, now)
+                         : std::nullopt;
+    if (due != known.due_) {
+      known.due_ = due;
+      known.writes_ = 0;
+      known.next_write_ = now + WriteTurn(options_.name_, service);
+    }
+    if (due && !writing_ && now >= known.next_write_) {
+      WriteVerdict(known, sum, *due, now);
+    }
+    shares.push_back({service, known.order_.target_version_,
+                      traffic::TargetShare(sum, role.daemons_, now), now});
+  }
+  return shares;
+}
+
+void RolloutControl::WriteVerdict(TrackedOrder& known,
                                   const traffic::VersionComparison& sum,
                                   RolloutState state,
                                   Instant now) {
-  if (writing_ || known.order_.state_ != RolloutState::kInProgress) {
-    return;
-  }
   const std::string service = known.order_.service_;
+  const auto outcomes = traffic::SumOfOutcomes(sum);
   Log(state == RolloutState::kRolledBack ? LogLevel::kWarning : LogLevel::kInfo,
       "rollout", "verdict",
       {{"service", service},
        {"target_version", known.order_.target_version_},
        {"state", StateName(state)},
-       {"age_ms", ToMilliseconds(now - known.order_.ordered_)},
-       {"daemons", known.evidence_.by_daemon_.size()},
-       {"target_attempts", sum.target_.attempts_},
-       {"target_bad", sum.target_.bad_},
-       {"target_unjudged", sum.target_.unjudged_},
-       {"present_attempts", sum.current_.attempts_},
-       {"present_bad", sum.current_.bad_},
-       {"present_unjudged", sum.current_.unjudged_}});
+       {"reason", sum.is_bad_                         ? "worse"
+                  : state == RolloutState::kCompleted ? "good"
+                                                      : "too little evidence"},
+       {"age_ms", ToMilliseconds(now - sum.order_.ordered_)},
+       {"daemons", sum.daemons_},
+       {"target_attempts", sum.target_attempts_},
+       {"target_judged", outcomes.target_.judged_},
+       {"target_bad", outcomes.target_.bad_},
+       {"present_attempts", sum.current_attempts_},
+       {"present_judged", outcomes.current_.judged_},
+       {"present_bad", outcomes.current_.bad_}});
   writing_ = true;
+  ++known.writes_;
+  known.next_write_ =
+      now + BackoffDelay(kWriteBackoff, known.writes_, Hash64(process_));
   http::ClientRequest request;
   request.method_ = "PUT";
   request.target_ = options_.store_codec_.rollout_status_target_(service);
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,10 +13,19 @@
 #include "mirror/kind_changes.h"
 #include "mirror/rollout_evidence.h"
 #include "traffic/fleet_comparison.h"
+#include "traffic/fleet_state.h"
 
 namespace clementinerill::gateway {
 
-/// @brief Tracks rollout orders and writes the verdicts of this daemon on them.
+/// @brief What the rest of the fleet is to this daemon.
+struct FleetRole {
+  int daemons_ = 1;  ///< Number of daemons in the fleet.
+  /// Whether this daemon judges for the fleet; the others only roll back.
+  bool is_judge_ = false;
+};
+
+/// @brief Tracks rollout orders, the evidence of all daemons about them, and
+/// writes the verdicts.
 ///
 /// Any daemon may write a verdict. Writes are conditional on the revision, so
 /// the first verdict stands and a later one cannot replace it.
@@ -30,27 +40,60 @@
 
   [[nodiscard]] std::vector<traffic::RolloutOrder> Orders() const;
 
-  /// @brief Records the evidence of a daemon, and writes a verdict once the
-  /// evidence of all daemons that report here is sufficient.
-  ///
-  /// Called repeatedly while the order is in progress, which also retries a
-  /// failed write. A rollout is only completed with `may_complete`.
-  void RecordEvidence(const std::string& daemon,
-                      const traffic::VersionComparison& evidence,
-                      bool may_complete,
-                      Instant now);
+  /// @brief Whether an order is in progress.
+  [[nodiscard]] bool HasOpenOrder() const;
+
+  /// @brief Name of this process in reports. Differs between processes of one
+  /// daemon, as their counts add up.
+  [[nodiscard]] const std::string& Process() const noexcept { return process_; }
+
+  /// @brief Records what this daemon saw.
+  void RecordOwn(const traffic::VersionComparison& evidence, Instant now);
+
+  /// @brief Records evidence of another process; `is_direct` if it reports to
+  /// this daemon only. Returns whether an order is older than it was known to
+  /// be.
+  bool RecordReport(const std::string& process,
+                    const std::vector<mirror::RolloutEvidence>& evidence,
+                    bool is_direct,
+                    Instant now);
+
+  /// @brief Records the sums over all daemons, as received from a relay.
+  void RecordSums(const std::vector<mirror::RolloutEvidence>& sums,
+                  Instant now);
+
+  /// @brief This daemon's evidence on the rollouts in progress.
+  [[nodiscard]] std::vector<mirror::RolloutEvidence> OwnEvidence(
+      Instant now) const;
+
+  /// @brief The evidence of this daemon and of those that report to it.
+  [[nodiscard]] std::vector<mirror::RolloutEvidence> DirectEvidence(
+      Instant now) const;
+
+  /// @brief The evidence of all daemons.
+  [[nodiscard]] std::vector<mirror::RolloutEvidence> Sums(Instant now) const;
 
-  /// @brief Returns this daemon's evidence on the rollouts in progress.
-  [[nodiscard]] std::vector<mirror::RolloutEvidence> OwnEvidence() const;
+  /// @brief Writes the verdicts that are due; also retries failed writes.
+  /// Returns the shares of the target versions.
+  std::vector<traffic::VersionShare> Decide(const FleetRole& role, Instant now);
 
  private:
   struct TrackedOrder {
     traffic::RolloutOrder order_;
     int64_t revision_ = 0;
     traffic::FleetComparison evidence_;
+    /// Over all daemons, if this one follows a relay.
+    std::optional<traffic::FleetComparison::Report> sum_;
+    std::optional<traffic::RolloutState> due_;  ///< Decided, not yet in force.
+    Instant next_write_{};
+    int writes_ = 0;  ///< Of the verdict that is due.
   };
 
-  void WriteVerdict(const TrackedOrder& known,
+  /// Returns the order that the evidence is about, or null.
+  TrackedOrder* FindOpenOrder(const traffic::RolloutOrder& order);
+  [[nodiscard]] traffic::VersionComparison SumOf(const TrackedOrder& known,
+                                                 Instant now) const;
+  void WriteVerdict(TrackedOrder& known,
                     const traffic::VersionComparison& sum,
                     traffic::RolloutState state,
                     Instant now);
@@ -58,6 +101,7 @@
   void LogDecision(const TrackedOrder& known, Instant now) const;
 
   const GatewayOptions& options_;
+  const std::string process_;
   http::Client writer_;
   std::map<std::string, TrackedOrder> orders_;  ///< By service.
   bool writing_ = false;
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -59,12 +59,16 @@
     const auto service = traffic::FindService(fleet, order.service_);
     if (service && service->rollout_) {
       const traffic::VersionComparison& seen = *service->rollout_;
-      rollout["target_attempts"] = seen.target_.attempts_;
-      rollout["target_bad"] = seen.target_.bad_;
-      rollout["target_unjudged"] = seen.target_.unjudged_;
-      rollout["present_attempts"] = seen.current_.attempts_;
-      rollout["present_bad"] = seen.current_.bad_;
-      rollout["present_unjudged"] = seen.current_.unjudged_;
+      const auto outcomes = traffic::SumOfOutcomes(seen);
+      rollout["target_attempts"] = seen.target_attempts_;
+      rollout["target_judged"] = outcomes.target_.judged_;
+      rollout["target_bad"] = outcomes.target_.bad_;
+      rollout["present_attempts"] = seen.current_attempts_;
+      rollout["present_judged"] = outcomes.current_.judged_;
+      rollout["present_bad"] = outcomes.current_.bad_;
+      if (service->version_share_) {
+        rollout["target_share"] = service->version_share_->share_;
+      }
       rollout["found_bad"] = seen.is_bad_;
     }
     rollouts.push_back(std::move(rollout));
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -1,8 +1,10 @@
 #include "gateway/store_follower.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include "gateway/rollout_exchange.h"
 #include "gateway/watch_wait.h"
 #include "logging/log.h"
 
@@ -53,6 +55,13 @@
   return std::chrono::duration_cast<milliseconds>(bound * share);
 }
 
+void RespondCbor(const std::shared_ptr<http::ServerConnection>& caller,
+                 std::string body) {
+  caller->Respond(
+      {200, {{"Content-Type", "application/cbor"}}, std::move(body), true},
+      false);
+}
+
 bool HasChanges(const mirror::KindChanges& changes) {
   return changes.is_full_list_ || !changes.upserted_.empty() ||
          !changes.removed_.empty();
@@ -71,7 +80,7 @@
       relay_listener_(
           loop,
           [this](const Caller& caller, const http::HttpRequest& request) {
-            OnRelayRequest(caller, request);
+            OnRequest(caller, request);
           }) {
   const StoreKinds& kinds = options.store_codec_.kinds_;
   AddKind(kinds.configuration_, {}, true);
@@ -140,6 +149,7 @@
          {"relays", plan.relays_.size()}});
   }
   plan_ = std::move(plan);
+  daemons_ = daemons;
   if (!knows_daemons_) {
     knows_daemons_ = true;
     last_fresh_ = http::EventLoop::Now();
@@ -151,6 +161,28 @@
   }
 }
 
+std::vector<mirror::DaemonRecord> StoreFollower::OtherWatchers() const {
+  std::vector<mirror::DaemonRecord> watchers;
+  if (daemons_.size() < kMinDaemonsForRelays) {
+    watchers = daemons_;
+  } else {
+    std::set<std::string> domains;
+    for (const mirror::DaemonRecord& daemon : daemons_) {
+      domains.insert(daemon.failure_domain_);
+    }
+    for (const std::string& domain : domains) {
+      const auto relays = mirror::RelaysOfDomain(daemons_, domain);
+      watchers.insert(watchers.end(), relays.begin(), relays.end());
+    }
+  }
+  const auto is_no_peer = [this](const mirror::DaemonRecord& daemon) {
+    return daemon.name_ == options_.name_ || daemon.address_.empty();
+  };
+  watchers.erase(std::remove_if(watchers.begin(), watchers.end(), is_no_peer),
+                 watchers.end());
+  return watchers;
+}
+
 void StoreFollower::SetFollowsStore(bool follows_store,
                                     const std::string& reason) {
   if (follows_store_ && *follows_store_ == follows_store) {
@@ -192,8 +224,8 @@
     request.revisions_[kind] = followed.mirror_.revision_;
   }
   request.daemon_ = options_.name_;
-  if (own_evidence_) {
-    request.evidence_ = own_evidence_();
+  if (evidence_.own_) {
+    request.evidence_ = evidence_.own_();
   }
   return request;
 }
@@ -238,6 +270,9 @@
     OnRelayFailed(decoded.error().description_);
     return;
   }
+  if (evidence_.on_sums_) {
+    evidence_.on_sums_(decoded->evidence_);
+  }
   if (!ApplyRelayReply(*decoded)) {
     OnRelayFailed("copy is out of date");
     return;
@@ -301,28 +336,42 @@
   });
 }
 
-void StoreFollower::OnRelayRequest(const Caller& caller,
-                                   const http::HttpRequest& request) {
+void StoreFollower::OnRequest(const Caller& caller,
+                              const http::HttpRequest& request) {
+  int status = 404;
   if (request.target_ == kLivenessPath) {
     caller->Respond({200, {}, "", true}, true);
     return;
   }
-  const auto decoded = mirror::DecodeRelayRequest(request.body_);
-  if (request.target_ != kRelayPath || !decoded) {
-    http::HttpResponse response;
-    response.status_ = decoded ? 404 : 400;
-    caller->Respond(response, false);
-    return;
+  if (request.target_ == kRelayPath) {
+    if (const auto decoded = mirror::DecodeRelayRequest(request.body_)) {
+      OnRelayRequest(caller, *decoded);
+      return;
+    }
+    status = 400;
+  } else if (request.target_ == kEvidencePath && evidence_.on_report_) {
+    if (const auto decoded = mirror::DecodeEvidenceReport(request.body_)) {
+      RespondCbor(caller, mirror::Encode(evidence_.on_report_(*decoded)));
+      return;
+    }
+    status = 400;
   }
-  if (on_evidence_ && !decoded->evidence_.empty()) {
-    on_evidence_(*decoded);
+  http::HttpResponse response;
+  response.status_ = status;
+  caller->Respond(response, false);
+}
+
+void StoreFollower::OnRelayRequest(const Caller& caller,
+                                   const mirror::RelayRequest& request) {
+  if (evidence_.on_request_ && !request.evidence_.empty()) {
+    evidence_.on_request_(request);
   }
-  if (TryReply(caller, *decoded, decoded->wait_ <= milliseconds(0))) {
+  if (TryReply(caller, request, request.wait_ <= milliseconds(0))) {
     return;
   }
   const auto position =
-      waiting_readers_.insert(waiting_readers_.end(), {caller, *decoded, {}});
-  const auto wait = std::min(decoded->wait_, kMaxRelayWait);
+      waiting_readers_.insert(waiting_readers_.end(), {caller, request, {}});
+  const auto wait = std::min(request.wait_, kMaxRelayWait);
   position->timer_ =
       loop_.Timers().Add(http::EventLoop::Now() + wait, [this, position] {
         const WaitingReader reader = *position;
@@ -355,11 +404,10 @@
   if (!has_changes) {
     return false;
   }
-  http::HttpResponse response;
-  response.status_ = 200;
-  response.headers_.emplace_back("Content-Type", "application/cbor");
-  response.body_ = mirror::Encode(reply);
-  caller->Respond(response, false);
+  if (evidence_.sums_) {
+    reply.evidence_ = evidence_.sums_();
+  }
+  RespondCbor(caller, mirror::Encode(reply));
   return true;
 }
 
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -23,6 +23,25 @@
 /// @brief Path of the liveness check, on the relay address of a daemon.
 inline constexpr const char* kLivenessPath = "/alive";
 
+/// @brief Evidence on rollouts that travels with relay messages, from and to
+/// the part of the daemon that judges.
+struct EvidenceHandlers {
+  using Evidence = std::vector<mirror::RolloutEvidence>;
+
+  /// Evidence of this daemon, sent to the relay that it follows.
+  std::function<Evidence()> own_;
+  /// Evidence of all daemons, sent to those that follow this one.
+  std::function<Evidence()> sums_;
+  /// Called with the request of a daemon that follows this one.
+  std::function<void(const mirror::RelayRequest&)> on_request_;
+  /// Called with the sums that the relay sent.
+  std::function<void(const Evidence&)> on_sums_;
+  /// Called with the report of another daemon that follows the store; returns
+  /// that of this one.
+  std::function<mirror::EvidenceReport(const mirror::EvidenceReport&)>
+      on_report_;
+};
+
 /// @brief Keeps this daemon's copies of the store up to date and relays them to
 /// other daemons.
 ///
@@ -39,16 +58,14 @@
                 GatewayMetrics& metrics,
                 OnChanges on_changes);
 
-  /// @brief Sets the handlers of rollout evidence, which readers attach to
-  /// their relay requests: `own` returns this daemon's evidence, `on_evidence`
-  /// receives the requests with evidence.
-  void SetEvidenceHandlers(
-      std::function<std::vector<mirror::RolloutEvidence>()> own,
-      std::function<void(const mirror::RelayRequest&)> on_evidence) {
-    own_evidence_ = std::move(own);
-    on_evidence_ = std::move(on_evidence);
+  /// @brief Sets the handlers of rollout evidence, before `Start`.
+  void SetEvidenceHandlers(EvidenceHandlers handlers) {
+    evidence_ = std::move(handlers);
   }
 
+  /// @brief The daemons that follow the store as well, or may do so next.
+  [[nodiscard]] std::vector<mirror::DaemonRecord> OtherWatchers() const;
+
   /// @brief Whether this daemon follows the store on behalf of others.
   [[nodiscard]] bool IsWatcher() const noexcept {
     return plan_.role_ == mirror::RelayRole::kWatcher;
@@ -92,7 +109,11 @@
   void OnRelayFailed(const std::string& reason);
   [[nodiscard]] bool ApplyRelayReply(const mirror::RelayReply& reply);
   [[nodiscard]] mirror::RelayRequest MakeRequest() const;
-  void OnRelayRequest(const Caller& caller, const http::HttpRequest& request);
+  void OnRequest(const Caller& caller, const http::HttpRequest& request);
+  void OnRelayRequest(const Caller& caller,
+                      const mirror::RelayRequest& request);
+  void OnEvidenceReport(const Caller& caller,
+                        const mirror::EvidenceReport& report);
   /// Replies if there are changes for the reader or with `even_if_unchanged`.
   [[nodiscard]] bool TryReply(const Caller& caller,
                               const mirror::RelayRequest& request,
@@ -105,8 +126,8 @@
   const GatewayOptions& options_;
   GatewayMetrics& metrics_;
   const OnChanges on_changes_;
-  std::function<std::vector<mirror::RolloutEvidence>()> own_evidence_;
-  std::function<void(const mirror::RelayRequest&)> on_evidence_;
+  EvidenceHandlers evidence_;
+  std::vector<mirror::DaemonRecord> daemons_;
   std::map<std::string, FollowedKind> kinds_;
   http::Listener relay_listener_;
   std::list<WaitingReader> waiting_readers_;
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -41,6 +41,11 @@
 
   /// @brief Called periodically with the version comparison of each rollout in
   /// progress.
+  /// @brief Applies newer shares of target versions of rollouts.
+  void SetVersionShares(const std::vector<traffic::VersionShare>& shares) {
+    traffic::ApplyVersionShares(fleet_, shares);
+  }
+
   using OnEvidence = std::function<void(const traffic::VersionComparison&)>;
   void SetOnEvidence(OnEvidence on_evidence) {
     on_evidence_ = std::move(on_evidence);
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -29,6 +29,10 @@
                     kMaxTime);
 }
 
+// Largest counts that a message can name, so that sums stay in range.
+constexpr int64_t kMaxDaemons = 1'000'000;
+constexpr int64_t kMaxAttempts = 1'000'000'000'000;
+
 int64_t DecodeCount(const json& value) {
   return std::max<int64_t>(value.get<int64_t>(), 0);
 }
@@ -78,10 +82,15 @@
   return {{"service", evidence.service_},
           {"target_version", evidence.target_version_},
           {"length_ms", evidence.length_.count()},
+          {"age_ms", evidence.age_.count()},
           {"target_attempts", evidence.target_attempts_},
-          {"target_bad", evidence.target_bad_},
           {"present_attempts", evidence.current_attempts_},
-          {"present_bad", evidence.current_bad_}};
+          {"routes", evidence.routes_},
+          {"bad", evidence.is_bad_},
+          {"daemons", evidence.daemons_},
+          // Daemons of the version before this one require both.
+          {"target_bad", 0},
+          {"present_bad", 0}};
 }
 
 RolloutEvidence DecodeEvidence(const json& message) {
@@ -90,9 +99,36 @@
   evidence.target_version_ = message.at("target_version").get<std::string>();
   evidence.length_ = DecodeTime(message.at("length_ms"));
   evidence.target_attempts_ = DecodeCount(message.at("target_attempts"));
-  evidence.target_bad_ = DecodeCount(message.at("target_bad"));
   evidence.current_attempts_ = DecodeCount(message.at("present_attempts"));
-  evidence.current_bad_ = DecodeCount(message.at("present_bad"));
+  // Daemons of the version before this one do not send the others.
+  if (message.contains("routes")) {
+    evidence.age_ = DecodeTime(message.at("age_ms"));
+    evidence.is_bad_ = message.at("bad").get<bool>();
+    evidence.daemons_ = static_cast<int>(
+        std::min(DecodeCount(message.at("daemons")), kMaxDaemons));
+    for (const auto& [route, counts] : message.at("routes").items()) {
+      for (const json& count : counts) {
+        evidence.routes_[route].push_back(
+            std::min(DecodeCount(count), kMaxAttempts));
+      }
+    }
+  }
+  return evidence;
+}
+
+json EncodeEvidenceList(const std::vector<RolloutEvidence>& evidence) {
+  json list = json::array();
+  for (const RolloutEvidence& entry : evidence) {
+    list.push_back(EncodeEvidence(entry));
+  }
+  return list;
+}
+
+std::vector<RolloutEvidence> DecodeEvidenceList(const json& list) {
+  std::vector<RolloutEvidence> evidence;
+  for (const json& entry : list) {
+    evidence.push_back(DecodeEvidence(entry));
+  }
   return evidence;
 }
 
@@ -118,14 +154,10 @@
 }  // namespace
 
 std::string Encode(const RelayRequest& request) {
-  json evidence = json::array();
-  for (const RolloutEvidence& entry : request.evidence_) {
-    evidence.push_back(EncodeEvidence(entry));
-  }
   return ToCbor({{"wait_ms", request.wait_.count()},
                  {"revisions", request.revisions_},
                  {"daemon", request.daemon_},
-                 {"evidence", std::move(evidence)}});
+                 {"evidence", EncodeEvidenceList(request.evidence_)}});
 }
 
 std::string Encode(const RelayReply& reply) {
@@ -133,7 +165,13 @@
   for (const auto& [name, kind] : reply.kinds_) {
     kinds[name] = EncodeKind(kind);
   }
-  return ToCbor({{"kinds", std::move(kinds)}});
+  return ToCbor({{"kinds", std::move(kinds)},
+                 {"evidence", EncodeEvidenceList(reply.evidence_)}});
+}
+
+std::string Encode(const EvidenceReport& report) {
+  return ToCbor({{"process", report.process_},
+                 {"evidence", EncodeEvidenceList(report.evidence_)}});
 }
 
 Result<RelayRequest> DecodeRelayRequest(const std::string& body) {
@@ -143,9 +181,7 @@
     request.revisions_ =
         message.at("revisions").get<std::map<std::string, int64_t>>();
     request.daemon_ = message.at("daemon").get<std::string>();
-    for (const json& entry : message.at("evidence")) {
-      request.evidence_.push_back(DecodeEvidence(entry));
-    }
+    request.evidence_ = DecodeEvidenceList(message.at("evidence"));
     return request;
   });
 }
@@ -156,8 +192,20 @@
     for (const auto& [name, kind] : message.at("kinds").items()) {
       reply.kinds_[name] = DecodeKind(kind);
     }
+    if (message.contains("evidence")) {
+      reply.evidence_ = DecodeEvidenceList(message.at("evidence"));
+    }
     return reply;
   });
 }
 
+Result<EvidenceReport> DecodeEvidenceReport(const std::string& body) {
+  return DecodeMessage<EvidenceReport>(body, [](const json& message) {
+    EvidenceReport report;
+    report.process_ = message.at("process").get<std::string>();
+    report.evidence_ = DecodeEvidenceList(message.at("evidence"));
+    return report;
+  });
+}
+
 }  // namespace clementinerill::mirror
--- a/src/mirror/relay_message.h
+++ b/src/mirror/relay_message.h
@@ -18,7 +18,7 @@
 struct RelayRequest {
   std::chrono::milliseconds wait_{};  ///< Maximum time to wait for changes.
   std::map<std::string, int64_t> revisions_;  ///< Of the sender, by kind.
-  std::string daemon_;                        ///< Name of the sender.
+  std::string daemon_;                        ///< The sending process.
   std::vector<RolloutEvidence> evidence_;     ///< On rollouts in progress.
 };
 
@@ -32,16 +32,30 @@
 /// @brief The response to a `RelayRequest`: the kinds that the relay mirrors.
 struct RelayReply {
   std::map<std::string, RelayedKind> kinds_;
+  /// Sums over all daemons, of rollouts in progress.
+  std::vector<RolloutEvidence> evidence_;
+};
+
+/// @brief Evidence on rollouts in progress that daemons which follow the store
+/// exchange. The response has the same form.
+struct EvidenceReport {
+  std::string process_;  ///< The sending process.
+  /// Of the sender and the daemons that follow it; empty if it follows another
+  /// daemon, which then reports for it.
+  std::vector<RolloutEvidence> evidence_;
 };
 
 /// @brief Encodes a message between daemons as CBOR.
 [[nodiscard]] std::string Encode(const RelayRequest& request);
 [[nodiscard]] std::string Encode(const RelayReply& reply);
+[[nodiscard]] std::string Encode(const EvidenceReport& report);
 
 /// @brief Decodes a message. Fails if `body` is not CBOR, or if a field is
 /// missing or has the wrong type.
 [[nodiscard]] Result<RelayRequest> DecodeRelayRequest(const std::string& body);
 [[nodiscard]] Result<RelayReply> DecodeRelayReply(const std::string& body);
+[[nodiscard]] Result<EvidenceReport> DecodeEvidenceReport(
+    const std::string& body);
 
 }  // namespace clementinerill::mirror
 
--- a/src/mirror/relay_plan.cc
+++ b/src/mirror/relay_plan.cc
@@ -16,33 +16,25 @@
 }
 
 RelayRole RoleOf(const std::string& self,
-                 const std::vector<std::string>& ranked) {
-  if (ranked.empty() || ranked.front() == self) {
+                 const std::vector<DaemonRecord>& ranked) {
+  if (ranked.empty() || ranked.front().name_ == self) {
     return RelayRole::kWatcher;
   }
-  return std::find(ranked.begin(), ranked.end(), self) != ranked.end()
-             ? RelayRole::kStandby
-             : RelayRole::kReader;
+  return FindDaemon(ranked, self) ? RelayRole::kStandby : RelayRole::kReader;
 }
 
 }  // namespace
 
-RelayPlan PlanRelays(const std::vector<DaemonRecord>& daemons,
-                     const std::string& self) {
-  RelayPlan plan;
-  const DaemonRecord* own = FindDaemon(daemons, self);
-  if (!own) {
-    return plan;
-  }
+std::vector<DaemonRecord> RelaysOfDomain(
+    const std::vector<DaemonRecord>& daemons,
+    const std::string& failure_domain) {
   std::vector<std::string> names;
   for (const DaemonRecord& daemon : daemons) {
-    if (daemon.failure_domain_ == own->failure_domain_ &&
-        !daemon.address_.empty()) {
+    if (daemon.failure_domain_ == failure_domain && !daemon.address_.empty()) {
       names.push_back(daemon.name_);
     }
   }
-  auto ranked =
-      RankByRendezvous("store-watcher:" + own->failure_domain_, names);
+  auto ranked = RankByRendezvous("store-watcher:" + failure_domain, names);
   // Prefers daemons with more capacity, because relaying a large configuration
   // to a whole failure domain takes seconds on a small VM.
   std::stable_sort(ranked.begin(), ranked.end(),
@@ -51,10 +43,25 @@
                             FindDaemon(daemons, b)->capacity_;
                    });
   ranked.resize(std::min(ranked.size(), kRelaysPerDomain));
-  plan.role_ = RoleOf(self, ranked);
+  std::vector<DaemonRecord> relays;
   for (const std::string& name : ranked) {
-    if (name != self) {
-      plan.relays_.push_back(*FindDaemon(daemons, name));
+    relays.push_back(*FindDaemon(daemons, name));
+  }
+  return relays;
+}
+
+RelayPlan PlanRelays(const std::vector<DaemonRecord>& daemons,
+                     const std::string& self) {
+  RelayPlan plan;
+  const DaemonRecord* own = FindDaemon(daemons, self);
+  if (!own) {
+    return plan;
+  }
+  const auto ranked = RelaysOfDomain(daemons, own->failure_domain_);
+  plan.role_ = RoleOf(self, ranked);
+  for (const DaemonRecord& relay : ranked) {
+    if (relay.name_ != self) {
+      plan.relays_.push_back(relay);
     }
   }
   return plan;
--- a/src/mirror/relay_plan.h
+++ b/src/mirror/relay_plan.h
@@ -39,6 +39,11 @@
   std::vector<DaemonRecord> relays_;
 };
 
+/// @brief The relays of one failure domain, in order of preference.
+[[nodiscard]] std::vector<DaemonRecord> RelaysOfDomain(
+    const std::vector<DaemonRecord>& daemons,
+    const std::string& failure_domain);
+
 /// @brief Selects the relays of the failure domain of `self`, those with the
 /// most capacity first.
 ///
--- a/src/mirror/rollout_evidence.h
+++ b/src/mirror/rollout_evidence.h
@@ -3,20 +3,26 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <vector>
 
 namespace clementinerill::mirror {
 
-/// @brief Attempt counts that one daemon has collected for a rollout since it
-/// learned of the order.
+/// @brief Attempt counts for one rollout, of one daemon or summed over several.
 struct RolloutEvidence {
   std::string service_;
   std::string target_version_;
   std::chrono::milliseconds length_{};  ///< Duration set by the order.
-  int64_t target_attempts_ = 0;
-  int64_t target_bad_ = 0;  ///< Failed or slow attempts on the target version.
+  /// Time since a daemon first learned of the order.
+  std::chrono::milliseconds age_{};
+  int64_t target_attempts_ = 0;  ///< Sent, judged or not.
   int64_t current_attempts_ = 0;
-  int64_t current_bad_ = 0;
+  /// By route: for each period of the order, the judged and the bad attempts at
+  /// the target version, then those at the current one.
+  std::map<std::string, std::vector<int64_t>> routes_;
+  bool is_bad_ = false;  ///< The target version was found to be bad.
+  int daemons_ = 1;      ///< Number of daemons that contributed.
 };
 
 }  // namespace clementinerill::mirror
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -58,6 +58,24 @@
          CountSent(part) < max_attempts + kExtraSendsAfterRefusal;
 }
 
+// Age from which a share of requests for a target version is not used. Shares
+// are computed four times a second.
+constexpr Duration kMaxVersionShareAge = std::chrono::seconds(2);
+
+// The share of requests for the target version of the rollout of `service`.
+double VersionShareAt(const ServiceState& service, Instant now) {
+  const VersionComparison& rollout = *service.rollout_;
+  if (rollout.order_.state_ != RolloutState::kInProgress) {
+    return rollout.order_.state_ == RolloutState::kCompleted ? 1.0 : 0.0;
+  }
+  const auto& share = service.version_share_;
+  return rollout.is_bad_ || !share ||
+                 share->target_version_ != rollout.order_.target_version_ ||
+                 now - share->computed_ > kMaxVersionShareAge
+             ? 0.0
+             : share->share_;
+}
+
 // Whether the next attempt of a part goes to the target version of a rollout.
 // Before completion only first attempts do, selected by the hash of the query
 // id, so that a further attempt reaches the current version.
@@ -67,7 +85,7 @@
   if (!part.service_->rollout_) {
     return false;
   }
-  const double share = TargetShare(*part.service_->rollout_, now);
+  const double share = VersionShareAt(*part.service_, now);
   if (share >= 1.0) {
     return true;
   }
@@ -106,6 +124,11 @@
   return choice;
 }
 
+bool IsTargetVersion(const ServiceState& service, const ReplicaState& replica) {
+  return service.rollout_ &&
+         replica.entry_.version_ == service.rollout_->order_.target_version_;
+}
+
 void RecordColdSend(ReplicaState& replica, Instant now) {
   if (!IsCold(replica, now)) {
     replica.cold_sends_.clear();
@@ -125,6 +148,10 @@
                 Instant now) {
   RecordSend(*replica, now);
   RecordColdSend(*replica, now);
+  if (part.service_->rollout_) {
+    RecordVersionAttempt(*part.service_->rollout_,
+                         IsTargetVersion(*part.service_, *replica));
+  }
   Attempt attempt;
   attempt.replica_ = std::move(replica);
   attempt.sent_ = now;
@@ -308,16 +335,28 @@
 
 void RecordRollout(ServiceState& service,
                    const Attempt& attempt,
-                   Duration median_latency) {
+                   const std::string& route,
+                   Duration median_latency,
+                   Instant now) {
   if (!service.rollout_) {
     return;
   }
   VersionComparison& rollout = *service.rollout_;
-  const bool is_target =
-      attempt.replica_->entry_.version_ == rollout.order_.target_version_;
-  RecordVersionOutcome(rollout, is_target, attempt.outcome_, attempt.duration_,
-                       median_latency);
-  rollout.is_bad_ = rollout.is_bad_ || IsClearlyWorse(rollout);
+  const bool is_target = IsTargetVersion(service, *attempt.replica_);
+  RecordVersionOutcome(rollout, route,
+                       {is_target, IsCold(*attempt.replica_, now),
+                        attempt.outcome_, attempt.duration_, median_latency},
+                       now);
+  rollout.is_bad_ = rollout.is_bad_ ||
+                    (is_target && StandingOf(rollout) == VersionStanding::kBad);
+}
+
+// With the latencies of a slow target version, its slow responses would count
+// as usual ones.
+bool IsUndecidedTarget(const ServiceState& service,
+                       const ReplicaState& replica) {
+  return IsTargetVersion(service, replica) &&
+         service.rollout_->order_.state_ != RolloutState::kCompleted;
 }
 
 }  // namespace
@@ -337,13 +376,15 @@
   attempt.outcome_ = outcome;
   attempt.duration_ = now - attempt.sent_;
   RouteState& route = fleet.routes_[query.route_->name_];
-  RecordRollout(*part.service_, attempt, route.latency_.Median());
+  RecordRollout(*part.service_, attempt, query.route_->name_,
+                route.latency_.Median(), now);
   RecordOutcome(*attempt.replica_, outcome, attempt.sent_,
                 route.latency_.Median(), now);
   if (outcome == AttemptOutcome::kAnswered) {
     // Only healthy replicas count for the estimates: with the latencies of slow
     // ones, hedges would be sent later the more they are needed.
-    if (!IsOnProbation(*attempt.replica_)) {
+    if (!IsOnProbation(*attempt.replica_) &&
+        !IsUndecidedTarget(*part.service_, *attempt.replica_)) {
       route.latency_.Add(attempt.duration_);
       part.service_->latency_.Add(attempt.duration_);
     }
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -16,6 +16,7 @@
                                   });
   if (order == view.rollouts_.end()) {
     service.rollout_.reset();
+    service.version_share_.reset();
   } else if (service.rollout_ &&
              IsSameOrder(service.rollout_->order_, *order)) {
     service.rollout_->order_ = *order;
@@ -139,6 +140,16 @@
   }
 }
 
+void ApplyVersionShares(FleetState& fleet,
+                        const std::vector<VersionShare>& shares) {
+  for (const VersionShare& share : shares) {
+    const auto service = FindService(fleet, share.service_);
+    if (service) {
+      service->version_share_ = share;
+    }
+  }
+}
+
 std::shared_ptr<ServiceState> FindService(const FleetState& fleet,
                                           std::string_view name) {
   const auto found = fleet.services_.find(name);
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -22,6 +22,15 @@
 /// @brief Latency that is assumed before the first response of a service.
 inline constexpr Duration kInitialLatency = std::chrono::milliseconds(15);
 
+/// @brief The share of requests of a service for the target version of a
+/// rollout, as computed from the evidence of all daemons.
+struct VersionShare {
+  std::string service_;
+  std::string target_version_;
+  double share_ = 0;    ///< From 0 to 1.
+  Instant computed_{};  ///< Not valid for long after this.
+};
+
 /// @brief State of one service in the traffic thread of this daemon.
 struct ServiceState {
   std::string name_;
@@ -31,8 +40,10 @@
   LatencyEstimate latency_{kInitialLatency};
   bool is_routed_ = false;      ///< Destination or shard of a configured route.
   bool is_aggregated_ = false;  ///< Shard of a route that is forwarded.
-  /// The current rollout, if there is one.
+  /// The current rollout with the evidence of this daemon, if there is one.
   std::optional<VersionComparison> rollout_;
+  /// Share of requests for its target version; none before the first one.
+  std::optional<VersionShare> version_share_;
 };
 
 /// @brief State of one route in the traffic thread of this daemon.
@@ -67,6 +78,10 @@
 /// their state.
 void ApplyView(FleetState& fleet, std::shared_ptr<const TrafficView> view);
 
+/// @brief Applies newer shares of target versions.
+void ApplyVersionShares(FleetState& fleet,
+                        const std::vector<VersionShare>& shares);
+
 /// @brief Returns the service, or null if no configuration or replica names it.
 [[nodiscard]] std::shared_ptr<ServiceState> FindService(const FleetState& fleet,
                                                         std::string_view name);
--- a/src/traffic/rollout_order.h
+++ b/src/traffic/rollout_order.h
@@ -26,7 +26,8 @@
 struct RolloutOrder {
   std::string service_;
   std::string target_version_;
-  Instant ordered_{};  ///< When this daemon learned of it.
+  /// When a daemon first learned of it, as far as this one knows.
+  Instant ordered_{};
   Duration length_{};  ///< Time from the order to the latest decision.
   RolloutState state_ = RolloutState::kInProgress;
 };
--- a/src/traffic/version_comparison.cc
+++ b/src/traffic/version_comparison.cc
@@ -1,87 +1,269 @@
 #include "traffic/version_comparison.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace clementinerill::traffic {
 namespace {
 
-// Ends of the two stages, as shares of the length of the order. At the end of
-// the second the rollout is completed; the remaining time is for the store to
-// accept and distribute the completion, and for a retry.
-constexpr double kFirstStageEnd = 0.6;
-constexpr double kCompletionPoint = 0.85;
-// Shares of the requests in the two stages: 0.6 x 0.04 + 0.25 x 0.25 is 0.087
-// of all requests, below the tenth that a bad version may get.
-constexpr double kFirstStageShare = 0.04;
-constexpr double kSecondStageShare = 0.25;
 // A response that takes longer than this multiple of the median latency is bad:
 // a version that is several times slower counts as bad.
-constexpr int kSlowFactor = 3;
-// Minimum number of bad responses before the target version is judged. A fleet
-// of nine daemons detects a fault well before the fiftieth bad response
-// overall.
+constexpr double kSlowFactor = 2.5;
+
+// Difference of the shares of bad responses that the test has to find.
+constexpr double kBadShareDifference = 0.2;
+// Assumed share of bad responses of the current version before any evidence,
+// and the number of responses that the assumption weighs as much as.
+constexpr double kAssumedBadShare = 0.05;
+constexpr double kAssumedResponses = 20;
+// Bounds of the estimate of that share.
+constexpr double kMinBadShare = 0.03;
+constexpr double kMaxBadShare = 0.6;
+constexpr double kMaxWorseShare = 0.95;
+// Boundaries of the sequential test, as natural logarithms of likelihood
+// ratios: 1 in 1000 good versions is found bad by chance in an excursion, 3 in
+// 100 bad ones good.
+constexpr double kBadEvidence = 6.9;
+constexpr double kGoodEvidence = 3.5;
+// A single daemon's pause or a lost replica makes a few bad responses at once.
 constexpr int64_t kMinBadResponses = 4;
-// The target version is worse if its share of bad responses exceeds this
-// multiple of that of the current version by this margin; pauses make about 4%
-// of the responses of every version slow.
-constexpr double kWorseFactor = 2.5;
-constexpr double kWorseMargin = 0.05;
+// Recent evidence against the target version that defers its completion: half
+// of what a rollback takes, which is two bad responses of a version that should
+// have hardly any.
+constexpr double kMaxRecentSuspicion = kBadEvidence / 2;
+
+// Share of the length of the order from which a good version is completed. The
+// remaining time is for the store to accept and distribute the completion, and
+// for a retry.
+constexpr double kCompletionPoint = 0.85;
+// Share from which a version without sufficient evidence is rolled back.
+constexpr double kGiveUpPoint = 0.97;
+
+// Requests that the target version gets from all daemons besides its share of
+// the requests. The users allow 50; the rest is for requests in flight and for
+// daemons that restart.
+constexpr double kEvidenceRequests = 36;
+// Share of the length of the order over which they are spread. A fault that
+// appears late is detected by those that follow.
+constexpr double kEvidenceSpread = 0.85;
+// Shares of all requests that the target version gets: more towards the end,
+// so that a fault that only appears under load is detected too. Together 0.6 x
+// 0.03 + 0.25 x 0.15 = 0.056 of the requests, of a tenth that the users allow.
+constexpr double kFirstStageEnd = 0.6;
+constexpr double kFirstStageShare = 0.03;
+constexpr double kSecondStageShare = 0.15;
+// The share is set so that the target version has what it may get after this
+// time. Evidence of other daemons is up to a second old.
+constexpr double kCatchUpSeconds = 1.0;
+// The current version keeps a part, as the baseline.
+constexpr double kMaxTargetShare = 0.75;
+
+bool IsEvidence(const VersionAttempt& attempt, bool slow) {
+  if (IsNotRun(attempt.outcome_)) {
+    return false;
+  }
+  if (attempt.outcome_ == AttemptOutcome::kCancelled) {
+    return slow;
+  }
+  return attempt.outcome_ != AttemptOutcome::kAnswered || !slow ||
+         !attempt.is_cold_;
+}
+
+double ElapsedShare(const RolloutOrder& order, Instant now) {
+  return order.length_ <= Duration::zero()
+             ? 1.0
+             : ToFractionalMilliseconds(now - order.ordered_) /
+                   ToFractionalMilliseconds(order.length_);
+}
 
-bool IsEvidence(AttemptOutcome outcome) {
-  return !IsNotRun(outcome) && outcome != AttemptOutcome::kCancelled;
+size_t PeriodAt(const RolloutOrder& order, Instant now) {
+  const double periods =
+      std::max(0.0, ElapsedShare(order, now)) * static_cast<double>(kPeriods);
+  return std::min(static_cast<size_t>(std::min(periods, 1e6)), kPeriods - 1);
 }
 
-double BadShare(const VersionOutcomes& outcomes) {
-  return outcomes.attempts_ == 0 ? 0.0
-                                 : static_cast<double>(outcomes.bad_) /
-                                       static_cast<double>(outcomes.attempts_);
+void Add(VersionOutcomes& sum, const VersionOutcomes& more) {
+  sum.judged_ += more.judged_;
+  sum.bad_ += more.bad_;
+}
+
+void Add(PeriodOutcomes& sum, const PeriodOutcomes& more) {
+  Add(sum.target_, more.target_);
+  Add(sum.current_, more.current_);
+}
+
+PeriodOutcomes SumOf(const RouteOutcomes& outcomes) {
+  PeriodOutcomes sum;
+  for (const PeriodOutcomes& period : outcomes) {
+    Add(sum, period);
+  }
+  return sum;
+}
+
+// Share of bad responses, drawn towards `assumed` while there are few.
+double EstimateBadShare(const VersionOutcomes& outcomes, double assumed) {
+  return (static_cast<double>(outcomes.bad_) + assumed * kAssumedResponses) /
+         (static_cast<double>(outcomes.judged_) + kAssumedResponses);
+}
+
+// Logarithm of the likelihood ratio of a worse version and an equal one.
+double EvidenceOf(const VersionOutcomes& target, double current_share) {
+  const double equal = std::clamp(current_share, kMinBadShare, kMaxBadShare);
+  const double worse = std::min(equal + kBadShareDifference, kMaxWorseShare);
+  const auto bad = static_cast<double>(target.bad_);
+  const auto good = static_cast<double>(target.judged_ - target.bad_);
+  return bad * std::log(worse / equal) +
+         good * std::log((1 - worse) / (1 - equal));
+}
+
+struct Suspicion {
+  double total_ = 0;   ///< Of all evidence; negative if the version is good.
+  double recent_ = 0;  ///< Since it was last zero, by a cumulative sum.
+  bool is_bad_ = false;
+};
+
+Suspicion SuspicionOf(const RouteOutcomes& outcomes) {
+  const double overall =
+      EstimateBadShare(SumOf(outcomes).current_, kAssumedBadShare);
+  Suspicion suspicion;
+  int64_t recent_bad = 0;
+  for (const PeriodOutcomes& period : outcomes) {
+    const double evidence =
+        EvidenceOf(period.target_, EstimateBadShare(period.current_, overall));
+    suspicion.total_ += evidence;
+    suspicion.recent_ += evidence;
+    recent_bad += period.target_.bad_;
+    if (suspicion.recent_ <= 0) {
+      suspicion.recent_ = 0;
+      recent_bad = 0;
+    }
+    suspicion.is_bad_ =
+        suspicion.is_bad_ ||
+        (suspicion.recent_ >= kBadEvidence && recent_bad >= kMinBadResponses);
+  }
+  return suspicion;
+}
+
+RouteOutcomes SumOfRoutes(const VersionComparison& comparison) {
+  RouteOutcomes sum;
+  for (size_t period = 0; period < kPeriods; ++period) {
+    sum[period] = SumOfPeriod(comparison, period);
+  }
+  return sum;
+}
+
+double AllowedRequests(const VersionComparison& sum, int daemons, Instant now) {
+  const double elapsed = std::max(0.0, ElapsedShare(sum.order_, now));
+  const double known =
+      std::min(1.0, static_cast<double>(sum.daemons_) / std::max(daemons, 1));
+  double allowed =
+      kEvidenceRequests * known * std::min(1.0, elapsed / kEvidenceSpread);
+  for (size_t period = 0; period < kPeriods; ++period) {
+    const PeriodOutcomes outcomes = SumOfPeriod(sum, period);
+    const double start =
+        static_cast<double>(period) / static_cast<double>(kPeriods);
+    const bool is_second = start >= kFirstStageEnd && start < kCompletionPoint;
+    allowed += (is_second ? kSecondStageShare : kFirstStageShare) *
+               static_cast<double>(outcomes.target_.judged_ +
+                                   outcomes.current_.judged_);
+  }
+  return allowed;
 }
 
 }  // namespace
 
+void RecordVersionAttempt(VersionComparison& comparison,
+                          bool is_target) noexcept {
+  ++(is_target ? comparison.target_attempts_ : comparison.current_attempts_);
+}
+
 void RecordVersionOutcome(VersionComparison& comparison,
-                          bool is_target,
-                          AttemptOutcome outcome,
-                          Duration took,
-                          Duration median_latency) {
-  VersionOutcomes& outcomes =
-      is_target ? comparison.target_ : comparison.current_;
-  if (!IsEvidence(outcome)) {
-    outcomes.unjudged_ += IsNotRun(outcome) ? 0 : 1;
+                          const std::string& route,
+                          const VersionAttempt& attempt,
+                          Instant now) {
+  const bool slow = attempt.median_latency_ > Duration::zero() &&
+                    attempt.took_ > Scale(attempt.median_latency_, kSlowFactor);
+  if (!IsEvidence(attempt, slow)) {
     return;
   }
-  const bool slow =
-      median_latency > Duration::zero() && took > median_latency * kSlowFactor;
-  ++outcomes.attempts_;
-  outcomes.bad_ += outcome != AttemptOutcome::kAnswered || slow ? 1 : 0;
+  PeriodOutcomes& period =
+      comparison.routes_[route][PeriodAt(comparison.order_, now)];
+  VersionOutcomes& outcomes =
+      attempt.is_target_ ? period.target_ : period.current_;
+  ++outcomes.judged_;
+  outcomes.bad_ +=
+      attempt.outcome_ != AttemptOutcome::kAnswered || slow ? 1 : 0;
 }
 
-bool IsClearlyWorse(const VersionComparison& comparison) noexcept {
-  return comparison.target_.bad_ >= kMinBadResponses &&
-         BadShare(comparison.target_) >
-             kWorseFactor * BadShare(comparison.current_) + kWorseMargin;
+PeriodOutcomes SumOfPeriod(const VersionComparison& comparison,
+                           size_t period) noexcept {
+  PeriodOutcomes sum;
+  for (const auto& [route, outcomes] : comparison.routes_) {
+    Add(sum, outcomes[period]);
+  }
+  return sum;
 }
 
-double TargetShare(const VersionComparison& comparison, Instant now) noexcept {
-  const RolloutOrder& order = comparison.order_;
-  if (order.state_ == RolloutState::kCompleted) {
-    return 1.0;
+PeriodOutcomes SumOfOutcomes(const VersionComparison& comparison) noexcept {
+  return SumOf(SumOfRoutes(comparison));
+}
+
+VersionStanding StandingOf(const VersionComparison& comparison) noexcept {
+  const Suspicion all = SuspicionOf(SumOfRoutes(comparison));
+  bool is_bad = comparison.is_bad_ || all.is_bad_;
+  bool is_suspect = all.recent_ > kMaxRecentSuspicion;
+  for (const auto& [route, outcomes] : comparison.routes_) {
+    const Suspicion suspicion = SuspicionOf(outcomes);
+    is_bad = is_bad || suspicion.is_bad_;
+    is_suspect = is_suspect || suspicion.recent_ > kMaxRecentSuspicion;
   }
-  if (order.state_ == RolloutState::kRolledBack || comparison.is_bad_) {
-    return 0.0;
+  if (is_bad) {
+    return VersionStanding::kBad;
+  }
+  return all.total_ <= -kGoodEvidence && !is_suspect
+             ? VersionStanding::kGood
+             : VersionStanding::kUndecided;
+}
+
+std::optional<RolloutState> DueDecision(const VersionComparison& comparison,
+                                        Instant now) noexcept {
+  if (comparison.order_.state_ != RolloutState::kInProgress) {
+    return std::nullopt;
+  }
+  const VersionStanding standing = StandingOf(comparison);
+  const double elapsed = ElapsedShare(comparison.order_, now);
+  if (standing == VersionStanding::kBad) {
+    return RolloutState::kRolledBack;
+  }
+  if (standing == VersionStanding::kGood && elapsed >= kCompletionPoint) {
+    return RolloutState::kCompleted;
   }
-  const Duration elapsed = now - order.ordered_;
-  if (elapsed >= order.length_ * kCompletionPoint) {
-    // Undecided, because the store has not accepted the completion yet.
-    return kFirstStageShare;
+  if (elapsed >= kGiveUpPoint) {
+    return RolloutState::kRolledBack;
   }
-  return elapsed < order.length_ * kFirstStageEnd ? kFirstStageShare
-                                                  : kSecondStageShare;
+  return std::nullopt;
 }
 
-bool MayComplete(const VersionComparison& comparison, Instant now) noexcept {
-  return comparison.order_.state_ == RolloutState::kInProgress &&
-         !comparison.is_bad_ && comparison.target_.attempts_ > 0 &&
-         now - comparison.order_.ordered_ >=
-             comparison.order_.length_ * kCompletionPoint;
+double TargetShare(const VersionComparison& sum,
+                   int daemons,
+                   Instant now) noexcept {
+  if (sum.order_.state_ == RolloutState::kCompleted) {
+    return 1.0;
+  }
+  if (sum.order_.state_ == RolloutState::kRolledBack || sum.is_bad_) {
+    return 0.0;
+  }
+  const double seconds =
+      ToFractionalMilliseconds(now - sum.order_.ordered_) / 1000.0;
+  const auto sent =
+      static_cast<double>(sum.target_attempts_ + sum.current_attempts_);
+  if (seconds <= 0 || sent <= 0) {
+    return 0.0;
+  }
+  const double missing = AllowedRequests(sum, daemons, now) -
+                         static_cast<double>(sum.target_attempts_);
+  return std::clamp(missing / (sent / seconds * kCatchUpSeconds), 0.0,
+                    kMaxTargetShare);
 }
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/version_comparison.h
+++ b/src/traffic/version_comparison.h
@@ -1,7 +1,13 @@
 #ifndef CLEMENTINERILL_TRAFFIC_VERSION_COMPARISON_H_
 #define CLEMENTINERILL_TRAFFIC_VERSION_COMPARISON_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
 
 #include "base/time.h"
 #include "traffic/attempt_outcome.h"
@@ -9,47 +15,100 @@
 
 namespace clementinerill::traffic {
 
-/// @brief Attempts at one version since the order.
+/// @brief Judged attempts at one version.
 struct VersionOutcomes {
-  int64_t attempts_ = 0;
+  int64_t judged_ = 0;
   int64_t bad_ = 0;  ///< Failed, or several times slower than the median.
-  /// Attempts that may have run and are no evidence; not part of `attempts_`.
-  int64_t unjudged_ = 0;
 };
 
-/// @brief Evidence of one daemon about the target and the current version of a
-/// rollout.
-struct VersionComparison {
-  RolloutOrder order_;
+/// @brief Outcomes of both versions in one period of an order.
+struct PeriodOutcomes {
   VersionOutcomes target_;
   VersionOutcomes current_;
+};
+
+/// Number of equal periods into which the length of an order is divided.
+/// Outcomes are compared within a period, so that neither a fault that appears
+/// late nor a disruption of the current version is averaged away.
+inline constexpr size_t kPeriods = 16;
+
+/// @brief Outcomes on one route, by period. The last period also has those
+/// after the end of the order.
+using RouteOutcomes = std::array<PeriodOutcomes, kPeriods>;
+
+/// @brief Evidence about the target and the current version of a rollout.
+struct VersionComparison {
+  RolloutOrder order_;
+  /// Attempts that were sent, whether they are evidence or not.
+  int64_t target_attempts_ = 0;
+  int64_t current_attempts_ = 0;
+  std::map<std::string, RouteOutcomes, std::less<>> routes_;
   bool is_bad_ = false;  ///< The target version was found to be bad.
+  int daemons_ = 1;      ///< Number of daemons that contributed.
+};
+
+/// @brief What the evidence says of the target version.
+enum class VersionStanding {
+  kUndecided,
+  kGood,  ///< As good as the current version.
+  kBad,   ///< Clearly worse than the current version.
 };
 
-/// @brief Records the outcome of an attempt. Ignores requests that were not run
-/// and attempts that this side cancelled, which are no evidence about a
-/// version.
+/// @brief Counts an attempt that was sent to the target or current version.
+void RecordVersionAttempt(VersionComparison& comparison,
+                          bool is_target) noexcept;
+
+/// @brief One ended attempt, as evidence about its version.
+struct VersionAttempt {
+  bool is_target_ = false;
+  bool is_cold_ = false;  ///< The replica was warming up.
+  AttemptOutcome outcome_ = AttemptOutcome::kAnswered;
+  Duration took_{};
+  Duration median_latency_{};  ///< Of the route at the current version.
+};
+
+/// @brief Records the outcome of an attempt.
+///
+/// Ignores attempts that are no evidence: requests that did not run, attempts
+/// that this side cancelled early, and slow responses of a cold replica.
 void RecordVersionOutcome(VersionComparison& comparison,
-                          bool is_target,
-                          AttemptOutcome outcome,
-                          Duration took,
-                          Duration median_latency);
+                          const std::string& route,
+                          const VersionAttempt& attempt,
+                          Instant now);
+
+/// @brief Sum of the outcomes of one period over all routes.
+[[nodiscard]] PeriodOutcomes SumOfPeriod(const VersionComparison& comparison,
+                                         size_t period) noexcept;
 
-/// @brief Whether the target version is clearly worse than the current one.
-[[nodiscard]] bool IsClearlyWorse(const VersionComparison& comparison) noexcept;
+/// @brief Sum of all outcomes.
+[[nodiscard]] PeriodOutcomes SumOfOutcomes(
+    const VersionComparison& comparison) noexcept;
 
-/// @brief Returns the share of requests for the target version at `now`.
+/// @brief Compares the versions, on each route and on all of them.
+[[nodiscard]] VersionStanding StandingOf(
+    const VersionComparison& comparison) noexcept;
+
+/// @brief The decision that is due at `now` on a rollout in progress, if any.
 ///
-/// The share is small while a fault may still appear and larger towards the
-/// end, so that a fault that only appears under load is detected too. Until the
-/// rollout is completed, the target version gets less than a tenth of all
-/// requests.
-[[nodiscard]] double TargetShare(const VersionComparison& comparison,
-                                 Instant now) noexcept;
+/// A version found bad is rolled back at once. It is completed shortly before
+/// the end of the order, if the evidence shows that it is good. Otherwise it is
+/// rolled back at the end: without evidence a version has not earned all
+/// requests, and on completion the replicas of the current one stop.
+[[nodiscard]] std::optional<RolloutState> DueDecision(
+    const VersionComparison& comparison,
+    Instant now) noexcept;
 
-/// @brief Whether a rollout without a detected fault is due for completion.
-[[nodiscard]] bool MayComplete(const VersionComparison& comparison,
-                               Instant now) noexcept;
+/// @brief The share of requests for the target version at `now`.
+///
+/// The number of requests that the target version gets until it is judged is
+/// limited, not its share alone: a quiet service gives it most of its requests,
+/// as a few percent of them would be no evidence in time.
+///
+/// @param sum evidence of all daemons that this one knows of.
+/// @param daemons number of daemons in the fleet.
+[[nodiscard]] double TargetShare(const VersionComparison& sum,
+                                 int daemons,
+                                 Instant now) noexcept;
 
 }  // namespace clementinerill::traffic
 
