Latency: learn it on routes whose requests take long

What callers saw: nothing was reported; each request of a route of long requests (face-detail, 160 ms) was a candidate for a second attempt after 27 ms. Cause: until the first refresh a latency of 15 ms is assumed, by which the first response of 160 ms puts a replica on probation, and the latencies of replicas on probation are not added: the estimate of such a route never changed. Test failed first (median 15 ms after 40 responses of 160 ms, all replicas on probation).

Now latencies of all replicas count until the first refresh, which comes after 8 responses in place of 16.

--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -359,6 +359,17 @@
          service.rollout_->order_.state_ != RolloutState::kCompleted;
 }
 
+// Only healthy replicas count for an estimate: with the latencies of slow ones,
+// hedges would be sent later the more they are needed. Until the latency has
+// been measured, all replicas of a service of long requests look slow.
+void RecordLatency(LatencyEstimate& estimate,
+                   const ReplicaState& replica,
+                   Duration latency) {
+  if (!estimate.IsMeasured() || !IsOnProbation(replica)) {
+    estimate.Add(latency);
+  }
+}
+
 }  // namespace
 
 void RecordAttemptOutcome(FleetState& fleet,
@@ -381,12 +392,10 @@
   RecordOutcome(*attempt.replica_, outcome, attempt.sent_,
                 route.latency_.Median(), now);
   if (outcome == AttemptOutcome::kAnswered) {
-    // Only healthy replicas count for the estimates: with the latencies of slow
-    // ones, hedges would be sent later the more they are needed.
-    if (!IsOnProbation(*attempt.replica_) &&
-        !IsUndecidedTarget(*part.service_, *attempt.replica_)) {
-      route.latency_.Add(attempt.duration_);
-      part.service_->latency_.Add(attempt.duration_);
+    if (!IsUndecidedTarget(*part.service_, *attempt.replica_)) {
+      RecordLatency(route.latency_, *attempt.replica_, attempt.duration_);
+      RecordLatency(part.service_->latency_, *attempt.replica_,
+                    attempt.duration_);
     }
     if (part.state_ != PartState::kAnswered) {
       part.state_ = PartState::kAnswered;
--- a/src/traffic/latency_estimate.cc
+++ b/src/traffic/latency_estimate.cc
@@ -7,7 +7,7 @@
 void LatencyEstimate::Add(Duration latency) {
   samples_[count_ % kSamples] = latency;
   ++count_;
-  if (count_ % kRefreshEvery == 0) {
+  if (count_ % kRefreshEvery == 0 || count_ == kFirstRefresh) {
     Refresh();
   }
 }
--- a/src/traffic/latency_estimate.h
+++ b/src/traffic/latency_estimate.h
@@ -20,12 +20,18 @@
 
   void Add(Duration latency);
 
+  /// @brief Whether the quantiles come from latencies that were added.
+  [[nodiscard]] bool IsMeasured() const noexcept {
+    return count_ >= kFirstRefresh;
+  }
+
   [[nodiscard]] Duration Median() const noexcept { return median_; }
   [[nodiscard]] Duration P90() const noexcept { return p90_; }
 
  private:
   static constexpr size_t kSamples = 128;
   static constexpr size_t kRefreshEvery = 16;  ///< Samples per recalculation.
+  static constexpr size_t kFirstRefresh = 8;
 
   void Refresh();
 
--- a/tests/traffic/query_test.cc
+++ b/tests/traffic/query_test.cc
@@ -180,5 +180,26 @@
   CHECK(lost.query_.outcome_ == QueryOutcome::kRefused);
 }
 
+// Load: requests that take ten times as long as is assumed before the first
+// response. Guards against an estimate that never changes, because all replicas
+// look slow compared with the assumption: each request would be hedged.
+TEST_CASE("the latency of a route of long requests is learned", "[query]") {
+  Fleet fleet({MakeSingleRoute(RequestKind::kIdempotent)});
+  const RouteRule& route = fleet.Route("docket.example", "/case/1");
+  for (int i = 0; i < 40; ++i) {
+    const Instant now = At(milliseconds(500 * i));
+    Query query = StartQuery(fleet.state_, route, "id-" + std::to_string(i),
+                             seconds(5), now);
+    for (const SendAction& send : Advance(fleet.state_, query, now)) {
+      RecordAttemptOutcome(fleet.state_, query, send, AttemptOutcome::kAnswered,
+                           {}, now + milliseconds(160));
+    }
+  }
+  CHECK(RouteLatency(fleet.state_, route).Median() == milliseconds(160));
+  CHECK(FindService(fleet.state_, "docket")->latency_.Median() ==
+        milliseconds(160));
+  CHECK_FALSE(IsOnProbation(fleet.Replica("docket", 0)));
+}
+
 }  // namespace
 }  // namespace clementinerill::traffic
