Rollouts: compare latencies with the usual one of all daemons

What callers saw: a bad version of a quiet service of long requests, such as proof-gallery (160 ms), went on unnoticed. Cause: a response was slow if it took several times the median of the route at this daemon. A daemon needs 16 responses to measure that and assumes 15 ms until then; nine daemons of a service of 5.6 requests/s never do, so every response of both versions counted as bad, and no version could be worse than the other.

Now daemons exchange histograms of recent latencies of the current version with their evidence, and the sum gives the usual latency by which all judge. Responses of the target version do not count for it, since those of a slow one would make its slowness usual.

--- a/scripts/lib/rollout_play.py
+++ b/scripts/lib/rollout_play.py
@@ -47,6 +47,7 @@
     rate: float
     fault: Fault
     base: float = 0.0  # Share of the responses of the current version that fail.
+    work_s: float = 0.02  # Usual time of a response.
     ordered: float = 0.0
     arrivals: list = field(default_factory=list)  # (time, version, is bad)
     answers: int = 0
@@ -69,6 +70,11 @@
     Service("busy-load", BUSY, Fault(share=0.6, load=2.5)),
     Service("busy-base", BUSY, Fault(share=0.5), base=0.1),
     Service("busy-good", BUSY, Fault(), base=0.03),
+    # Far longer than the latency that a daemon assumes before it has seen enough responses of its own.
+    Service("long-slow", QUIET, Fault(share=1.0, slow=4.0), work_s=0.16),
+    Service("long-some", QUIET, Fault(share=0.5, slow=5.0), work_s=0.16),
+    Service("long-all", QUIET, Fault(share=1.0), work_s=0.16),
+    Service("long-good", QUIET, Fault(), work_s=0.16),
 ]
 
 
@@ -109,7 +115,7 @@
         hit = self.is_hit(target, now) if self.version == "v2" else random.random() < self.of.base
         self.of.arrivals.append((now, self.version, hit))
         slow = self.of.fault.slow if hit and self.version == "v2" else 0.0
-        await asyncio.sleep(0.02 * random.uniform(0.7, 1.6) * max(slow, 1.0))
+        await asyncio.sleep(self.of.work_s * random.uniform(0.7, 1.6) * max(slow, 1.0))
         status = 500 if hit and not slow else 200
         writer.write(response_bytes(status, [("X-Server-Stamp", f"{self.name}.{request_id}"),
                                              ("X-Request-Id", request_id), ("X-Server-Load", "1,0,6")], b"x" * 32))
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -33,6 +33,17 @@
   return kWriteTurn * static_cast<int>(Hash64(daemon + service) % kWriteTurns);
 }
 
+std::map<std::string, Duration, std::less<>> UsualLatencies(
+    const traffic::VersionComparison& sum) {
+  std::map<std::string, Duration, std::less<>> usual;
+  for (const auto& [route, latencies] : sum.latencies_) {
+    if (const auto median = traffic::MedianLatency(latencies)) {
+      usual[route] = *median;
+    }
+  }
+  return usual;
+}
+
 std::string ProcessName(const std::string& daemon) {
   const auto started = http::EventLoop::Now().time_since_epoch().count();
   return daemon + "@" + std::to_string(started);
@@ -247,7 +258,8 @@
       WriteVerdict(known, sum, *due, now);
     }
     shares.push_back({service, known.order_.target_version_,
-                      traffic::TargetShare(sum, role.daemons_, now), now});
+                      traffic::TargetShare(sum, role.daemons_, now), now,
+                      UsualLatencies(sum)});
   }
   return shares;
 }
--- a/src/gateway/rollout_evidence.cc
+++ b/src/gateway/rollout_evidence.cc
@@ -53,6 +53,9 @@
   for (const auto& [route, outcomes] : comparison.routes_) {
     evidence.routes_[route] = ToCounts(outcomes);
   }
+  for (const auto& [route, latencies] : comparison.latencies_) {
+    evidence.latencies_[route] = {latencies.begin(), latencies.end()};
+  }
   return evidence;
 }
 
@@ -70,6 +73,12 @@
   for (const auto& [route, counts] : evidence.routes_) {
     comparison.routes_[route] = FromCounts(counts);
   }
+  for (const auto& [route, counts] : evidence.latencies_) {
+    traffic::LatencyHistogram& latencies = comparison.latencies_[route];
+    latencies.fill(0);
+    std::copy_n(counts.begin(), std::min(counts.size(), latencies.size()),
+                latencies.begin());
+  }
   return comparison;
 }
 
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -423,12 +423,11 @@
 }
 
 void TrafficServer::ReportRolloutEvidence() {
-  for (const auto& [name, service] : fleet_.services_) {
-    if (on_evidence_ && service->rollout_ &&
-        service->rollout_->order_.state_ ==
-            traffic::RolloutState::kInProgress) {
-      on_evidence_(*service->rollout_);
-    }
+  if (!on_evidence_) {
+    return;
+  }
+  for (const auto& evidence : traffic::RolloutEvidence(fleet_)) {
+    on_evidence_(evidence);
   }
 }
 
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -78,6 +78,16 @@
   return kind;
 }
 
+std::map<std::string, std::vector<int64_t>> DecodeCounts(const json& message) {
+  std::map<std::string, std::vector<int64_t>> counts;
+  for (const auto& [route, list] : message.items()) {
+    for (const json& count : list) {
+      counts[route].push_back(std::min(DecodeCount(count), kMaxAttempts));
+    }
+  }
+  return counts;
+}
+
 json EncodeEvidence(const RolloutEvidence& evidence) {
   return {{"service", evidence.service_},
           {"target_version", evidence.target_version_},
@@ -86,6 +96,7 @@
           {"target_attempts", evidence.target_attempts_},
           {"present_attempts", evidence.current_attempts_},
           {"routes", evidence.routes_},
+          {"latencies", evidence.latencies_},
           {"bad", evidence.is_bad_},
           {"daemons", evidence.daemons_},
           // Daemons of the version before this one require both.
@@ -106,12 +117,8 @@
     evidence.is_bad_ = message.at("bad").get<bool>();
     evidence.daemons_ = static_cast<int>(
         std::min(DecodeCount(message.at("daemons")), kMaxDaemons));
-    for (const auto& [route, counts] : message.at("routes").items()) {
-      for (const json& count : counts) {
-        evidence.routes_[route].push_back(
-            std::min(DecodeCount(count), kMaxAttempts));
-      }
-    }
+    evidence.routes_ = DecodeCounts(message.at("routes"));
+    evidence.latencies_ = DecodeCounts(message.at("latencies"));
   }
   return evidence;
 }
--- a/src/mirror/rollout_evidence.h
+++ b/src/mirror/rollout_evidence.h
@@ -21,6 +21,9 @@
   /// By route: for each period of the order, the judged and the bad attempts at
   /// the target version, then those at the current one.
   std::map<std::string, std::vector<int64_t>> routes_;
+  /// By route: counts of the buckets of `traffic::LatencyHistogram`, of recent
+  /// responses of the current version.
+  std::map<std::string, std::vector<int64_t>> latencies_;
   bool is_bad_ = false;  ///< The target version was found to be bad.
   int daemons_ = 1;      ///< Number of daemons that contributed.
 };
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -333,20 +333,29 @@
   return QueryOutcome::kOpen;
 }
 
+Duration UsualLatency(const ServiceState& service, const std::string& route) {
+  if (!service.version_share_) {
+    return Duration::zero();
+  }
+  const auto& latencies = service.version_share_->usual_latencies_;
+  const auto found = latencies.find(route);
+  return found == latencies.end() ? Duration::zero() : found->second;
+}
+
 void RecordRollout(ServiceState& service,
                    const Attempt& attempt,
                    const std::string& route,
-                   Duration median_latency,
                    Instant now) {
   if (!service.rollout_) {
     return;
   }
   VersionComparison& rollout = *service.rollout_;
   const bool is_target = IsTargetVersion(service, *attempt.replica_);
-  RecordVersionOutcome(rollout, route,
-                       {is_target, IsCold(*attempt.replica_, now),
-                        attempt.outcome_, attempt.duration_, median_latency},
-                       now);
+  RecordVersionOutcome(
+      rollout, route,
+      {is_target, IsCold(*attempt.replica_, now), attempt.outcome_,
+       attempt.duration_, UsualLatency(service, route)},
+      now);
   rollout.is_bad_ = rollout.is_bad_ ||
                     (is_target && StandingOf(rollout) == VersionStanding::kBad);
 }
@@ -387,8 +396,7 @@
   attempt.outcome_ = outcome;
   attempt.duration_ = now - attempt.sent_;
   RouteState& route = fleet.routes_[query.route_->name_];
-  RecordRollout(*part.service_, attempt, query.route_->name_,
-                route.latency_.Median(), now);
+  RecordRollout(*part.service_, attempt, query.route_->name_, now);
   RecordOutcome(*attempt.replica_, outcome, attempt.sent_,
                 route.latency_.Median(), now);
   if (outcome == AttemptOutcome::kAnswered) {
--- a/src/traffic/fleet_comparison.cc
+++ b/src/traffic/fleet_comparison.cc
@@ -29,6 +29,9 @@
   for (const auto& [route, outcomes] : more.routes_) {
     Add(sum.routes_[route], outcomes);
   }
+  for (const auto& [route, latencies] : more.latencies_) {
+    AddLatencies(sum.latencies_[route], latencies);
+  }
 }
 
 VersionComparison Aggregate(const FleetComparison& fleet,
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -150,6 +150,26 @@
   }
 }
 
+std::vector<VersionComparison> RolloutEvidence(const FleetState& fleet) {
+  std::vector<VersionComparison> all;
+  for (const auto& [name, service] : fleet.services_) {
+    if (!service->rollout_ ||
+        service->rollout_->order_.state_ != RolloutState::kInProgress) {
+      continue;
+    }
+    VersionComparison evidence = *service->rollout_;
+    for (const auto& [route, outcomes] : evidence.routes_) {
+      const auto state = fleet.routes_.find(route);
+      if (state != fleet.routes_.end()) {
+        evidence.latencies_[route] =
+            MakeLatencyHistogram(state->second.latency_.Samples());
+      }
+    }
+    all.push_back(std::move(evidence));
+  }
+  return all;
+}
+
 std::shared_ptr<ServiceState> FindService(const FleetState& fleet,
                                           std::string_view name) {
   const auto found = fleet.services_.find(name);
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -29,6 +29,9 @@
   std::string target_version_;
   double share_ = 0;    ///< From 0 to 1.
   Instant computed_{};  ///< Not valid for long after this.
+  /// Usual latencies of the current version, by route. A daemon alone sees too
+  /// few responses of a quiet service to know them.
+  std::map<std::string, Duration, std::less<>> usual_latencies_ = {};
 };
 
 /// @brief State of one service in the traffic thread of this daemon.
@@ -82,6 +85,10 @@
 void ApplyVersionShares(FleetState& fleet,
                         const std::vector<VersionShare>& shares);
 
+/// @brief Returns the evidence of this daemon on the rollouts in progress.
+[[nodiscard]] std::vector<VersionComparison> RolloutEvidence(
+    const FleetState& fleet);
+
 /// @brief Returns the service, or null if no configuration or replica names it.
 [[nodiscard]] std::shared_ptr<ServiceState> FindService(const FleetState& fleet,
                                                         std::string_view name);
--- a/src/traffic/latency_estimate.cc
+++ b/src/traffic/latency_estimate.cc
@@ -12,6 +12,11 @@
   }
 }
 
+std::vector<Duration> LatencyEstimate::Samples() const {
+  const auto used = static_cast<std::ptrdiff_t>(std::min(count_, kSamples));
+  return {samples_.begin(), samples_.begin() + used};
+}
+
 void LatencyEstimate::Refresh() {
   const size_t used = std::min(count_, kSamples);
   std::array<Duration, kSamples> sorted = samples_;
--- a/src/traffic/latency_estimate.h
+++ b/src/traffic/latency_estimate.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <vector>
 
 #include "base/time.h"
 
@@ -28,6 +29,9 @@
   [[nodiscard]] Duration Median() const noexcept { return median_; }
   [[nodiscard]] Duration P90() const noexcept { return p90_; }
 
+  /// @brief The latencies that the next refresh would use, in no order.
+  [[nodiscard]] std::vector<Duration> Samples() const;
+
  private:
   static constexpr size_t kSamples = 128;
   static constexpr size_t kRefreshEvery = 16;  ///< Samples per recalculation.
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -17,6 +17,7 @@
 #include "traffic/forward_declarations.h"
 #include "traffic/forward_outcome.h"
 #include "traffic/latency_estimate.h"
+#include "traffic/latency_histogram.h"
 #include "traffic/limit_share.h"
 #include "traffic/merge_records.h"
 #include "traffic/part_failure_reason.h"
--- a/src/traffic/version_comparison.cc
+++ b/src/traffic/version_comparison.cc
@@ -6,7 +6,7 @@
 namespace clementinerill::traffic {
 namespace {
 
-// A response that takes longer than this multiple of the median latency is bad:
+// A response that takes longer than this multiple of the usual latency is bad:
 // a version that is several times slower counts as bad.
 constexpr double kSlowFactor = 2.5;
 
@@ -181,13 +181,13 @@
                           const std::string& route,
                           const VersionAttempt& attempt,
                           Instant now) {
-  const bool slow = attempt.median_latency_ > Duration::zero() &&
-                    attempt.took_ > Scale(attempt.median_latency_, kSlowFactor);
+  const bool slow = attempt.usual_latency_ > Duration::zero() &&
+                    attempt.took_ > Scale(attempt.usual_latency_, kSlowFactor);
+  PeriodOutcomes& period =
+      comparison.routes_[route][PeriodAt(comparison.order_, now)];
   if (!IsEvidence(attempt, slow)) {
     return;
   }
-  PeriodOutcomes& period =
-      comparison.routes_[route][PeriodAt(comparison.order_, now)];
   VersionOutcomes& outcomes =
       attempt.is_target_ ? period.target_ : period.current_;
   ++outcomes.judged_;
--- a/src/traffic/version_comparison.h
+++ b/src/traffic/version_comparison.h
@@ -11,6 +11,7 @@
 
 #include "base/time.h"
 #include "traffic/attempt_outcome.h"
+#include "traffic/latency_histogram.h"
 #include "traffic/rollout_order.h"
 
 namespace clementinerill::traffic {
@@ -18,7 +19,7 @@
 /// @brief Judged attempts at one version.
 struct VersionOutcomes {
   int64_t judged_ = 0;
-  int64_t bad_ = 0;  ///< Failed, or several times slower than the median.
+  int64_t bad_ = 0;  ///< Failed, or several times slower than usual.
 };
 
 /// @brief Outcomes of both versions in one period of an order.
@@ -43,6 +44,8 @@
   int64_t target_attempts_ = 0;
   int64_t current_attempts_ = 0;
   std::map<std::string, RouteOutcomes, std::less<>> routes_;
+  /// Recent responses of the current version, by route.
+  std::map<std::string, LatencyHistogram, std::less<>> latencies_;
   bool is_bad_ = false;  ///< The target version was found to be bad.
   int daemons_ = 1;      ///< Number of daemons that contributed.
 };
@@ -64,7 +67,8 @@
   bool is_cold_ = false;  ///< The replica was warming up.
   AttemptOutcome outcome_ = AttemptOutcome::kAnswered;
   Duration took_{};
-  Duration median_latency_{};  ///< Of the route at the current version.
+  /// Usual latency of the route at the current version; zero if unknown.
+  Duration usual_latency_{};
 };
 
 /// @brief Records the outcome of an attempt.
--- a/tests/mirror/relay_test.cc
+++ b/tests/mirror/relay_test.cc
@@ -78,6 +78,7 @@
                          9,
                          200,
                          {{"case", {1, 0, 20, 4}}},
+                         {{"case", {0, 3}}},
                          true,
                          3}}};
   const auto decoded = DecodeRelayRequest(Encode(request));
@@ -93,6 +94,8 @@
   CHECK(decoded->evidence_[0].current_attempts_ == 200);
   CHECK(decoded->evidence_[0].routes_.at("case") ==
         std::vector<int64_t>{1, 0, 20, 4});
+  CHECK(decoded->evidence_[0].latencies_.at("case") ==
+        std::vector<int64_t>{0, 3});
   CHECK(decoded->evidence_[0].is_bad_);
   CHECK(decoded->evidence_[0].daemons_ == 3);
   RelayReply reply;
--- a/tests/traffic/rollout_test.cc
+++ b/tests/traffic/rollout_test.cc
@@ -30,7 +30,10 @@
 
   /// Serves a request. Returns whether its first attempt went to the target
   /// version.
-  bool Serve(int number, Instant now, bool target_fails) {
+  bool Serve(int number,
+             Instant now,
+             bool target_fails,
+             Duration took = milliseconds(10)) {
     UpdateShare(now);
     Query query =
         StartQuery(fleet_.state_, fleet_.Route("docket.example", "/case/1"),
@@ -47,7 +50,7 @@
                              is_target && target_fails
                                  ? AttemptOutcome::kFailed
                                  : AttemptOutcome::kAnswered,
-                             {}, now + milliseconds(10));
+                             {}, now + took);
       }
     }
     return first_is_target;
@@ -155,6 +158,45 @@
   CHECK(SumOfOutcomes(comparison).target_.bad_ == 1);
 }
 
+// Load: a quiet service of long requests, of which no daemon alone sees enough
+// to know their usual latency. Guards against all responses of both versions
+// counting as slow, which hides any fault of the target version.
+TEST_CASE("the usual latency is that of all daemons", "[rollout]") {
+  LatencyHistogram sum{};
+  for (int daemon = 0; daemon < 9; ++daemon) {
+    const auto latencies =
+        MakeLatencyHistogram({milliseconds(150 + daemon), milliseconds(160)});
+    CHECK_FALSE(MedianLatency(latencies));
+    AddLatencies(sum, latencies);
+  }
+  REQUIRE(MedianLatency(sum));
+  CHECK(*MedianLatency(sum) > milliseconds(100));
+  CHECK(*MedianLatency(sum) < milliseconds(250));
+
+  Rollout rollout;
+  ApplyVersionShares(rollout.fleet_.state_,
+                     {{"docket",
+                       "v2",
+                       0.5,
+                       At(seconds(2)),
+                       {{"single", *MedianLatency(sum)}}}});
+  rollout.shared_ = At(seconds(100));
+  for (int i = 0; i < 50; ++i) {
+    rollout.Serve(i, At(seconds(2)), false, milliseconds(160));
+  }
+  const PeriodOutcomes outcomes = SumOfOutcomes(rollout.Comparison());
+  CHECK(outcomes.current_.judged_ > 10);
+  CHECK(outcomes.current_.bad_ == 0);
+  CHECK(outcomes.target_.bad_ == 0);
+  rollout.Serve(50, At(seconds(2)), false, milliseconds(700));
+  const PeriodOutcomes slow = SumOfOutcomes(rollout.Comparison());
+  CHECK(slow.current_.bad_ + slow.target_.bad_ == 1);
+  // Reported for the sum, with the latencies of the current version only.
+  const auto evidence = RolloutEvidence(rollout.fleet_.state_);
+  REQUIRE(evidence.size() == 1);
+  CHECK(MedianLatency(evidence[0].latencies_.at("single")));
+}
+
 /// One kind of version in a service, as nine daemons together see it.
 struct VersionPattern {
   std::string name_;
