Rollouts: serve only when the orders are known

What callers would see: a daemon that starts reads the kinds of the store one by one. Test failed first: ready with replicas known and the list of orders unanswered.

Now the first configuration is used when replicas and orders are known.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -90,6 +90,7 @@
     ApplyReplicaChanges(changes);
   } else if (kind == kinds.rollouts_) {
     rollouts_.ApplyChanges(changes, unusable_);
+    rollouts_known_ = rollouts_known_ || changes.is_full_list_;
   } else if (kind == kinds.evacuations_) {
     ApplyEvacuationChanges(changes);
   } else if (kind == kinds.daemons_) {
@@ -399,7 +400,8 @@
 
 void ControlLoop::PublishView() {
   auto view = std::make_shared<traffic::TrafficView>();
-  if (replicas_known_) {
+  // Without the orders, replicas of a target version would look like others.
+  if (replicas_known_ && rollouts_known_) {
     view->configuration_ = configuration_;
   }
   for (const auto& [id, entry] : directory_.replicas_) {
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -97,6 +97,7 @@
   bool registering_ = false;  ///< A write of the own record is in flight.
   bool was_listed_ = false;   ///< The last list had the own record.
   bool replicas_known_ = false;
+  bool rollouts_known_ = false;
   int registration_failures_ = 0;
 };
 
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -4,6 +4,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -82,6 +83,8 @@
   std::map<std::string, std::string> odd_metadata_;  ///< Text, by name.
   size_t page_size_ = 1000;                          ///< Objects in a list.
   std::map<std::string, nlohmann::json> statuses_;   ///< By kind and name.
+  std::set<std::string>
+      unanswered_kinds_;  ///< Their requests are not answered.
 
  private:
   struct Event {
@@ -90,6 +93,7 @@
     std::string spec_;  ///< As text.
     bool deleted_ = false;
     int64_t revision_ = 0;
+    int64_t created_ = 0;  ///< Revision at which the object was created.
   };
   using Caller = std::shared_ptr<http::ServerConnection>;
   struct PendingWatch {
@@ -100,7 +104,8 @@
 
   [[nodiscard]] std::string ObjectOf(const Event& event) const {
     const nlohmann::json meta = {{"name", event.name_},
-                                 {"rev", event.revision_}};
+                                 {"rev", event.revision_},
+                                 {"created", event.created_}};
     const auto odd = odd_metadata_.find(event.name_);
     return R"({"meta":)" +
            (odd == odd_metadata_.end() ? meta.dump() : odd->second) +
@@ -113,6 +118,10 @@
 
   void Change(Event event) {
     event.revision_ = ++revision_;
+    auto& objects = objects_[event.kind_];
+    const auto known = objects.find(event.name_);
+    event.created_ =
+        known == objects.end() ? event.revision_ : known->second.created_;
     if (event.deleted_) {
       objects_[event.kind_].erase(event.name_);
     } else {
@@ -187,7 +196,7 @@
         request.target_.find('?') - std::string("/objects/").size());
     const std::string kind = path.substr(0, path.find('/'));
     ++request_counts_[request.method_ + " " + kind];
-    if (silent_) {
+    if (silent_ || unanswered_kinds_.count(kind) > 0) {
       return;
     }
     if (down_) {
--- /dev/null
+++ b/tests/gateway/rollout_order_test.cc
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway_fixture.h"
+
+namespace clementinerill::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A service with a replica of the current version and one of the target, which
+/// fails all requests.
+struct RolloutOrderFixture : GatewayFixture {
+  RolloutOrderFixture() {
+    PutEverything();
+    auto entry = target_.Entry("hold");
+    entry["version"] = "v2";
+    store_.Put("servers", "t1", entry);
+    target_.handler_ = [](const FakeReplica::Caller& caller,
+                          const http::HttpRequest&) {
+      caller->Respond({500, {{"X-Server-Stamp", "s"}}, "", true}, false);
+    };
+  }
+
+  void PutOrder() {
+    store_.Put(
+        "rollouts", "hold",
+        {{"service", "hold"}, {"target_version", "v2"}, {"duration_s", 12}});
+  }
+
+  Daemon& StartReady() {
+    Daemon& daemon = Start(Options("vm-1"));
+    REQUIRE(RunUntil([&] { return IsReady(daemon); }));
+    return daemon;
+  }
+
+  /// Sends requests until `done`, at most 2000. Returns how many the target
+  /// version got.
+  size_t SendUntil(Daemon& daemon, const std::function<bool()>& done) {
+    const size_t before = target_.requests_.size();
+    for (int i = 0; i < 2000 && !done(); ++i) {
+      Get(daemon.options_.caller_listen_, "hold.example", "/h5/1",
+          "id-" + std::to_string(number_++));
+      RunFor(milliseconds(5));
+    }
+    return target_.requests_.size() - before;
+  }
+
+  size_t Send(Daemon& daemon, int requests) {
+    const int end = number_ + requests;
+    return SendUntil(daemon, [&] { return number_ >= end; });
+  }
+
+  FakeReplica target_{loop_, "t1"};
+  int number_ = 0;
+};
+
+// Guards against a starting daemon that does not know the orders yet and takes
+// replicas of a target version for usual ones.
+TEST_CASE("a daemon serves when it knows the orders", "[rollout]") {
+  RolloutOrderFixture fixture;
+  fixture.PutOrder();
+  fixture.store_.unanswered_kinds_ = {"rollouts"};
+  Daemon& daemon = fixture.Start(fixture.Options("vm-1"));
+  REQUIRE(
+      fixture.RunUntil([&] { return daemon.metrics_.replicas_.Value() > 0; }));
+  CHECK_FALSE(fixture.IsReady(daemon));
+  fixture.store_.unanswered_kinds_.clear();
+  CHECK(fixture.RunUntil([&] { return fixture.IsReady(daemon); }));
+}
+
+}  // namespace
+}  // namespace clementinerill::gateway
