Rollouts: tell a second order of a version from the first

What callers would see: a version that was taken back, mended and ordered again with the same name and time is taken back at once on the evidence of the first order, or completed on it. Cause: orders were compared by service, version and length. Their removal in between goes unseen when both changes arrive in one response. Test failed first (no request to the second target, rolled back at once).

An order now has the revision of the store at which it was created, which evidence between daemons names too. Ruled out: the revision of its last change, which a written status changes.

--- a/src/gateway/rollout_evidence.cc
+++ b/src/gateway/rollout_evidence.cc
@@ -46,6 +46,7 @@
   evidence.target_version_ = order.target_version_;
   evidence.length_ = duration_cast<milliseconds>(order.length_);
   evidence.age_ = duration_cast<milliseconds>(now - order.ordered_);
+  evidence.created_ = order.created_;
   evidence.target_attempts_ = comparison.target_attempts_;
   evidence.current_attempts_ = comparison.current_attempts_;
   evidence.is_bad_ = comparison.is_bad_;
@@ -66,6 +67,7 @@
   comparison.order_.target_version_ = evidence.target_version_;
   comparison.order_.length_ = evidence.length_;
   comparison.order_.ordered_ = now - evidence.age_;
+  comparison.order_.created_ = evidence.created_;
   comparison.target_attempts_ = evidence.target_attempts_;
   comparison.current_attempts_ = evidence.current_attempts_;
   comparison.is_bad_ = evidence.is_bad_;
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -40,7 +40,8 @@
 json EncodeObject(const StoredObject& object) {
   json encoded = {{"content", object.content_},
                   {"status", object.status_},
-                  {"revision", object.revision_}};
+                  {"revision", object.revision_},
+                  {"created", object.created_}};
   if (!object.decode_error_.empty()) {
     encoded["error"] = object.decode_error_;
   }
@@ -48,9 +49,12 @@
 }
 
 StoredObject DecodeObject(const std::string& name, const json& object) {
-  return {name, object.at("content"), object.at("status"),
+  return {name,
+          object.at("content"),
+          object.at("status"),
           object.at("revision").get<int64_t>(),
-          object.value("error", std::string())};
+          object.value("error", std::string()),
+          object.value("created", int64_t{0})};
 }
 
 json EncodeKind(const RelayedKind& kind) {
@@ -93,6 +97,7 @@
           {"target_version", evidence.target_version_},
           {"length_ms", evidence.length_.count()},
           {"age_ms", evidence.age_.count()},
+          {"created", evidence.created_},
           {"target_attempts", evidence.target_attempts_},
           {"present_attempts", evidence.current_attempts_},
           {"routes", evidence.routes_},
@@ -114,6 +119,7 @@
   // Daemons of the version before this one do not send the others.
   if (message.contains("routes")) {
     evidence.age_ = DecodeTime(message.at("age_ms"));
+    evidence.created_ = DecodeCount(message.at("created"));
     evidence.is_bad_ = message.at("bad").get<bool>();
     evidence.daemons_ = static_cast<int>(
         std::min(DecodeCount(message.at("daemons")), kMaxDaemons));
--- a/src/mirror/rollout_evidence.h
+++ b/src/mirror/rollout_evidence.h
@@ -16,6 +16,7 @@
   std::chrono::milliseconds length_{};  ///< Duration set by the order.
   /// Time since a daemon first learned of the order.
   std::chrono::milliseconds age_{};
+  int64_t created_ = 0;          ///< See `StoredObject::created_`.
   int64_t target_attempts_ = 0;  ///< Sent, judged or not.
   int64_t current_attempts_ = 0;
   /// By route: for each period of the order, the judged and the bad attempts at
--- a/src/mirror/stored_object.h
+++ b/src/mirror/stored_object.h
@@ -18,6 +18,9 @@
   /// Why content and status could not be decoded, which are null then; empty if
   /// they were.
   std::string decode_error_ = {};
+  /// Revision at which it was created; 0 if unknown. Tells an object from an
+  /// earlier one of the same name.
+  int64_t created_ = 0;
 };
 
 }  // namespace clementinerill::mirror
--- a/src/traffic/rollout_order.h
+++ b/src/traffic/rollout_order.h
@@ -26,17 +26,21 @@
 struct RolloutOrder {
   std::string service_;
   std::string target_version_;
+  /// Revision of the store at which it was ordered; 0 if unknown.
+  int64_t created_ = 0;
   /// When a daemon first learned of it, as far as this one knows.
   Instant ordered_{};
   Duration length_{};  ///< Time from the order to the latest decision.
   RolloutState state_ = RolloutState::kInProgress;
 };
 
-/// @brief Whether both are the same order, regardless of their state.
+/// @brief Whether both are the same order, regardless of their state. The same
+/// version may be ordered again.
 [[nodiscard]] inline bool IsSameOrder(const RolloutOrder& a,
                                       const RolloutOrder& b) noexcept {
+  const bool is_known = a.created_ != 0 && b.created_ != 0;
   return a.service_ == b.service_ && a.target_version_ == b.target_version_ &&
-         a.length_ == b.length_;
+         a.length_ == b.length_ && (!is_known || a.created_ == b.created_);
 }
 
 }  // namespace clementinerill::traffic
--- a/tests/gateway/rollout_order_test.cc
+++ b/tests/gateway/rollout_order_test.cc
@@ -54,6 +54,27 @@
   int number_ = 0;
 };
 
+// Guards against a second order of a version that is decided by the evidence
+// about the first one.
+TEST_CASE("a second order of a version is judged anew", "[rollout]") {
+  RolloutOrderFixture fixture;
+  fixture.PutOrder();
+  Daemon& daemon = fixture.StartReady();
+  const auto is_decided = [&] { return !fixture.store_.statuses_.empty(); };
+  CHECK(fixture.SendUntil(daemon, is_decided) >= 4);
+  // The daemon hears of both changes in one response.
+  fixture.store_.SetDown(true);
+  fixture.store_.Remove("rollouts", "hold");
+  fixture.store_.statuses_.clear();
+  fixture.PutOrder();
+  fixture.store_.SetDown(false);
+  fixture.RunFor(milliseconds(1500));
+  // The operator has replaced the replica by one that works.
+  fixture.target_.handler_ = nullptr;
+  CHECK(fixture.Send(daemon, 400) > 0);
+  CHECK_FALSE(is_decided());
+}
+
 // Guards against a starting daemon that does not know the orders yet and takes
 // replicas of a target version for usual ones.
 TEST_CASE("a daemon serves when it knows the orders", "[rollout]") {
--- a/tests/mirror/relay_test.cc
+++ b/tests/mirror/relay_test.cc
@@ -75,6 +75,7 @@
                          "v2",
                          std::chrono::seconds(20),
                          std::chrono::seconds(7),
+                         41,
                          9,
                          200,
                          {{"case", {1, 0, 20, 4}}},
@@ -90,6 +91,7 @@
   CHECK(decoded->evidence_[0].target_version_ == "v2");
   CHECK(decoded->evidence_[0].length_ == std::chrono::seconds(20));
   CHECK(decoded->evidence_[0].age_ == std::chrono::seconds(7));
+  CHECK(decoded->evidence_[0].created_ == 41);
   CHECK(decoded->evidence_[0].target_attempts_ == 9);
   CHECK(decoded->evidence_[0].current_attempts_ == 200);
   CHECK(decoded->evidence_[0].routes_.at("case") ==
