Rollouts: keep a version out whose order is gone before its replicas

What callers would see: an order that is withdrawn, or lost by the store, leaves replicas of an unjudged version behind; without an order they were chosen like all others, and what was known of the version was forgotten.

A daemon keeps such an order as rolled back while replicas of both versions are in use, and forgets it when the target version has none left or is the only one. A completed order is forgotten at once, as before.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -408,6 +408,7 @@
     view->replicas_.push_back(entry);
   }
   view->evacuated_ = evacuated_;
+  rollouts_.ForgetWithdrawn(directory_);
   view->rollouts_ = rollouts_.Orders();
   for (const auto& [name, record] : daemons_) {
     ++view->daemons_[record.failure_domain_];
--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -1,6 +1,7 @@
 #include "gateway/rollout_control.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/backoff.h"
@@ -44,6 +45,21 @@
   return usual;
 }
 
+// Whether replicas of the target version are in use beside others.
+bool HasBothVersions(const traffic::ReplicaDirectory& directory,
+                     const RolloutOrder& order) {
+  bool has_target = false;
+  bool has_other = false;
+  for (const auto& [id, replica] : directory.replicas_) {
+    if (replica.service_ == order.service_ && !replica.leaving_since_) {
+      const bool is_target = replica.version_ == order.target_version_;
+      has_target = has_target || is_target;
+      has_other = has_other || !is_target;
+    }
+  }
+  return has_target && has_other;
+}
+
 std::string ProcessName(const std::string& daemon) {
   const auto started = http::EventLoop::Now().time_since_epoch().count();
   return daemon + "@" + std::to_string(started);
@@ -65,17 +81,13 @@
                                   UnusableObjects& unusable) {
   const Instant now = http::EventLoop::Now();
   const auto& codec = options_.store_codec_;
-  const auto before = std::exchange(
-      orders_,
-      changes.is_full_list_ ? std::map<std::string, TrackedOrder>() : orders_);
+  std::set<std::string> listed;
+  const auto before = orders_;
   for (const StoredObject& object : changes.upserted_) {
     auto order = codec.decode_rollout_(object, now);
     if (!order) {
       unusable.Add(codec.kinds_.rollouts_, object.name_, order.error(), now);
-      const auto kept = before.find(object.name_);
-      if (kept != before.end()) {
-        orders_.insert(*kept);
-      }
+      listed.insert(object.name_);
       continue;
     }
     const auto known = before.find(order->service_);
@@ -87,7 +99,9 @@
          {"target_version", order->target_version_},
          {"length_ms", order->length_},
          {"state", StateName(order->state_)}});
+    listed.insert(order->service_);
     TrackedOrder& taken = orders_[order->service_];
+    taken = {};
     taken.order_ = *order;
     taken.revision_ = object.revision_;
     if (known != before.end()) {
@@ -100,8 +114,36 @@
     }
   }
   for (const std::string& name : changes.removed_) {
-    Log(LogLevel::kInfo, "rollout", "order removed", {{"service", name}});
-    orders_.erase(name);
+    Remove(name);
+  }
+  for (const auto& [service, known] : before) {
+    if (changes.is_full_list_ && listed.count(service) == 0) {
+      Remove(service);
+    }
+  }
+}
+
+void RolloutControl::Remove(const std::string& service) {
+  const auto found = orders_.find(service);
+  if (found == orders_.end() || found->second.is_withdrawn_) {
+    return;
+  }
+  Log(LogLevel::kInfo, "rollout", "order removed", {{"service", service}});
+  if (found->second.order_.state_ == RolloutState::kCompleted) {
+    orders_.erase(found);
+  } else {
+    found->second.is_withdrawn_ = true;
+    found->second.order_.state_ = RolloutState::kRolledBack;
+  }
+}
+
+void RolloutControl::ForgetWithdrawn(
+    const traffic::ReplicaDirectory& directory) {
+  for (auto it = orders_.begin(); it != orders_.end();) {
+    it = it->second.is_withdrawn_ &&
+                 !HasBothVersions(directory, it->second.order_)
+             ? orders_.erase(it)
+             : std::next(it);
   }
 }
 
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -14,6 +14,7 @@
 #include "mirror/rollout_evidence.h"
 #include "traffic/fleet_comparison.h"
 #include "traffic/fleet_state.h"
+#include "traffic/replica_directory.h"
 
 namespace clementinerill::gateway {
 
@@ -38,8 +39,14 @@
   void ApplyChanges(const mirror::KindChanges& changes,
                     UnusableObjects& unusable);
 
+  /// @brief The orders, with those that were withdrawn before they were
+  /// completed as rolled back.
   [[nodiscard]] std::vector<traffic::RolloutOrder> Orders() const;
 
+  /// @brief Forgets withdrawn orders whose target version has no replicas left,
+  /// or is the only one that has some.
+  void ForgetWithdrawn(const traffic::ReplicaDirectory& directory);
+
   /// @brief Whether an order is in progress.
   [[nodiscard]] bool HasOpenOrder() const;
 
@@ -87,8 +94,12 @@
     std::optional<traffic::RolloutState> due_;  ///< Decided, not yet in force.
     Instant next_write_{};
     int writes_ = 0;  ///< Of the verdict that is due.
+    /// Removed from the store before it was completed. Replicas of its target
+    /// version may remain for a while.
+    bool is_withdrawn_ = false;
   };
 
+  void Remove(const std::string& service);
   /// Returns the order that the evidence is about, or null.
   TrackedOrder* FindOpenOrder(const traffic::RolloutOrder& order);
   [[nodiscard]] traffic::VersionComparison SumOf(const TrackedOrder& known,
--- a/tests/gateway/rollout_order_test.cc
+++ b/tests/gateway/rollout_order_test.cc
@@ -54,6 +54,32 @@
   int number_ = 0;
 };
 
+// Guards against requests to an unjudged version whose order is withdrawn, or
+// lost by the store, before its replicas have gone.
+TEST_CASE("a target version gets nothing after its order was removed",
+          "[rollout]") {
+  RolloutOrderFixture fixture;
+  fixture.PutOrder();
+  Daemon& daemon = fixture.StartReady();
+  fixture.store_.Remove("rollouts", "hold");
+  fixture.RunFor(milliseconds(100));
+  CHECK(fixture.Send(daemon, 60) == 0);
+
+  SECTION("its replicas are used when they are the only ones") {
+    fixture.store_.Remove("servers", "c1");
+    fixture.RunFor(milliseconds(600));
+    CHECK(fixture.Send(daemon, 20) > 0);
+  }
+  SECTION("the version is forgotten with its replicas") {
+    fixture.store_.Remove("servers", "t1");
+    CHECK(fixture.RunUntil([&] {
+      const auto status = nlohmann::json::parse(
+          fixture.Get(*daemon.options_.metrics_listen_, "", "/status").body_);
+      return status["rollouts"].empty();
+    }));
+  }
+}
+
 // Guards against a second order of a version that is decided by the evidence
 // about the first one.
 TEST_CASE("a second order of a version is judged anew", "[rollout]") {
