Store: log lists that are ignored, count the calls

Now each is logged with both revisions (rate limited) and `gateway_store_calls_total` counts lists and watches. No decision changes.

--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -52,6 +52,9 @@
             "gateway_refused_stopping_total",
             "Requests refused because the daemon stops before it could answer "
             "them.")),
+        store_calls_(registry_.AddCounter(
+            "gateway_store_calls_total",
+            "Lists and watches that were sent to the store.")),
         store_failures_(registry_.AddCounter("gateway_store_failures_total",
                                              "Failed calls of the store.")),
         unusable_found_(registry_.AddCounter(
@@ -83,6 +86,7 @@
   Counter& unrouted_;
   Counter& unconfigured_;
   Counter& refused_stopping_;
+  Counter& store_calls_;
   Counter& store_failures_;
   Counter& unusable_found_;
   Gauge& unusable_;
--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -107,6 +107,7 @@
   request.target_ = std::move(target);
   request.timeout_ = wait + ResponseTimeout(failures_);
   called_at_ = http::EventLoop::Now();
+  metrics_.store_calls_.Increment();
   client_.Call(std::move(request),
                [this, handler](const http::ClientResponse& response) {
                  (this->*handler)(response);
@@ -191,6 +192,15 @@
   mirror::Confirm(mirror_, http::EventLoop::Now());
   if (mirror::Apply(mirror_, changes)) {
     on_changes_(changes);
+  } else if (changes.revision_ < mirror_.revision_) {
+    static RateLimitedLogger lines;
+    lines.Log(http::EventLoop::Now(), LogLevel::kWarning, "store",
+              "older than the copy, ignored",
+              {{"kind", options_.kind_},
+               {"list", changes.is_full_list_},
+               {"objects", changes.upserted_.size()},
+               {"revision", changes.revision_},
+               {"known_revision", mirror_.revision_}});
   }
 }
 
