Store: follow it into a new era

Cause: revisions were taken to rise for ever. After a return from an older copy they are lower, so every list was dropped as older than the copy; and a watch from an old revision that has been given out again is answered without the changes up to there.

A copy enters a later era by a full list only, never an earlier one. The first response of a new era, whatever its status, makes all watches list again. Relays and readers name the era of each copy: a reader of another era gets a full list, a relay of an earlier era counts as out of date. Daemons of the version before name none and are served as before.

--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -29,10 +29,9 @@
                   Duration(kMaxResponseTimeout));
 }
 
-// Adds jitter from the current time, so that daemons do not retry in step.
-Duration RetryDelay(int failures, const std::string& kind, Instant now) {
-  const auto salt = static_cast<uint64_t>(now.time_since_epoch().count());
-  return BackoffDelay(kRetryBackoff, failures, Hash64(kind, salt));
+// Jitter from the current time, so that daemons do not retry in step.
+uint64_t JitterOf(const std::string& kind, Instant now) {
+  return Hash64(kind, static_cast<uint64_t>(now.time_since_epoch().count()));
 }
 
 // Returns the name from which the list continues. Objects whose names cannot be
@@ -52,13 +51,15 @@
                      GatewayMetrics& metrics,
                      WatchOptions options,
                      mirror::KindMirror& mirror,
-                     std::function<void(const mirror::KindChanges&)> on_changes)
+                     std::function<void(const mirror::KindChanges&)> on_changes,
+                     std::function<void(int64_t era)> on_era)
     : loop_(loop),
       codec_(codec),
       metrics_(metrics),
       options_(std::move(options)),
       mirror_(mirror),
       on_changes_(std::move(on_changes)),
+      on_era_(std::move(on_era)),
       client_(loop, store.address_, store.port_) {}
 
 void KindWatch::SetActive(bool active) {
@@ -73,6 +74,10 @@
     Step();
     return;
   }
+  StopWaiting();
+}
+
+void KindWatch::StopWaiting() {
   client_.Cancel();
   if (timer_) {
     loop_.Timers().Cancel(*timer_);
@@ -80,6 +85,15 @@
   }
 }
 
+void KindWatch::EnterEra(int64_t era) {
+  if (active_ && !needs_list_ && mirror::IsOtherEra(mirror_, era) &&
+      mirror_.era_ < era) {
+    StopWaiting();
+    needs_list_ = true;
+    List();
+  }
+}
+
 void KindWatch::Step() {
   if (needs_list_ || mirror_.revision_ == 0) {
     List();
@@ -126,8 +140,14 @@
   }
   // Uses the revision of the first page: a watch from it repeats changes that
   // later pages already contain, but misses none.
-  if (pending_list_.upserted_.empty()) {
+  if (listed_until_.empty()) {
+    pending_list_ = {};
+    pending_list_.era_ = EraOf(response);
     pending_list_.revision_ = page->revision_;
+    pending_list_.is_full_list_ = true;
+  } else if (EraOf(response) != pending_list_.era_) {
+    ScheduleRetry("the era changed during the list");
+    return;
   }
   std::move(page->objects_.begin(), page->objects_.end(),
             std::back_inserter(pending_list_.upserted_));
@@ -141,10 +161,11 @@
     List();
     return;
   }
-  needs_list_ = false;
   listed_until_.clear();
-  const mirror::KindChanges listed = std::exchange(pending_list_, {});
-  ApplyChanges({listed.revision_, true, listed.upserted_, {}});
+  if (!ApplyChanges(std::exchange(pending_list_, {}))) {
+    return;
+  }
+  needs_list_ = false;
   if (active_) {
     Watch();
   }
@@ -158,15 +179,26 @@
 }
 
 void KindWatch::OnEvents(const http::ClientResponse& response) {
-  if (response.status_ == 410) {
-    Log(LogLevel::kInfo, "store", "history was compacted, listing again",
-        {{"kind", options_.kind_}, {"revision", mirror_.revision_}});
+  if (response.status_ != 200 && response.status_ != 410) {
+    ScheduleRetry(http::DescribeFailure(response));
+    return;
+  }
+  // Before the status is looked at: the revision of the copy may have been
+  // given out again in the new era, so that the watch succeeds.
+  if (EraOf(response) > mirror_.era_) {
+    Log(LogLevel::kWarning, "store",
+        "returned from an older copy, listing again",
+        {{"kind", options_.kind_},
+         {"era", EraOf(response)},
+         {"previous_era", mirror_.era_},
+         {"revision", mirror_.revision_}});
     needs_list_ = true;
     List();
+    on_era_(EraOf(response));
     return;
   }
-  if (response.status_ != 200) {
-    ScheduleRetry(http::DescribeFailure(response));
+  if (response.status_ == 410) {
+    OnHistoryGone();
     return;
   }
   auto events = codec_.decode_events_(response.body_, options_.object_bounds_);
@@ -176,8 +208,8 @@
     return;
   }
   const bool changed = !events->upserted_.empty() || !events->removed_.empty();
-  ApplyChanges(*events);
-  if (!active_) {
+  events->era_ = EraOf(response);
+  if (!ApplyChanges(*events) || !active_) {
     return;
   }
   if (changed && options_.batch_delay_ > Duration::zero()) {
@@ -187,7 +219,24 @@
   }
 }
 
-void KindWatch::ApplyChanges(const mirror::KindChanges& changes) {
+void KindWatch::OnHistoryGone() {
+  Log(LogLevel::kInfo, "store", "history was compacted, listing again",
+      {{"kind", options_.kind_}, {"revision", mirror_.revision_}});
+  needs_list_ = true;
+  List();
+}
+
+int64_t KindWatch::EraOf(const http::ClientResponse& response) const {
+  const int64_t era = codec_.decode_era_(response.headers_);
+  return era > 0 ? era : mirror_.era_;
+}
+
+bool KindWatch::ApplyChanges(const mirror::KindChanges& changes) {
+  if (changes.era_ < mirror_.era_) {
+    needs_list_ = true;
+    ScheduleRetry("response of an earlier era");
+    return false;
+  }
   RecordSuccess();
   mirror::Confirm(mirror_, http::EventLoop::Now());
   if (mirror::Apply(mirror_, changes)) {
@@ -202,6 +251,7 @@
                {"revision", changes.revision_},
                {"known_revision", mirror_.revision_}});
   }
+  return true;
 }
 
 void KindWatch::ScheduleRetry(const std::string& reason) {
@@ -221,7 +271,8 @@
     static RateLimitedLogger lines;
     lines.Log(now, LogLevel::kInfo, "store", "still lost", fields);
   }
-  ScheduleStep(RetryDelay(failures_, options_.kind_, now));
+  ScheduleStep(
+      BackoffDelay(kRetryBackoff, failures_, JitterOf(options_.kind_, now)));
 }
 
 void KindWatch::RecordSuccess() {
--- a/src/gateway/kind_watch.h
+++ b/src/gateway/kind_watch.h
@@ -33,22 +33,28 @@
 
 /// @brief Keeps a local copy of the objects of one kind in sync with the store:
 /// lists them, then watches for changes, and lists again when the store has
-/// compacted its history.
+/// compacted its history or has returned from an older copy.
 class KindWatch {
  public:
   /// @param on_changes called after changes were applied to `mirror`.
+  /// @param on_era called when the store has returned from an older copy.
   KindWatch(http::EventLoop& loop,
             const Endpoint& store,
             const StoreCodec& codec,
             GatewayMetrics& metrics,
             WatchOptions options,
             mirror::KindMirror& mirror,
-            std::function<void(const mirror::KindChanges&)> on_changes);
+            std::function<void(const mirror::KindChanges&)> on_changes,
+            std::function<void(int64_t era)> on_era);
 
   /// @brief Starts or stops watching. A copy that has a revision is continued
   /// from it.
   void SetActive(bool active);
 
+  /// @brief Lists again if the copy is of an era before `era`, in which the
+  /// store was seen by another watch.
+  void EnterEra(int64_t era);
+
   /// @brief Sets the long-poll time, from the next watch on.
   void SetWait(std::chrono::milliseconds wait) { options_.wait_ = wait; }
 
@@ -58,7 +64,12 @@
   void Watch();
   void OnPage(const http::ClientResponse& reply);
   void OnEvents(const http::ClientResponse& reply);
-  void ApplyChanges(const mirror::KindChanges& changes);
+  void OnHistoryGone();
+  void StopWaiting();
+  /// Returns whether the changes are of the current era or a later one.
+  bool ApplyChanges(const mirror::KindChanges& changes);
+  /// The era that a response names, by default that of the copy.
+  [[nodiscard]] int64_t EraOf(const http::ClientResponse& response) const;
   /// Sends a request that the store holds for up to `wait`.
   void Call(std::string target,
             std::chrono::milliseconds wait,
@@ -73,6 +84,7 @@
   WatchOptions options_;
   mirror::KindMirror& mirror_;
   const std::function<void(const mirror::KindChanges&)> on_changes_;
+  const std::function<void(int64_t era)> on_era_;
   http::Client client_;
   mirror::KindChanges pending_list_;
   std::string listed_until_;  ///< Last name of the pages received so far.
@@ -80,7 +92,7 @@
   bool active_ = false;
   bool needs_list_ = false;
   int failures_ = 0;
-  Instant called_at_{};  ///< When the last request was sent.
+  Instant called_at_{};     ///< When the last request was sent.
 };
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/store_codec.h
+++ b/src/gateway/store_codec.h
@@ -11,6 +11,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "codec/json_slices.h"
+#include "http/http_message.h"
 #include "mirror/kind_changes.h"
 #include "mirror/stored_object.h"
 #include "traffic/replica_entry.h"
@@ -70,6 +71,9 @@
   std::function<Result<mirror::KindChanges>(const std::string& body,
                                             const JsonBounds& bounds)>
       decode_events_;
+  /// Era of the store that a response names; 0 if it names none. See
+  /// `mirror::KindMirror::era_`.
+  std::function<int64_t(const http::Headers& headers)> decode_era_;
   std::function<Result<traffic::TrafficConfiguration>(const nlohmann::json&)>
       decode_configuration_;
   std::function<Result<traffic::ReplicaEntry>(const StoredObject&, Instant now)>
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -103,8 +103,14 @@
           batch_delay,
           kind == options_.store_codec_.kinds_.configuration_ ? JsonBounds{}
                                                               : kEntryBounds},
-      followed.mirror_, [this, kind](const mirror::KindChanges& changes) {
+      followed.mirror_,
+      [this, kind](const mirror::KindChanges& changes) {
         OnKindChanged(kind, changes);
+      },
+      [this](int64_t era) {
+        for (auto& [other, known] : kinds_) {
+          known.watch_->EnterEra(era);
+        }
       });
 }
 
@@ -222,6 +228,7 @@
   request.wait_ = ShareOf(options_.max_propagation_delay_, kRelayWaitShare);
   for (const auto& [kind, followed] : kinds_) {
     request.revisions_[kind] = followed.mirror_.revision_;
+    request.eras_[kind] = followed.mirror_.era_;
   }
   request.daemon_ = options_.name_;
   if (evidence_.own_) {
@@ -298,9 +305,14 @@
       continue;
     }
     const mirror::RelayedKind& relayed = found->second;
-    if (followed.must_be_fresh_ && Duration(relayed.age_) > limit) {
+    const bool is_old_era = relayed.changes_.era_ < followed.mirror_.era_;
+    if (followed.must_be_fresh_ &&
+        (is_old_era || Duration(relayed.age_) > limit)) {
       fresh = false;
     }
+    if (is_old_era) {
+      continue;
+    }
     mirror::Confirm(followed.mirror_, now - relayed.age_);
     if (mirror::Apply(followed.mirror_, relayed.changes_)) {
       OnKindChanged(kind, relayed.changes_);
@@ -393,13 +405,19 @@
     const auto known = request.revisions_.find(kind);
     const int64_t revision =
         known == request.revisions_.end() ? 0 : known->second;
+    // Daemons of the version before this one name no era.
+    const auto known_era = request.eras_.find(kind);
+    const int64_t era = known_era == request.eras_.end() ? followed.mirror_.era_
+                                                         : known_era->second;
     mirror::RelayedKind& relayed = reply.kinds_[kind];
-    relayed.changes_ = mirror::ChangesSince(followed.mirror_, revision);
+    relayed.changes_ = mirror::ChangesSince(followed.mirror_, era, revision);
     relayed.age_ = std::chrono::duration_cast<milliseconds>(
         mirror::Age(followed.mirror_, now));
     // The revision also advances with changes of other kinds.
-    has_changes = has_changes || (followed.mirror_.revision_ > revision &&
-                                  HasChanges(relayed.changes_));
+    has_changes =
+        has_changes || followed.mirror_.era_ > era ||
+        (followed.mirror_.era_ == era &&
+         followed.mirror_.revision_ > revision && HasChanges(relayed.changes_));
   }
   if (!has_changes) {
     return false;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -47,7 +47,8 @@
   });
   connection_->Start(std::move(exchange), [this](ExchangeResult result) {
     if (result.outcome_ == ExchangeOutcome::kResponse) {
-      Finish({result.response_.status_, std::move(result.response_.body_)});
+      Finish({result.response_.status_, std::move(result.response_.body_),
+              std::move(result.response_.headers_)});
     } else {
       Finish({});
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "http/client_connection.h"
 #include "http/event_loop.h"
+#include "http/http_message.h"
 
 namespace clementinerill::http {
 
@@ -28,6 +29,7 @@
 struct ClientResponse {
   int status_ = 0;
   std::string body_;
+  Headers headers_ = {};
 };
 
 /// @brief Describes a failed request for a log line.
--- a/src/mirror/kind_changes.h
+++ b/src/mirror/kind_changes.h
@@ -16,6 +16,7 @@
   bool is_full_list_ = false;
   std::vector<StoredObject> upserted_;  ///< New or changed objects.
   std::vector<std::string> removed_;    ///< Names; empty for a full list.
+  int64_t era_ = 0;  ///< Era of `revision_`; see `KindMirror::era_`.
 };
 
 }  // namespace clementinerill::mirror
--- a/src/mirror/kind_mirror.cc
+++ b/src/mirror/kind_mirror.cc
@@ -31,6 +31,7 @@
 
 KindChanges FullList(const KindMirror& mirror) {
   KindChanges changes;
+  changes.era_ = mirror.era_;
   changes.revision_ = mirror.revision_;
   changes.is_full_list_ = true;
   for (const auto& [name, object] : mirror.objects_) {
@@ -39,11 +40,21 @@
   return changes;
 }
 
+bool IsNewer(const KindMirror& mirror, const KindChanges& changes) {
+  if (IsOtherEra(mirror, changes.era_)) {
+    return changes.era_ > mirror.era_ && changes.is_full_list_;
+  }
+  return mirror.revision_ == 0 || changes.revision_ > mirror.revision_;
+}
+
 }  // namespace
 
+bool IsOtherEra(const KindMirror& mirror, int64_t era) noexcept {
+  return mirror.revision_ > 0 && era != mirror.era_;
+}
+
 bool Apply(KindMirror& mirror, const KindChanges& changes) {
-  if (changes.revision_ < mirror.revision_ ||
-      (changes.revision_ == mirror.revision_ && mirror.revision_ > 0)) {
+  if (!IsNewer(mirror, changes)) {
     return false;
   }
   if (changes.is_full_list_) {
@@ -58,6 +69,7 @@
       RecordChange(mirror, changes.revision_, name);
     }
   }
+  mirror.era_ = changes.era_;
   mirror.revision_ = changes.revision_;
   return true;
 }
@@ -74,11 +86,14 @@
              : Duration::max();
 }
 
-KindChanges ChangesSince(const KindMirror& mirror, int64_t revision) {
-  if (revision <= 0 || revision < mirror.changes_start_) {
+KindChanges ChangesSince(const KindMirror& mirror,
+                         int64_t era,
+                         int64_t revision) {
+  if (era != mirror.era_ || revision <= 0 || revision < mirror.changes_start_) {
     return FullList(mirror);
   }
   KindChanges changes;
+  changes.era_ = mirror.era_;
   changes.revision_ = mirror.revision_;
   std::set<std::string> names;
   for (const KindMirror::Change& change : mirror.changes_) {
--- a/src/mirror/kind_mirror.h
+++ b/src/mirror/kind_mirror.h
@@ -14,14 +14,18 @@
 
 /// @brief A daemon's local copy of all objects of one kind.
 ///
-/// Updated from the store or from the copy of another daemon. Its revision
-/// never decreases.
+/// Updated from the store or from the copy of another daemon. Its era never
+/// decreases, nor does its revision within an era.
 struct KindMirror {
   struct Change {
     int64_t revision_ = 0;
     std::string name_;
   };
 
+  /// Number of times that the store has returned from an older copy; 0 if it
+  /// names none. Revisions of different eras cannot be compared: those after
+  /// the copy are given out again, to other changes.
+  int64_t era_ = 0;
   int64_t revision_ = 0;  ///< 0 until the first full list.
   std::map<std::string, StoredObject> objects_;
   std::deque<Change> changes_;  ///< Recent changes, oldest first.
@@ -32,8 +36,13 @@
   std::optional<Instant> confirmed_at_;
 };
 
+/// @brief Whether `era` is an earlier one than that of the copy, or a later one
+/// that the copy can only enter with a full list.
+[[nodiscard]] bool IsOtherEra(const KindMirror& mirror, int64_t era) noexcept;
+
 /// @brief Applies changes and returns true, or ignores them and returns false
-/// if they are not newer than the copy.
+/// if they are not newer than the copy. The first changes of an era must be a
+/// full list.
 bool Apply(KindMirror& mirror, const KindChanges& changes);
 
 /// @brief Records that the copy was up to date at `when`; ignored if it was
@@ -44,9 +53,10 @@
 /// none.
 [[nodiscard]] Duration Age(const KindMirror& mirror, Instant now);
 
-/// @brief The changes after `revision`, or a full list if the recorded changes
-/// do not reach back that far.
+/// @brief The changes after `revision` of `era`, or a full list if the recorded
+/// changes do not reach back that far or `era` is another one.
 [[nodiscard]] KindChanges ChangesSince(const KindMirror& mirror,
+                                       int64_t era,
                                        int64_t revision);
 
 }  // namespace clementinerill::mirror
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -62,7 +62,8 @@
   for (const StoredObject& object : kind.changes_.upserted_) {
     present[object.name_] = EncodeObject(object);
   }
-  return {{"revision", kind.changes_.revision_},
+  return {{"era", kind.changes_.era_},
+          {"revision", kind.changes_.revision_},
           {"complete", kind.changes_.is_full_list_},
           {"age_ms", kind.age_.count()},
           {"present", std::move(present)},
@@ -71,6 +72,8 @@
 
 RelayedKind DecodeKind(const json& message) {
   RelayedKind kind;
+  // Daemons of the version before this one name no era.
+  kind.changes_.era_ = message.value("era", int64_t{0});
   kind.changes_.revision_ = message.at("revision").get<int64_t>();
   kind.changes_.is_full_list_ = message.at("complete").get<bool>();
   kind.age_ = DecodeTime(message.at("age_ms"));
@@ -169,6 +172,7 @@
 std::string Encode(const RelayRequest& request) {
   return ToCbor({{"wait_ms", request.wait_.count()},
                  {"revisions", request.revisions_},
+                 {"eras", request.eras_},
                  {"daemon", request.daemon_},
                  {"evidence", EncodeEvidenceList(request.evidence_)}});
 }
@@ -193,6 +197,9 @@
     request.wait_ = DecodeTime(message.at("wait_ms"));
     request.revisions_ =
         message.at("revisions").get<std::map<std::string, int64_t>>();
+    if (message.contains("eras")) {
+      request.eras_ = message.at("eras").get<std::map<std::string, int64_t>>();
+    }
     request.daemon_ = message.at("daemon").get<std::string>();
     request.evidence_ = DecodeEvidenceList(message.at("evidence"));
     return request;
--- a/src/mirror/relay_message.h
+++ b/src/mirror/relay_message.h
@@ -18,8 +18,9 @@
 struct RelayRequest {
   std::chrono::milliseconds wait_{};  ///< Maximum time to wait for changes.
   std::map<std::string, int64_t> revisions_;  ///< Of the sender, by kind.
-  std::string daemon_;                        ///< The sending process.
-  std::vector<RolloutEvidence> evidence_;     ///< On rollouts in progress.
+  std::map<std::string, int64_t> eras_;    ///< Of `revisions_`; 0 if missing.
+  std::string daemon_;                     ///< The sending process.
+  std::vector<RolloutEvidence> evidence_;  ///< On rollouts in progress.
 };
 
 /// @brief Changes of one kind, and the age of the relay's copy.
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -1,6 +1,8 @@
 #ifndef CLEMENTINERILL_TESTS_GATEWAY_FAKE_STORE_H_
 #define CLEMENTINERILL_TESTS_GATEWAY_FAKE_STORE_H_
 
+#include <algorithm>
+#include <chrono>
 #include <list>
 #include <map>
 #include <memory>
@@ -19,7 +21,7 @@
 class FakeStore {
  public:
   explicit FakeStore(http::EventLoop& loop)
-      : listener_(loop, [this](auto caller, auto request) {
+      : loop_(loop), listener_(loop, [this](auto caller, auto request) {
           OnRequest(caller, request);
         }) {
     port_ = *listener_.Listen("127.0.0.1", 0);
@@ -45,6 +47,23 @@
     Change({kind, name, "null", true});
   }
 
+  /// Keeps a copy of all objects, to which `Restore` returns.
+  void Copy() {
+    copy_ = objects_;
+    copy_revision_ = revision_;
+  }
+
+  /// Returns to the copy: what was written since is lost, its revisions are
+  /// given out again, and the era rises. All connections with a pending watch
+  /// are closed.
+  void Restore() {
+    objects_ = copy_;
+    revision_ = copy_revision_;
+    events_.clear();
+    ++era_;
+    CutWatches();
+  }
+
   /// Compacts the history: pending watches, and later ones from an older
   /// revision, get 410.
   void Compact() {
@@ -82,11 +101,14 @@
   std::map<std::string, int> request_counts_;        ///< By method and kind.
   std::map<std::string, std::string> odd_metadata_;  ///< Text, by name.
   size_t page_size_ = 1000;                          ///< Objects in a list.
+  bool has_no_history_ = false;                      ///< Every watch gets 410.
   std::map<std::string, nlohmann::json> statuses_;   ///< By kind and name.
   std::set<std::string>
       unanswered_kinds_;  ///< Their requests are not answered.
 
  private:
+  using milliseconds = std::chrono::milliseconds;
+
   struct Event {
     std::string kind_;
     std::string name_;
@@ -100,6 +122,7 @@
     Caller caller_;
     std::string kind_;
     int64_t revision_;
+    uint64_t id_ = 0;
   };
 
   [[nodiscard]] std::string ObjectOf(const Event& event) const {
@@ -176,7 +199,8 @@
                    int status,
                    const std::string& body) const {
     if (!silent_) {
-      caller->Respond({status, {}, body, true}, false);
+      caller->Respond(
+          {status, {{"Store-Era", std::to_string(era_)}}, body, true}, false);
     }
   }
 
@@ -218,16 +242,33 @@
       List(caller, kind, QueryValue(request.target_, "after"));
       return;
     }
-    const PendingWatch pending{caller, kind, std::stoll(watch)};
-    if (pending.revision_ < history_floor_) {
+    const PendingWatch pending{caller, kind, std::stoll(watch), ++watch_id_};
+    if (pending.revision_ < history_floor_ || pending.revision_ > revision_ ||
+        has_no_history_) {
       Respond(caller, 410, nullptr);
     } else if (HasEvents(pending)) {
       ReplyEvents(pending);
     } else {
       watches_.push_back(pending);
+      EndWatchAfter(
+          milliseconds(std::stoll(QueryValue(request.target_, "wait_ms"))),
+          pending.id_);
     }
   }
 
+  void EndWatchAfter(milliseconds wait, uint64_t id) {
+    loop_.Timers().Add(http::EventLoop::Now() + wait, [this, id] {
+      const auto pending =
+          std::find_if(watches_.begin(), watches_.end(),
+                       [id](const PendingWatch& w) { return w.id_ == id; });
+      if (pending != watches_.end()) {
+        const PendingWatch ended = *pending;
+        watches_.erase(pending);
+        ReplyEvents(ended);
+      }
+    });
+  }
+
   void Write(const Caller& caller,
              const std::string& kind,
              const http::HttpRequest& request) {
@@ -263,6 +304,7 @@
                     R"(,"current_rev":)" + std::to_string(revision_) + "}");
   }
 
+  http::EventLoop& loop_;
   http::Listener listener_;
   uint16_t port_ = 0;
   std::map<std::string, std::map<std::string, Event>> objects_;
@@ -272,6 +314,10 @@
   int64_t history_floor_ = 0;
   bool down_ = false;
   bool silent_ = false;
+  std::map<std::string, std::map<std::string, Event>> copy_;
+  int64_t copy_revision_ = 0;
+  int64_t era_ = 1;
+  uint64_t watch_id_ = 0;
 };
 
 }  // namespace clementinerill::gateway
--- /dev/null
+++ b/tests/gateway/store_restore_test.cc
@@ -0,0 +1,91 @@
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway_fixture.h"
+
+namespace clementinerill::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A daemon that knows more of the store than the copy to which it returns.
+struct StoreRestoreFixture : GatewayFixture {
+  StoreRestoreFixture() {
+    PutEverything();
+    daemon_ = &Start(Options("vm-1"));
+    REQUIRE(RunUntil([&] { return IsReady(*daemon_); }));
+    REQUIRE(RunUntil([&] { return IsRegistered(*daemon_); }));
+    bound_ = daemon_->options_.max_propagation_delay_;
+    store_.Copy();
+  }
+
+  /// Changes after the copy, which the store loses.
+  void ChangeAfterCopy(int changes) {
+    for (int i = 0; i < changes; ++i) {
+      store_.Put("servers", "a1", replicas_[0]->Entry("shard-a"));
+    }
+    store_.Put("config", "main", Configuration(7));
+    REQUIRE(RunUntil([&] { return AllUseVersion(7); }));
+  }
+
+  Daemon* daemon_ = nullptr;
+  Duration bound_{};
+};
+
+// Guards against a daemon that ignores the lists of a store that has returned
+// from an older copy, because their revisions are lower.
+TEST_CASE("a change after a return from an older copy is in force in time",
+          "[restore]") {
+  StoreRestoreFixture fixture;
+  fixture.ChangeAfterCopy(30);
+  fixture.store_.Restore();
+  fixture.RunFor(milliseconds(500));
+  CHECK(fixture.AllUseVersion(7));
+  CHECK(fixture.TimeUntilInForce(9) <= fixture.bound_);
+  // Twice in a row, from the same copy.
+  fixture.store_.Restore();
+  fixture.store_.Restore();
+  CHECK(fixture.TimeUntilInForce(11) <= fixture.bound_);
+}
+
+// Guards against a watch from a revision that has been given out again: the
+// store answers it without the changes up to there.
+TEST_CASE("changes with repeated revisions are not missed", "[restore]") {
+  StoreRestoreFixture fixture;
+  fixture.ChangeAfterCopy(3);
+  fixture.store_.SetDown(true);
+  fixture.store_.Restore();
+  fixture.store_.Put("config", "main", GatewayFixture::Configuration(9));
+  for (int i = 0; i < 10; ++i) {
+    fixture.store_.Put("servers", "b1", fixture.replicas_[1]->Entry("shard-b"));
+  }
+  const Instant back = http::EventLoop::Now();
+  fixture.store_.SetDown(false);
+  fixture.RunUntil([&] { return fixture.AllUseVersion(9); });
+  CHECK(http::EventLoop::Now() - back <= fixture.bound_);
+}
+
+// Guards against readers that keep the older copy behind a relay that has the
+// newer one.
+TEST_CASE("relays pass on the copy of a new era", "[restore]") {
+  GatewayFixture fixture;
+  fixture.PutEverything();
+  fixture.AddRemoteDaemons(30);
+  fixture.store_.Copy();
+  for (int i = 0; i < 5; ++i) {
+    fixture.Start(fixture.Options("vm-" + std::to_string(i)));
+  }
+  REQUIRE(fixture.RunUntil([&] { return fixture.AllReady(); }));
+  fixture.RunFor(milliseconds(1500));
+  for (int i = 0; i < 40; ++i) {
+    fixture.store_.Put("servers", "a1", fixture.replicas_[0]->Entry("shard-a"));
+  }
+  CHECK(fixture.TimeUntilInForce(7) <=
+        fixture.daemons_[0]->options_.max_propagation_delay_);
+  fixture.store_.Restore();
+  CHECK(fixture.TimeUntilInForce(9) <=
+        fixture.daemons_[0]->options_.max_propagation_delay_);
+}
+
+}  // namespace
+}  // namespace clementinerill::gateway
--- a/tests/mirror/kind_mirror_test.cc
+++ b/tests/mirror/kind_mirror_test.cc
@@ -32,14 +32,40 @@
   Apply(mirror, List(10, {{"a", 1}, {"b", 1}}));
   Apply(mirror, {12, false, {{"a", 2}}, {}});
   Apply(mirror, {14, false, {{"a", 3}}, {"b"}});
-  const KindChanges recent = ChangesSince(mirror, 12);
+  const KindChanges recent = ChangesSince(mirror, 0, 12);
   CHECK_FALSE(recent.is_full_list_);
   REQUIRE(recent.upserted_.size() == 1);
   CHECK(recent.upserted_[0].content_ == 3);
   CHECK(recent.removed_ == std::vector<std::string>{"b"});
-  CHECK(ChangesSince(mirror, 14).upserted_.empty());
-  CHECK(ChangesSince(mirror, 9).is_full_list_);
-  CHECK(ChangesSince(mirror, 0).is_full_list_);
+  CHECK(ChangesSince(mirror, 0, 14).upserted_.empty());
+  CHECK(ChangesSince(mirror, 0, 9).is_full_list_);
+  CHECK(ChangesSince(mirror, 0, 0).is_full_list_);
+}
+
+// Guards against a copy that stays as it is when the store returns from an
+// older copy with lower revisions, and against one that takes changes of
+// another era for the next ones.
+TEST_CASE("a later era replaces the copy by a full list only", "[mirror]") {
+  const auto in_era = [](int64_t era, KindChanges changes) {
+    changes.era_ = era;
+    return changes;
+  };
+  KindMirror mirror;
+  CHECK(Apply(mirror, in_era(1, List(20, {{"a", 2}, {"b", 1}}))));
+  CHECK_FALSE(Apply(mirror, in_era(2, {25, false, {{"c", 1}}, {}})));
+  CHECK(Apply(mirror, in_era(2, List(10, {{"a", 1}}))));
+  CHECK(mirror.revision_ == 10);
+  CHECK(mirror.objects_.size() == 1);
+  CHECK_FALSE(Apply(mirror, in_era(1, List(30, {}))));
+  CHECK_FALSE(Apply(mirror, in_era(1, {30, false, {}, {"a"}})));
+  CHECK(Apply(mirror, in_era(2, {11, false, {{"a", 3}}, {}})));
+  // Revisions of a reader in another era say nothing, whether they are higher
+  // or lower.
+  CHECK(ChangesSince(mirror, 1, 10).is_full_list_);
+  CHECK(ChangesSince(mirror, 1, 30).is_full_list_);
+  CHECK(ChangesSince(mirror, 1, 30).era_ == 2);
+  CHECK_FALSE(ChangesSince(mirror, 2, 10).is_full_list_);
+  CHECK(ChangesSince(mirror, 2, 10).era_ == 2);
 }
 
 // Guards against a reader that misses changes which the relay has dropped from
@@ -59,7 +85,7 @@
     for (int64_t r = 2; r <= at; ++r) {
       behind.objects_[std::to_string(r)] = {std::to_string(r), 1};
     }
-    Apply(behind, ChangesSince(mirror, at));
+    Apply(behind, ChangesSince(mirror, 0, at));
     CHECK(behind.objects_.size() == mirror.objects_.size());
   }
 }
--- a/tests/mirror/relay_test.cc
+++ b/tests/mirror/relay_test.cc
@@ -70,6 +70,7 @@
 TEST_CASE("relay messages are decoded as encoded", "[relay]") {
   RelayRequest request{std::chrono::milliseconds(480),
                        {{"config", 12}},
+                       {{"config", 2}},
                        "vm-1",
                        {{"docket",
                          "v2",
@@ -86,6 +87,7 @@
   REQUIRE(decoded);
   CHECK(decoded->wait_ == request.wait_);
   CHECK(decoded->revisions_ == request.revisions_);
+  CHECK(decoded->eras_ == request.eras_);
   CHECK(decoded->daemon_ == "vm-1");
   REQUIRE(decoded->evidence_.size() == 1);
   CHECK(decoded->evidence_[0].target_version_ == "v2");
@@ -104,11 +106,13 @@
   reply.evidence_ = request.evidence_;
   reply.kinds_["config"] = {{7, true, {{"main", {{"version", 3}}}}, {}},
                             std::chrono::milliseconds(15)};
+  reply.kinds_["config"].changes_.era_ = 2;
   const auto decoded_reply = DecodeRelayReply(Encode(reply));
   REQUIRE(decoded_reply);
   const RelayedKind& kind = decoded_reply->kinds_.at("config");
   CHECK(kind.age_ == std::chrono::milliseconds(15));
   CHECK(kind.changes_.is_full_list_);
+  CHECK(kind.changes_.era_ == 2);
   CHECK(kind.changes_.upserted_[0].content_["version"] == 3);
   CHECK(decoded_reply->evidence_.size() == 1);
   const auto report =
