Store: pause when the history is lost right after a list

Cause: a 410 is answered by a list and the list by a watch, both at once, so a store that answers 410 to every watch gets calls as fast as it can answer, when it can least bear them.

The first 410 is followed by a list at once, as before. Each further one before a watch has worked waits, with a backoff up to the time of a watch: changes are noticed by listing then. The line in the log is rate limited. The test allows two calls for each kind a second, as often as a change has to be noticed.

--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -207,6 +207,7 @@
     ScheduleRetry(events.error().description_);
     return;
   }
+  history_losses_ = 0;
   const bool changed = !events->upserted_.empty() || !events->removed_.empty();
   events->era_ = EraOf(response);
   if (!ApplyChanges(*events) || !active_) {
@@ -220,10 +221,23 @@
 }
 
 void KindWatch::OnHistoryGone() {
-  Log(LogLevel::kInfo, "store", "history was compacted, listing again",
-      {{"kind", options_.kind_}, {"revision", mirror_.revision_}});
+  static RateLimitedLogger lines;
+  lines.Log(http::EventLoop::Now(), LogLevel::kInfo, "store",
+            "history was compacted, listing again",
+            {{"kind", options_.kind_},
+             {"revision", mirror_.revision_},
+             {"in_a_row", history_losses_ + 1}});
   needs_list_ = true;
-  List();
+  ++history_losses_;
+  if (history_losses_ == 1) {
+    List();
+    return;
+  }
+  // The history is lost again right after a list. Until a watch works, changes
+  // are noticed by listing as often as a watch would end.
+  const BackoffPolicy backoff{kRetryBackoff.initial_delay_, options_.wait_};
+  ScheduleStep(BackoffDelay(backoff, history_losses_ - 1,
+                            JitterOf(options_.kind_, http::EventLoop::Now())));
 }
 
 int64_t KindWatch::EraOf(const http::ClientResponse& response) const {
--- a/src/gateway/kind_watch.h
+++ b/src/gateway/kind_watch.h
@@ -92,6 +92,7 @@
   bool active_ = false;
   bool needs_list_ = false;
   int failures_ = 0;
+  int history_losses_ = 0;  ///< Since a watch was last answered with events.
   Instant called_at_{};     ///< When the last request was sent.
 };
 
--- a/tests/gateway/store_restore_test.cc
+++ b/tests/gateway/store_restore_test.cc
@@ -28,6 +28,14 @@
     REQUIRE(RunUntil([&] { return AllUseVersion(7); }));
   }
 
+  int CountCalls() const {
+    int calls = 0;
+    for (const auto& [call, count] : store_.request_counts_) {
+      calls += count;
+    }
+    return calls;
+  }
+
   Daemon* daemon_ = nullptr;
   Duration bound_{};
 };
@@ -87,5 +95,21 @@
         fixture.daemons_[0]->options_.max_propagation_delay_);
 }
 
+// Load: a store that answers every watch with 410. Guards against a daemon that
+// lists and watches in turn without a pause, when the store can least bear it.
+TEST_CASE("a store without history gets a few calls a second", "[restore]") {
+  StoreRestoreFixture fixture;
+  fixture.store_.has_no_history_ = true;
+  fixture.store_.CutWatches();
+  fixture.RunFor(seconds(1));
+  const int before = fixture.CountCalls();
+  fixture.RunFor(seconds(4));
+  const int calls = fixture.CountCalls() - before;
+  // Two calls for each of the five kinds a second, as often as a change must be
+  // noticed.
+  CHECK(calls <= 4 * 5 * 2);
+  CHECK(fixture.TimeUntilInForce(9) <= fixture.bound_);
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
