Daemons: register again whenever the own record is gone

What callers would see: a daemon whose record is lost before it has seen it in a list, as when the store returns from a copy made before the start, is not registered for good: the others divide limits without it, nothing is gathered by it. Cause: it registered again only if an earlier list had the record. Test failed first.

Now a record that the store has accepted and a list does not have is written again.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -227,13 +227,14 @@
   exchange_.SetPeers(follower_.OtherWatchers());
   UpdateAggregators();
   const bool is_listed = daemons_.count(options_.name_) > 0;
-  if (was_listed_ && !is_listed) {
-    // Another daemon deleted it after failing to reach this one for minutes.
-    Log(LogLevel::kWarning, "daemons", "own record was deleted",
+  if (registered_ && !is_listed) {
+    // Another daemon deleted it after failing to reach this one for minutes, or
+    // the store has returned from a copy that does not have it.
+    Log(LogLevel::kWarning, "daemons", "own record is gone",
         {{"name", options_.name_}});
+    registered_ = false;
     Register();
   }
-  was_listed_ = is_listed;
 }
 
 void ControlLoop::UpdateAggregators() {
@@ -361,6 +362,7 @@
 
 void ControlLoop::OnRegistered(const http::ClientResponse& response) {
   if (IsSuccess(response.status_)) {
+    registered_ = true;
     Log(LogLevel::kInfo, "daemons", "registered", {{"name", options_.name_}});
     // When a fleet starts, the other daemons register at the same time.
     loop_.Timers().Add(http::EventLoop::Now() + kFleetStartDelay,
@@ -382,6 +384,7 @@
       codec.object_target_(codec.kinds_.daemons_, options_.name_);
   WriteOwnRecord("PUT", target, [this](const http::ClientResponse& response) {
     if (IsSuccess(response.status_)) {
+      registered_ = true;
       Log(LogLevel::kInfo, "daemons", "registered again",
           {{"name", options_.name_}});
     } else {
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -95,7 +95,7 @@
   /// Those of `daemons_` that gather queries for others.
   std::shared_ptr<const std::vector<traffic::Aggregator>> aggregators_;
   bool registering_ = false;  ///< A write of the own record is in flight.
-  bool was_listed_ = false;   ///< The last list had the own record.
+  bool registered_ = false;   ///< The store has accepted the own record.
   bool replicas_known_ = false;
   bool rollouts_known_ = false;
   int registration_failures_ = 0;
--- a/tests/gateway/store_restore_test.cc
+++ b/tests/gateway/store_restore_test.cc
@@ -111,5 +111,19 @@
   CHECK(fixture.TimeUntilInForce(9) <= fixture.bound_);
 }
 
+// Guards against the loss of a daemon's record that the store had accepted
+// before the daemon saw it in a list.
+TEST_CASE("a daemon whose record was lost registers again", "[restore]") {
+  GatewayFixture fixture;
+  fixture.PutEverything();
+  fixture.store_.Copy();
+  Daemon& daemon = fixture.Start(fixture.Options("vm-1"));
+  REQUIRE(fixture.RunUntil([&] {
+    return fixture.store_.request_counts_["POST clementinerill-daemons"] == 1;
+  }));
+  fixture.store_.Restore();
+  CHECK(fixture.RunUntil([&] { return fixture.IsRegistered(daemon); }));
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
