Replicas: an announced departure is final for the process

Cause: an entry without the announcement replaced one with it. Test failed first.

The announcement is kept for the same process now. A replica whose entry was only missing is used again when it is back, as before.

--- a/src/traffic/replica_directory.cc
+++ b/src/traffic/replica_directory.cc
@@ -6,16 +6,17 @@
 namespace clementinerill::traffic {
 
 void UpsertReplica(ReplicaDirectory& directory, ReplicaEntry entry) {
+  entry.has_announced_leaving_ = entry.leaving_since_.has_value();
   const auto known = directory.replicas_.find(entry.id_);
   if (known == directory.replicas_.end()) {
     directory.replicas_.emplace(entry.id_, std::move(entry));
     return;
   }
-  const bool keeps_leaving = entry.leaving_since_ &&
-                             known->second.leaving_since_ &&
-                             IsSameProcess(entry, known->second);
-  if (keeps_leaving) {
-    entry.leaving_since_ = known->second.leaving_since_;
+  const ReplicaEntry& before = known->second;
+  if (IsSameProcess(entry, before) && before.leaving_since_ &&
+      (entry.leaving_since_ || before.has_announced_leaving_)) {
+    entry.leaving_since_ = before.leaving_since_;
+    entry.has_announced_leaving_ = true;
   }
   known->second = std::move(entry);
 }
--- a/src/traffic/replica_directory.h
+++ b/src/traffic/replica_directory.h
@@ -27,8 +27,9 @@
 
 /// @brief Adds or replaces one replica.
 ///
-/// `entry.leaving_since_` is set if the replica announced its departure; while
-/// it is set, the same process keeps the time of its first announcement.
+/// `entry.leaving_since_` is set if the replica announced its departure. The
+/// same process keeps the time of its first announcement, also if a later entry
+/// has none: the store may have returned from a copy made before it.
 void UpsertReplica(ReplicaDirectory& directory, ReplicaEntry entry);
 
 /// @brief Marks the entry of `id` as removed from service discovery and the
--- a/src/traffic/replica_entry.h
+++ b/src/traffic/replica_entry.h
@@ -25,6 +25,9 @@
   std::optional<Instant> cold_until_;
   /// When this daemon learned that the replica is leaving.
   std::optional<Instant> leaving_since_;
+  /// Whether the replica announced that it is leaving, which is final for its
+  /// process.
+  bool has_announced_leaving_ = false;
   bool is_listed_ = true;  ///< Whether service discovery still has the entry.
 };
 
--- a/tests/traffic/replica_directory_test.cc
+++ b/tests/traffic/replica_directory_test.cc
@@ -64,5 +64,29 @@
   CHECK(fleet.Replica("docket", 1).failures_in_row_ == 9);
 }
 
+// Guards against requests to a leaving replica after the store has returned
+// from a copy made before the announcement.
+TEST_CASE("an announced departure is final for the process", "[directory]") {
+  ReplicaDirectory directory;
+  const ReplicaEntry ready = MakeReplica("r1", "docket", "a");
+  ReplicaEntry leaving = ready;
+  leaving.leaving_since_ = At(seconds(1));
+  UpsertReplica(directory, ready);
+  UpsertReplica(directory, leaving);
+  ReplaceReplicas(directory, {ready}, At(seconds(3)));
+  CHECK(directory.replicas_.at("r1").leaving_since_ == At(seconds(1)));
+  MarkReplicaUnlisted(directory, "r1", At(seconds(4)));
+  UpsertReplica(directory, ready);
+  CHECK(directory.replicas_.at("r1").leaving_since_ == At(seconds(1)));
+  ReplicaEntry restarted = ready;
+  restarted.started_unix_ms_ = 2;
+  UpsertReplica(directory, restarted);
+  CHECK_FALSE(directory.replicas_.at("r1").leaving_since_);
+  // An entry that was only missing is back as it was.
+  MarkReplicaUnlisted(directory, "r1", At(seconds(5)));
+  UpsertReplica(directory, restarted);
+  CHECK_FALSE(directory.replicas_.at("r1").leaving_since_);
+}
+
 }  // namespace
 }  // namespace clementinerill::traffic
