Evacuations: keep one that the store lost until it can be repeated

Test failed first: 200 right after the return.

An evacuation that is missing in the first list of a new era holds for 5 s, in which the operator repeats what was lost, and ends then if it was not. One that was taken back in the lost span holds until that is repeated: the safe side.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -21,6 +21,9 @@
 // Delay between the first registration and reading the list of daemons. All VMs
 // of a fleet start within 0.3 s, so the list then has all daemons.
 constexpr Duration kFleetStartDelay = milliseconds(500);
+// Time within which the operator has repeated what the store lost when it
+// returned from an older copy. Entries of replicas are back within 2 s.
+constexpr Duration kRepetitionTime = seconds(5);
 // Period of the judgement of rollouts. Daemons report their evidence half as
 // often.
 constexpr Duration kJudgementPeriod = milliseconds(250);
@@ -181,7 +184,13 @@
 
 void ControlLoop::ApplyEvacuationChanges(const mirror::KindChanges& changes) {
   if (changes.is_full_list_) {
+    if (changes.era_ > evacuation_era_ && evacuation_era_ > 0) {
+      for (const std::string& name : evacuated_) {
+        lost_evacuations_[name] = http::EventLoop::Now() + kRepetitionTime;
+      }
+    }
     evacuated_.clear();
+    evacuation_era_ = changes.era_;
   }
   for (const StoredObject& object : changes.upserted_) {
     if (object.name_.empty()) {
@@ -193,6 +202,11 @@
     Log(LogLevel::kInfo, "evacuation", "ordered",
         {{"failure_domain", object.name_}});
     evacuated_.insert(object.name_);
+    lost_evacuations_.erase(object.name_);
+  }
+  for (const auto& [name, until] : lost_evacuations_) {
+    Log(LogLevel::kWarning, "evacuation", "lost by the store, kept for now",
+        {{"failure_domain", name}});
   }
   for (const std::string& name : changes.removed_) {
     Log(LogLevel::kInfo, "evacuation", "ended", {{"failure_domain", name}});
@@ -200,6 +214,21 @@
   }
 }
 
+bool ControlLoop::ForgetLostEvacuations(Instant now) {
+  bool changed = false;
+  for (auto it = lost_evacuations_.begin(); it != lost_evacuations_.end();) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    Log(LogLevel::kInfo, "evacuation", "ended",
+        {{"failure_domain", it->first}});
+    it = lost_evacuations_.erase(it);
+    changed = true;
+  }
+  return changed;
+}
+
 void ControlLoop::ApplyDaemonChanges(const mirror::KindChanges& changes) {
   if (changes.is_full_list_) {
     daemons_.clear();
@@ -411,6 +440,9 @@
     view->replicas_.push_back(entry);
   }
   view->evacuated_ = evacuated_;
+  for (const auto& [name, until] : lost_evacuations_) {
+    view->evacuated_.insert(name);
+  }
   rollouts_.ForgetWithdrawn(directory_);
   view->rollouts_ = rollouts_.Orders();
   for (const auto& [name, record] : daemons_) {
@@ -422,7 +454,9 @@
 }
 
 void ControlLoop::Tick() {
-  if (traffic::EvictDepartedReplicas(directory_, http::EventLoop::Now())) {
+  const Instant now = http::EventLoop::Now();
+  const bool evicted = traffic::EvictDepartedReplicas(directory_, now);
+  if (ForgetLostEvacuations(now) || evicted) {
     PublishView();
   }
   loop_.Timers().Add(http::EventLoop::Now() + kEvictionPeriod,
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -56,6 +56,7 @@
                    const StoredObject& object,
                    const Error& error);
   void ApplyEvacuationChanges(const mirror::KindChanges& changes);
+  bool ForgetLostEvacuations(Instant now);
   void ApplyDaemonChanges(const mirror::KindChanges& changes);
   void UpdateAggregators();
   [[nodiscard]] EvidenceHandlers MakeEvidenceHandlers();
@@ -91,6 +92,10 @@
   std::shared_ptr<const traffic::TrafficConfiguration> configuration_;
   traffic::ReplicaDirectory directory_;
   std::set<std::string> evacuated_;
+  /// Evacuations that the store lost when it returned from an older copy, with
+  /// the time until which they hold unless the operator repeats them.
+  std::map<std::string, Instant> lost_evacuations_;
+  int64_t evacuation_era_ = 0;
   std::map<std::string, mirror::DaemonRecord> daemons_;
   /// Those of `daemons_` that gather queries for others.
   std::shared_ptr<const std::vector<traffic::Aggregator>> aggregators_;
--- a/tests/gateway/store_restore_test.cc
+++ b/tests/gateway/store_restore_test.cc
@@ -125,5 +125,31 @@
   CHECK(fixture.RunUntil([&] { return fixture.IsRegistered(daemon); }));
 }
 
+// Guards against requests into a failure domain whose evacuation the store has
+// lost, until the operator has repeated it; and against one that lasts for ever
+// when it is not repeated.
+TEST_CASE("an evacuation that the store lost holds for a while", "[restore]") {
+  StoreRestoreFixture fixture;
+  fixture.store_.Put("evacuations", "z1", nlohmann::json::object());
+  const auto status = [&] {
+    return fixture
+        .Get(fixture.daemon_->options_.caller_listen_, "hold.example", "/h5/1")
+        .status_;
+  };
+  REQUIRE(fixture.RunUntil([&] { return status() == 503; }));
+  fixture.store_.Restore();
+  fixture.RunFor(seconds(2));
+  CHECK(status() == 503);
+
+  SECTION("the operator repeats it") {
+    fixture.store_.Put("evacuations", "z1", nlohmann::json::object());
+    fixture.RunFor(seconds(6));
+    CHECK(status() == 503);
+  }
+  SECTION("nobody repeats it") {
+    CHECK(fixture.RunUntil([&] { return status() == 200; }));
+  }
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
