Rollouts: a verdict that the store lost holds and is written again

Test failed first, with the order in the copy and with one that is repeated.

An order of a later era continues the known one with the same service, version and length: its evidence and its verdict hold, and daemons that judge write the verdict again, one after the other.

--- a/src/gateway/rollout_control.cc
+++ b/src/gateway/rollout_control.cc
@@ -90,45 +90,67 @@
       listed.insert(object.name_);
       continue;
     }
-    const auto known = before.find(order->service_);
-    if (known != before.end() && IsSameOrder(known->second.order_, *order)) {
-      order->ordered_ = known->second.order_.ordered_;
-    }
     Log(LogLevel::kInfo, "rollout", "order",
         {{"service", order->service_},
          {"target_version", order->target_version_},
          {"length_ms", order->length_},
          {"state", StateName(order->state_)}});
     listed.insert(order->service_);
-    TrackedOrder& taken = orders_[order->service_];
-    taken = {};
+    TrackedOrder taken;
     taken.order_ = *order;
     taken.revision_ = object.revision_;
+    taken.era_ = changes.era_;
+    const auto known = before.find(order->service_);
     if (known != before.end()) {
-      taken.evidence_ = known->second.evidence_;
-      traffic::DropOutdatedEvidence(taken.evidence_, taken.order_, now);
+      ContinueOrder(known->second, taken);
       if (known->second.order_.state_ == RolloutState::kInProgress &&
           taken.order_.state_ != RolloutState::kInProgress) {
         LogDecision(taken, now);
       }
     }
+    orders_[order->service_] = std::move(taken);
   }
   for (const std::string& name : changes.removed_) {
-    Remove(name);
+    Remove(name, false);
   }
   for (const auto& [service, known] : before) {
     if (changes.is_full_list_ && listed.count(service) == 0) {
-      Remove(service);
+      Remove(service, changes.era_ > known.era_);
     }
   }
 }
 
-void RolloutControl::Remove(const std::string& service) {
+void RolloutControl::ContinueOrder(const TrackedOrder& known,
+                                   TrackedOrder& order) {
+  const bool is_repeated = order.era_ > known.era_;
+  if (is_repeated) {
+    RolloutOrder repeated = order.order_;
+    repeated.created_ = 0;
+    if (IsSameOrder(known.order_, repeated)) {
+      order.order_.created_ = known.order_.created_;
+    }
+  }
+  if (!IsSameOrder(known.order_, order.order_)) {
+    return;
+  }
+  order.order_.ordered_ = known.order_.ordered_;
+  order.evidence_ = known.evidence_;
+  const bool was_decided =
+      known.order_.state_ != RolloutState::kInProgress && !known.is_withdrawn_;
+  if (order.order_.state_ == RolloutState::kInProgress && was_decided &&
+      (is_repeated || known.lost_verdict_)) {
+    order.order_.state_ = known.order_.state_;
+    order.lost_verdict_ = true;
+  }
+}
+
+void RolloutControl::Remove(const std::string& service, bool is_new_era) {
   const auto found = orders_.find(service);
   if (found == orders_.end() || found->second.is_withdrawn_) {
     return;
   }
-  Log(LogLevel::kInfo, "rollout", "order removed", {{"service", service}});
+  Log(LogLevel::kInfo, "rollout", "order removed",
+      {{"service", service}, {"lost_by_store", is_new_era}});
   if (found->second.order_.state_ == RolloutState::kCompleted) {
     orders_.erase(found);
   } else {
@@ -176,7 +198,8 @@
 
 bool RolloutControl::HasOpenOrder() const {
   return std::any_of(orders_.begin(), orders_.end(), [](const auto& entry) {
-    return entry.second.order_.state_ == RolloutState::kInProgress;
+    return entry.second.order_.state_ == RolloutState::kInProgress ||
+           entry.second.lost_verdict_;
   });
 }
 
@@ -280,6 +303,13 @@
                                                           Instant now) {
   std::vector<traffic::VersionShare> shares;
   for (auto& [service, known] : orders_) {
+    if (known.lost_verdict_ && known.next_write_ == Instant()) {
+      known.next_write_ = now + WriteTurn(options_.name_, service);
+    }
+    if (known.lost_verdict_ && role.is_judge_ && !writing_ &&
+        now >= known.next_write_) {
+      WriteVerdict(known, SumOf(known, now), known.order_.state_, now);
+    }
     if (known.order_.state_ != RolloutState::kInProgress) {
       continue;
     }
--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -47,7 +47,7 @@
   /// or is the only one that has some.
   void ForgetWithdrawn(const traffic::ReplicaDirectory& directory);
 
-  /// @brief Whether an order is in progress.
+  /// @brief Whether an order is in progress or its verdict has to be written.
   [[nodiscard]] bool HasOpenOrder() const;
 
   /// @brief Name of this process in reports. Differs between processes of one
@@ -97,9 +97,15 @@
     /// Removed from the store before it was completed. Replicas of its target
     /// version may remain for a while.
     bool is_withdrawn_ = false;
+    int64_t era_ = 0;  ///< Era of the store in which it was last seen.
+    /// The store lost the verdict when it returned from an older copy.
+    bool lost_verdict_ = false;
   };
 
-  void Remove(const std::string& service);
+  void Remove(const std::string& service, bool is_new_era);
+  /// Continues `known` with an order of a later era: the operator has repeated
+  /// it, or its last status was lost.
+  static void ContinueOrder(const TrackedOrder& known, TrackedOrder& order);
   /// Returns the order that the evidence is about, or null.
   TrackedOrder* FindOpenOrder(const traffic::RolloutOrder& order);
   [[nodiscard]] traffic::VersionComparison SumOf(const TrackedOrder& known,
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -40,11 +40,19 @@
   void PutText(const std::string& kind,
                const std::string& name,
                const std::string& spec) {
-    Change({kind, name, spec, false});
+    Change({kind, name, spec, "null", false});
   }
 
   void Remove(const std::string& kind, const std::string& name) {
-    Change({kind, name, "null", true});
+    Change({kind, name, "null", "null", true});
+  }
+
+  /// Makes the status that was written for an object a part of it, as in the
+  /// platform's store.
+  void WriteStatus(const std::string& kind, const std::string& name) {
+    Event event = objects_.at(kind).at(name);
+    event.status_ = statuses_.at(kind + "/" + name).dump();
+    Change(event);
   }
 
   /// Keeps a copy of all objects, to which `Restore` returns.
@@ -113,6 +121,7 @@
     std::string kind_;
     std::string name_;
     std::string spec_;  ///< As text.
+    std::string status_ = "null";
     bool deleted_ = false;
     int64_t revision_ = 0;
     int64_t created_ = 0;  ///< Revision at which the object was created.
@@ -132,7 +141,7 @@
     const auto odd = odd_metadata_.find(event.name_);
     return R"({"meta":)" +
            (odd == odd_metadata_.end() ? meta.dump() : odd->second) +
-           R"(,"spec":)" + event.spec_ + "}";
+           R"(,"spec":)" + event.spec_ + R"(,"status":)" + event.status_ + "}";
   }
 
   static void AppendElement(std::string& list, const std::string& element) {
--- a/tests/gateway/rollout_order_test.cc
+++ b/tests/gateway/rollout_order_test.cc
@@ -101,6 +101,33 @@
   CHECK_FALSE(is_decided());
 }
 
+// Guards against a bad version that is tried anew, from no evidence, when the
+// store has lost its verdict by returning from an older copy.
+TEST_CASE("a verdict that the store lost is written again", "[rollout]") {
+  RolloutOrderFixture fixture;
+  fixture.PutOrder();
+  Daemon& daemon = fixture.StartReady();
+  fixture.store_.Copy();
+  const auto is_decided = [&] { return !fixture.store_.statuses_.empty(); };
+  CHECK(fixture.SendUntil(daemon, is_decided) >= 4);
+  fixture.store_.WriteStatus("rollouts", "hold");
+  fixture.RunFor(milliseconds(300));
+  fixture.store_.statuses_.clear();
+  SECTION("the order is in the copy") {
+    fixture.store_.Restore();
+  }
+  SECTION("the operator repeats the order") {
+    fixture.store_.Remove("rollouts", "hold");
+    fixture.store_.Copy();
+    fixture.store_.Restore();
+    fixture.RunFor(milliseconds(300));
+    fixture.PutOrder();
+  }
+  CHECK(fixture.Send(daemon, 60) == 0);
+  REQUIRE(fixture.RunUntil(is_decided));
+  CHECK(fixture.store_.statuses_.at("rollouts/hold")["state"] == "rolled_back");
+}
+
 // Guards against a starting daemon that does not know the orders yet and takes
 // replicas of a target version for usual ones.
 TEST_CASE("a daemon serves when it knows the orders", "[rollout]") {
