Soak: a store that returns from an older copy

The store of the soak keeps copies and returns to one of 1 to 9 s before, revisions are given out again, the era rises in each response; the operator and the replicas then repeat what they wrote. The play of rollouts has the same as a trouble.

--- a/scripts/lib/rollout_play.py
+++ b/scripts/lib/rollout_play.py
@@ -205,6 +205,11 @@
         world.store.silent = True
         await asyncio.sleep(0.35 * order_s)
         world.store.silent = False
+    elif trouble == "restored":
+        await asyncio.sleep(0.3 * order_s)
+        world.store.keep_copy()
+        await asyncio.sleep(0.4 * order_s)
+        await world.store.restore(0)
     elif trouble == "kill":
         for _ in range(4):
             await asyncio.sleep(0.2 * order_s)
@@ -281,7 +286,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--order-s", type=float, default=12.0)
-    parser.add_argument("--trouble", default="", choices=["", "lost", "silent", "kill", "leave"])
+    parser.add_argument("--trouble", default="", choices=["", "lost", "silent", "kill", "leave", "restored"])
     parser.add_argument("--services", default="")
     build = os.environ.get("CLEMENTINERILL_BUILD", "build")
     parser.add_argument("--binary", default=os.path.join(build, "src", "clementinerill"))
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -286,7 +286,8 @@
 
 async def inject_store_fault(world):
     length = world.random.uniform(0.3, 3)
-    kind = world.random.choice(["busy", "silent", "loses", "compact", "forged", "odd", "lapse", "config", "storm"])
+    kind = world.random.choice(["busy", "silent", "loses", "compact", "forged", "odd", "lapse", "config", "storm",
+                                "restore"])
     world.count("fault store " + kind)
     if kind == "config":
         await world.change_configuration()
@@ -306,6 +307,17 @@
     world.store_stable_since = time.monotonic() + length
     if kind == "compact":
         world.store.compact()
+    elif kind == "restore":
+        world.store.busy = True
+        await asyncio.sleep(length)
+        await world.store.restore(world.random.uniform(1, 9))
+        world.store.busy = False
+        world.store_stable_since = time.monotonic()
+        # The operator and the replicas repeat what they wrote.
+        await world.store.put("config", "main", world.configuration())
+        for replica in world.replicas:
+            await world.store.put("servers", replica.name, replica.entry())
+        return
     elif kind in ("busy", "silent"):
         setattr(world.store, kind, True)
     elif kind == "loses":
@@ -321,6 +333,12 @@
         await world.store.put("servers", replica.name, replica.entry())
 
 
+async def keep_copies(world):
+    while time.monotonic() < world.stop_at:
+        world.store.keep_copy()
+        await asyncio.sleep(0.5)
+
+
 async def inject_faults(world, inject, *arguments):
     while time.monotonic() < world.stop_at - RECOVERY_S:
         await asyncio.sleep(world.random.expovariate(0.8))
@@ -343,7 +361,7 @@
     try:
         await asyncio.gather(
             *(fan_out_caller(world, daemons, i) for i in range(6)), *(hold_caller(world, daemons, i) for i in range(4)),
-            version_checker(world, daemons), restart_exited(world, daemons),
+            version_checker(world, daemons), restart_exited(world, daemons), keep_copies(world),
             inject_faults(world, inject_daemon_fault, daemons), inject_faults(world, inject_replica_fault),
             inject_faults(world, inject_replica_fault), inject_faults(world, inject_store_fault))
         if world.counts.get("sweep 200", 0) == 0 or world.counts.get("hold 200", 0) == 0:
--- a/scripts/lib/soak_world.py
+++ b/scripts/lib/soak_world.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import copy
 import json
 import os
 import random
+import time
 
 # Loopback address of this process: runs beside each other, and the ephemeral ports of connections, which are on
 # 127.0.0.1, cannot take a port that is about to be used.
@@ -111,6 +113,8 @@
 
     def __init__(self):
         self.objects, self.events, self.revision, self.floor = {}, [], 1, 0
+        self.era = 1  # Rises each time that the store returns from an older copy.
+        self.copies = []  # (time, revision, objects), oldest first.
         self.changed = asyncio.Condition()
         self.busy = False  # Responds 503 to every request.
         self.silent = False  # Never answers what it receives, or would answer, now.
@@ -146,6 +150,19 @@
         await self.change(kind, name, known["spec"], body["status"])
         return 200, self.objects[kind][name]
 
+    def keep_copy(self):
+        self.copies = self.copies[-19:] + [(time.monotonic(), self.revision, copy.deepcopy(self.objects))]
+
+    async def restore(self, seconds):
+        """Returns to the newest copy that is at least this old. Revisions after it are given out again."""
+        old = [c for c in self.copies if c[0] <= time.monotonic() - seconds] or self.copies[:1]
+        _, self.revision, objects = old[-1]
+        self.objects, self.events, self.floor = copy.deepcopy(objects), [], 0
+        self.copies = [c for c in self.copies if c[1] <= self.revision]
+        self.era += 1
+        async with self.changed:
+            self.changed.notify_all()
+
     def compact(self):
         self.floor, self.events = self.revision, []
 
@@ -159,7 +176,7 @@
             if lost or self.silent:
                 await reader.read()  # Nothing more comes on a connection that has lost a response.
                 break
-            writer.write(response_bytes(status, [], encode_json(reply)))
+            writer.write(response_bytes(status, [("Store-Era", str(self.era))], encode_json(reply)))
             try:
                 await writer.drain()
             except OSError:
@@ -189,8 +206,8 @@
         if "watch" not in values:
             items = list(self.objects.get(kind, {}).values())
             return 200, {"items": items, "has_more": False, "current_rev": self.revision}
-        since = int(values["watch"])
-        if since < self.floor:
+        since, era = int(values["watch"]), self.era
+        if since < self.floor or since > self.revision:
             return 410, {}
 
         def new_events():
@@ -198,9 +215,12 @@
 
         async with self.changed:
             try:
-                await asyncio.wait_for(self.changed.wait_for(new_events), int(values["wait_ms"]) / 1000)
+                await asyncio.wait_for(self.changed.wait_for(lambda: new_events() or era != self.era),
+                                       int(values["wait_ms"]) / 1000)
             except asyncio.TimeoutError:
                 pass
+        if era != self.era:
+            return None, None
         return (410, {}) if since < self.floor else (200, {"events": new_events(), "current_rev": self.revision})
 
 
