Daemons: register again when the era shows that the record is lost

A relay's copy of the daemons' records is up to 8 s old, so a reader that starts in a large fleet would have written its record twice or more (read in the diff, not run). Now a list of a later era than the registration must lack it, or an earlier list must have had it.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -21,9 +21,6 @@
 // Delay between the first registration and reading the list of daemons. All VMs
 // of a fleet start within 0.3 s, so the list then has all daemons.
 constexpr Duration kFleetStartDelay = milliseconds(500);
-// Time within which the operator has repeated what the store lost when it
-// returned from an older copy. Entries of replicas are back within 2 s.
-constexpr Duration kRepetitionTime = seconds(5);
 // Period of the judgement of rollouts. Daemons report their evidence half as
 // often.
 constexpr Duration kJudgementPeriod = milliseconds(250);
@@ -95,7 +92,7 @@
     rollouts_.ApplyChanges(changes, unusable_);
     rollouts_known_ = rollouts_known_ || changes.is_full_list_;
   } else if (kind == kinds.evacuations_) {
-    ApplyEvacuationChanges(changes);
+    evacuations_.ApplyChanges(kind, changes, unusable_, http::EventLoop::Now());
   } else if (kind == kinds.daemons_) {
     ApplyDaemonChanges(changes);
   }
@@ -182,53 +179,6 @@
   traffic::UpsertReplica(directory_, std::move(*entry));
 }
 
-void ControlLoop::ApplyEvacuationChanges(const mirror::KindChanges& changes) {
-  if (changes.is_full_list_) {
-    if (changes.era_ > evacuation_era_ && evacuation_era_ > 0) {
-      for (const std::string& name : evacuated_) {
-        lost_evacuations_[name] = http::EventLoop::Now() + kRepetitionTime;
-      }
-    }
-    evacuated_.clear();
-    evacuation_era_ = changes.era_;
-  }
-  for (const StoredObject& object : changes.upserted_) {
-    if (object.name_.empty()) {
-      AddUnusable(options_.store_codec_.kinds_.evacuations_, object,
-                  MakeError("the name is missing"));
-      continue;
-    }
-    // The name alone is the order; the content is not read.
-    Log(LogLevel::kInfo, "evacuation", "ordered",
-        {{"failure_domain", object.name_}});
-    evacuated_.insert(object.name_);
-    lost_evacuations_.erase(object.name_);
-  }
-  for (const auto& [name, until] : lost_evacuations_) {
-    Log(LogLevel::kWarning, "evacuation", "lost by the store, kept for now",
-        {{"failure_domain", name}});
-  }
-  for (const std::string& name : changes.removed_) {
-    Log(LogLevel::kInfo, "evacuation", "ended", {{"failure_domain", name}});
-    evacuated_.erase(name);
-  }
-}
-
-bool ControlLoop::ForgetLostEvacuations(Instant now) {
-  bool changed = false;
-  for (auto it = lost_evacuations_.begin(); it != lost_evacuations_.end();) {
-    if (it->second > now) {
-      ++it;
-      continue;
-    }
-    Log(LogLevel::kInfo, "evacuation", "ended",
-        {{"failure_domain", it->first}});
-    it = lost_evacuations_.erase(it);
-    changed = true;
-  }
-  return changed;
-}
-
 void ControlLoop::ApplyDaemonChanges(const mirror::KindChanges& changes) {
   if (changes.is_full_list_) {
     daemons_.clear();
@@ -256,14 +206,17 @@
   exchange_.SetPeers(follower_.OtherWatchers());
   UpdateAggregators();
   const bool is_listed = daemons_.count(options_.name_) > 0;
-  if (registered_ && !is_listed) {
-    // Another daemon deleted it after failing to reach this one for minutes, or
-    // the store has returned from a copy that does not have it.
+  // Another daemon deleted it after failing to reach this one for minutes, or
+  // the store has returned from a copy that does not have it. A relay's copy
+  // may be older than the record.
+  const bool is_lost = registered_era_ && changes.era_ > *registered_era_;
+  if (!is_listed && (was_listed_ || is_lost)) {
     Log(LogLevel::kWarning, "daemons", "own record is gone",
         {{"name", options_.name_}});
-    registered_ = false;
+    registered_era_.reset();
     Register();
   }
+  was_listed_ = is_listed;
 }
 
 void ControlLoop::UpdateAggregators() {
@@ -391,7 +344,7 @@
 
 void ControlLoop::OnRegistered(const http::ClientResponse& response) {
   if (IsSuccess(response.status_)) {
-    registered_ = true;
+    registered_era_ = options_.store_codec_.decode_era_(response.headers_);
     Log(LogLevel::kInfo, "daemons", "registered", {{"name", options_.name_}});
     // When a fleet starts, the other daemons register at the same time.
     loop_.Timers().Add(http::EventLoop::Now() + kFleetStartDelay,
@@ -413,7 +366,7 @@
       codec.object_target_(codec.kinds_.daemons_, options_.name_);
   WriteOwnRecord("PUT", target, [this](const http::ClientResponse& response) {
     if (IsSuccess(response.status_)) {
-      registered_ = true;
+      registered_era_ = options_.store_codec_.decode_era_(response.headers_);
       Log(LogLevel::kInfo, "daemons", "registered again",
           {{"name", options_.name_}});
     } else {
@@ -439,10 +392,7 @@
   for (const auto& [id, entry] : directory_.replicas_) {
     view->replicas_.push_back(entry);
   }
-  view->evacuated_ = evacuated_;
-  for (const auto& [name, until] : lost_evacuations_) {
-    view->evacuated_.insert(name);
-  }
+  view->evacuated_ = evacuations_.FailureDomains();
   rollouts_.ForgetWithdrawn(directory_);
   view->rollouts_ = rollouts_.Orders();
   for (const auto& [name, record] : daemons_) {
@@ -456,7 +406,7 @@
 void ControlLoop::Tick() {
   const Instant now = http::EventLoop::Now();
   const bool evicted = traffic::EvictDepartedReplicas(directory_, now);
-  if (ForgetLostEvacuations(now) || evicted) {
+  if (evacuations_.EndLost(now) || evicted) {
     PublishView();
   }
   loop_.Timers().Add(http::EventLoop::Now() + kEvictionPeriod,
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -4,11 +4,12 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "gateway/daemon_prober.h"
+#include "gateway/evacuation_control.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
 #include "gateway/rollout_control.h"
@@ -55,8 +56,6 @@
   void AddUnusable(const std::string& kind,
                    const StoredObject& object,
                    const Error& error);
-  void ApplyEvacuationChanges(const mirror::KindChanges& changes);
-  bool ForgetLostEvacuations(Instant now);
   void ApplyDaemonChanges(const mirror::KindChanges& changes);
   void UpdateAggregators();
   [[nodiscard]] EvidenceHandlers MakeEvidenceHandlers();
@@ -91,16 +90,14 @@
   bool deleting_ = false;
   std::shared_ptr<const traffic::TrafficConfiguration> configuration_;
   traffic::ReplicaDirectory directory_;
-  std::set<std::string> evacuated_;
-  /// Evacuations that the store lost when it returned from an older copy, with
-  /// the time until which they hold unless the operator repeats them.
-  std::map<std::string, Instant> lost_evacuations_;
-  int64_t evacuation_era_ = 0;
+  EvacuationControl evacuations_;
   std::map<std::string, mirror::DaemonRecord> daemons_;
   /// Those of `daemons_` that gather queries for others.
   std::shared_ptr<const std::vector<traffic::Aggregator>> aggregators_;
   bool registering_ = false;  ///< A write of the own record is in flight.
-  bool registered_ = false;   ///< The store has accepted the own record.
+  bool was_listed_ = false;   ///< The last list had the own record.
+  /// Era in which the store accepted the own record, until it is gone.
+  std::optional<int64_t> registered_era_;
   bool replicas_known_ = false;
   bool rollouts_known_ = false;
   int registration_failures_ = 0;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -112,8 +112,6 @@
   void OnRequest(const Caller& caller, const http::HttpRequest& request);
   void OnRelayRequest(const Caller& caller,
                       const mirror::RelayRequest& request);
-  void OnEvidenceReport(const Caller& caller,
-                        const mirror::EvidenceReport& report);
   /// Replies if there are changes for the reader or with `even_if_unchanged`.
   [[nodiscard]] bool TryReply(const Caller& caller,
                               const mirror::RelayRequest& request,
--- a/src/mirror/relay_plan.cc
+++ b/src/mirror/relay_plan.cc
@@ -44,6 +44,7 @@
                    });
   ranked.resize(std::min(ranked.size(), kRelaysPerDomain));
   std::vector<DaemonRecord> relays;
+  relays.reserve(ranked.size());
   for (const std::string& name : ranked) {
     relays.push_back(*FindDaemon(daemons, name));
   }
