--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -15,6 +15,7 @@
 #include "http/event_loop.h"
 #include "http/server_connection.h"
 #include "traffic/advance_query.h"
+#include "traffic/record_attempt_outcome.h"
 
 namespace clementinerill::gateway {
 
--- a/src/traffic/advance_query.h
+++ b/src/traffic/advance_query.h
@@ -1,23 +1,12 @@
 #ifndef CLEMENTINERILL_TRAFFIC_ADVANCE_QUERY_H_
 #define CLEMENTINERILL_TRAFFIC_ADVANCE_QUERY_H_
 
-#include <string>
 #include <vector>
 
 #include "traffic/query.h"
 
 namespace clementinerill::traffic {
 
-/// @brief Records the outcome of an attempt; a repeated outcome is ignored.
-///
-/// `response` is only used for `kAnswered` and `kFailed`.
-void RecordAttemptOutcome(FleetState& fleet,
-                          Query& query,
-                          SendAction attempt,
-                          AttemptOutcome outcome,
-                          ReplicaResponse response,
-                          Instant now);
-
 /// @brief Advances the state of the query and returns the attempts to send.
 ///
 /// Sets `outcome_` once the query can be answered or cannot succeed any more,
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -81,9 +81,7 @@
   if (!service.rollout_) {
     return true;
   }
-  const RolloutOrder& order = service.rollout_->order_;
-  const bool is_target = replica.entry_.version_ == order.target_version_;
-  return is_target == criteria.takes_target_version_;
+  return IsTargetVersion(service, replica) == criteria.takes_target_version_;
 }
 
 // Whether this daemon may send one more request to a cold replica now.
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -150,6 +150,12 @@
   }
 }
 
+bool IsTargetVersion(const ServiceState& service,
+                     const ReplicaState& replica) noexcept {
+  return service.rollout_ &&
+         replica.entry_.version_ == service.rollout_->order_.target_version_;
+}
+
 std::vector<VersionComparison> RolloutEvidence(const FleetState& fleet) {
   std::vector<VersionComparison> all;
   for (const auto& [name, service] : fleet.services_) {
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -85,6 +85,10 @@
 void ApplyVersionShares(FleetState& fleet,
                         const std::vector<VersionShare>& shares);
 
+/// @brief Whether the replica has the target version of a rollout of `service`.
+[[nodiscard]] bool IsTargetVersion(const ServiceState& service,
+                                   const ReplicaState& replica) noexcept;
+
 /// @brief Returns the evidence of this daemon on the rollouts in progress.
 [[nodiscard]] std::vector<VersionComparison> RolloutEvidence(
     const FleetState& fleet);
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -24,6 +24,7 @@
 #include "traffic/query.h"
 #include "traffic/query_outcome.h"
 #include "traffic/rate_allowance.h"
+#include "traffic/record_attempt_outcome.h"
 #include "traffic/record_report.h"
 #include "traffic/replica_directory.h"
 #include "traffic/replica_eligibility.h"
