--- a/src/gateway/rollout_control.h
+++ b/src/gateway/rollout_control.h
@@ -18,7 +18,7 @@
 
 namespace clementinerill::gateway {
 
-/// @brief What the rest of the fleet is to this daemon.
+/// @brief The part of this daemon in the judgement of rollouts.
 struct FleetRole {
   int daemons_ = 1;  ///< Number of daemons in the fleet.
   /// Whether this daemon judges for the fleet; the others only roll back.
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -405,7 +405,7 @@
     const auto known = request.revisions_.find(kind);
     const int64_t revision =
         known == request.revisions_.end() ? 0 : known->second;
-    // Daemons of the version before this one name no era.
+    // Daemons of the previous version name no era.
     const auto known_era = request.eras_.find(kind);
     const int64_t era = known_era == request.eras_.end() ? followed.mirror_.era_
                                                          : known_era->second;
--- a/src/mirror/kind_mirror.h
+++ b/src/mirror/kind_mirror.h
@@ -36,8 +36,7 @@
   std::optional<Instant> confirmed_at_;
 };
 
-/// @brief Whether `era` is an earlier one than that of the copy, or a later one
-/// that the copy can only enter with a full list.
+/// @brief Whether revisions of `era` cannot be compared with that of the copy.
 [[nodiscard]] bool IsOtherEra(const KindMirror& mirror, int64_t era) noexcept;
 
 /// @brief Applies changes and returns true, or ignores them and returns false
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -72,7 +72,7 @@
 
 RelayedKind DecodeKind(const json& message) {
   RelayedKind kind;
-  // Daemons of the version before this one name no era.
+  // Daemons of the previous version name no era.
   kind.changes_.era_ = message.value("era", int64_t{0});
   kind.changes_.revision_ = message.at("revision").get<int64_t>();
   kind.changes_.is_full_list_ = message.at("complete").get<bool>();
@@ -107,7 +107,7 @@
           {"latencies", evidence.latencies_},
           {"bad", evidence.is_bad_},
           {"daemons", evidence.daemons_},
-          // Daemons of the version before this one require both.
+          // Daemons of the previous version require both.
           {"target_bad", 0},
           {"present_bad", 0}};
 }
@@ -119,7 +119,7 @@
   evidence.length_ = DecodeTime(message.at("length_ms"));
   evidence.target_attempts_ = DecodeCount(message.at("target_attempts"));
   evidence.current_attempts_ = DecodeCount(message.at("present_attempts"));
-  // Daemons of the version before this one do not send the others.
+  // Daemons of the previous version do not send the others.
   if (message.contains("routes")) {
     evidence.age_ = DecodeTime(message.at("age_ms"));
     evidence.created_ = DecodeCount(message.at("created"));
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -252,6 +252,20 @@
 field_of_later: 1
 )";
 
+// Guards against a daemon that takes an unreadable era for a later one and
+// lists everything again.
+TEST_CASE("the era of the store is decoded from the headers", "[decoder]") {
+  const auto codec = MakeStoreCodec();
+  const auto era_of = [&codec](const std::string& value) {
+    return codec.decode_era_({{"store-era", value}});
+  };
+  CHECK(codec.decode_era_({}) == 0);
+  CHECK(era_of("5") == 5);
+  for (const char* value : {"", "x", "5x", "-3", "99999999999999999999"}) {
+    CHECK(era_of(value) == 0);
+  }
+}
+
 // Guards against the deletion of a record that was rewritten after it had been
 // read: the store rejects a deletion whose revision is out of date.
 TEST_CASE("a deletion is conditional on the revision", "[decoder]") {
