Tests: ports of the gateway's tests outside the range of the system

The fixture let the system choose a port, freed it, and another process took it before the daemon listened. Not the code, and not load as such.

The fixture takes ports below the range of the system now, begins at another one in each process and passes over those in use. No check changes.

--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -1,6 +1,8 @@
 #ifndef CLEMENTINERILL_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
 #define CLEMENTINERILL_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <functional>
@@ -96,10 +98,28 @@
   ControlLoop control_;
 };
 
+/// Returns a port on which nothing listens.
+///
+/// It lies below the range from which the system takes ports of connections and
+/// of listeners without a port: one of that range may be taken before a daemon
+/// listens on it.
 inline uint16_t FreePort(http::EventLoop& loop) {
-  boost::asio::ip::tcp::acceptor acceptor(
-      loop.Context(), {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
+  constexpr uint16_t kFirst = 10000;
+  constexpr uint16_t kCount = 20000;
+  // Processes that run at the same time begin far apart.
+  constexpr int kStride = 997;
+  static int next = static_cast<int>(getpid()) * kStride % kCount;
+  const auto loopback = boost::asio::ip::make_address("127.0.0.1");
+  for (;;) {
+    const auto port = static_cast<uint16_t>(kFirst + next++ % kCount);
+    boost::asio::ip::tcp::acceptor acceptor(loop.Context());
+    boost::system::error_code error;
+    acceptor.open(boost::asio::ip::tcp::v4());
+    acceptor.bind({loopback, port}, error);
+    if (!error) {
+      return port;
+    }
+  }
 }
 
 /// A store, replicas of two shards and of a service without shards, and
