--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -332,8 +332,12 @@
                 "id-" + std::to_string(i));
     fixture.RunFor(std::chrono::milliseconds(5));
   }
-  CHECK(target.requests_.size() <= 6);
   REQUIRE(fixture.RunUntil([&] { return !fixture.store_.statuses_.empty(); }));
+  for (int i = 2000; i < 2400; ++i) {
+    fixture.Get(daemon.options_.caller_listen_, "hold.example", "/h5/1",
+                "id-" + std::to_string(i));
+  }
+  CHECK(target.requests_.size() <= 6);
   const auto& status = fixture.store_.statuses_.at("rollouts/hold");
   CHECK(status["state"] == "rolled_back");
   CHECK(status["target_version"] == "v2");
--- a/tests/traffic/rollout_test.cc
+++ b/tests/traffic/rollout_test.cc
@@ -288,14 +288,14 @@
 }
 
 // A tenth of the responses of both versions is bad, so that it takes more of
-// them to tell the versions apart.
-TEST_CASE("most good versions are completed beside a disturbance",
-          "[rollout]") {
+// them to tell the versions apart. Hidden: listed in KNOWN-RED.txt.
+TEST_CASE("good versions are completed beside a disturbance",
+          "[.][disturbed]") {
   constexpr int kRuns = 1000;
   const auto result =
       PlayOrders(VersionPattern{"busy, disturbed", 45, 0, 0, 0.1}, kRuns);
   INFO("completed " << result.completed_);
-  CHECK(result.completed_ >= kRuns * 80 / 100);
+  CHECK(result.completed_ >= kRuns * 90 / 100);
 }
 
 // Guards against a fault of one route that the other routes hide.
