Replicas: heed the departure that a replica reports in its responses

Cause: nothing read `Server-Leaving`. Departures came from service discovery alone, which a daemon that is cut off does not have.

Failures did not show it: they had put the replica on probation.

Ruled out: an older copy of the store that overrides the header, and requests that were queued before it; there was no reader at all.

Fix: each response counts, also interim, discarded, cut and malformed ones; 421 does not, as another process answers. The departure is kept by id and start of the process, apart from the state that ends with the entry, so that only a new process ends it.

The callback for further responses costs one allocation an attempt.

--- a/src/gateway/connection_pool.cc
+++ b/src/gateway/connection_pool.cc
@@ -30,7 +30,7 @@
 
 bool ShouldPreconnect(const traffic::FleetState& fleet,
                       const traffic::ReplicaState& replica) {
-  return !replica.misdirected_ && !replica.entry_.leaving_since_ &&
+  return !replica.misdirected_ && !traffic::LeavingSince(replica) &&
          fleet.view_->evacuated_.count(replica.entry_.failure_domain_) == 0;
 }
 
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -24,9 +24,10 @@
   exchange.bytes_ = http::ToBytes(request);
   exchange.is_head_ = request.method_ == "HEAD";
   const std::weak_ptr<ForwardExchange> weak = self;
-  exchange.on_interim_ = [weak, deadline](int status) {
+  exchange.on_other_response_ = [weak,
+                                 deadline](const http::HttpResponse& response) {
     const auto exchange_of = weak.lock();
-    if (exchange_of && status == kForwardStarted) {
+    if (exchange_of && response.status_ == kForwardStarted) {
       exchange_of->OnStarted(deadline);
     }
   };
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -39,6 +39,9 @@
             "gateway_failed_parts_total",
             "Parts without an answer, by why no further attempt was made.",
             traffic::kPartFailureReasonNames)),
+        departures_(registry_.AddCounter(
+            "gateway_departures_reported_total",
+            "Replicas that reported in a response that they are leaving.")),
         skipped_parts_(registry_.AddCounter(
             "gateway_skipped_parts_total",
             "Parts left out of sweeps because their replicas were "
@@ -82,6 +85,7 @@
   Counter& gathered_for_others_;
   Counter& forwards_refused_;
   ReasonCounters<traffic::PartFailureReason, 7> failed_parts_;
+  Counter& departures_;
   Counter& skipped_parts_;
   Counter& unrouted_;
   Counter& unconfigured_;
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -261,7 +261,15 @@
       now);
   running_.push_back({action, connection});
   const auto self = shared_from_this();
-  connection->Start(MakeExchange(*attempt.replica_, now),
+  http::ExchangeRequest exchange = MakeExchange(*attempt.replica_, now);
+  const std::weak_ptr<QuerySession> weak = self;
+  exchange.on_other_response_ =
+      [weak, replica = attempt.replica_](const http::HttpResponse& response) {
+        if (const auto session = weak.lock()) {
+          session->RecordDeparture(*replica, response, http::EventLoop::Now());
+        }
+      };
+  connection->Start(std::move(exchange),
                     [self, action](http::ExchangeResult result) {
                       self->OnExchange(action, std::move(result));
                     });
@@ -301,6 +309,7 @@
 void QuerySession::RecordReport(traffic::ReplicaState& replica,
                                 const http::HttpResponse& response,
                                 Instant now) const {
+  RecordDeparture(replica, response, now);
   const std::optional<double> previous = replica.rate_limit_;
   traffic::RecordReport(context_.fleet_, replica,
                         DecodeReplicaReport(response.headers_, context_.names_),
@@ -317,6 +326,26 @@
              {"previous", previous.value_or(0)}});
 }
 
+// Also of responses that are not used otherwise: a departure is true whatever
+// becomes of the response that reports it.
+void QuerySession::RecordDeparture(traffic::ReplicaState& replica,
+                                   const http::HttpResponse& response,
+                                   Instant now) const {
+  // Another process at the address says nothing about this replica.
+  if (response.status_ == 421 ||
+      !ReportsDeparture(response.headers_, context_.names_) ||
+      !traffic::RecordReportedDeparture(context_.fleet_, replica, now)) {
+    return;
+  }
+  context_.metrics_.departures_.Increment();
+  static RateLimitedLogger lines;
+  lines.Log(now, LogLevel::kInfo, "replicas", "departure reported",
+            {{"replica", replica.entry_.id_},
+             {"service", replica.entry_.service_},
+             {"listed_as_leaving", replica.entry_.leaving_since_.has_value()},
+             {"status", response.status_}});
+}
+
 void QuerySession::OnExchange(traffic::SendAction action,
                               http::ExchangeResult result) {
   const Instant now = http::EventLoop::Now();
@@ -335,9 +364,9 @@
       query_.parts_[action.part_].attempts_[action.attempt_].replica_;
   const AttemptOutcome outcome = Classify(result);
   context_.metrics_.attempts_.Increment(outcome);
-  // Another process at the address says nothing about this replica.
-  if (result.outcome_ == ExchangeOutcome::kResponse &&
-      outcome != AttemptOutcome::kMisdirected) {
+  if (result.outcome_ != ExchangeOutcome::kResponse) {
+    RecordDeparture(*replica, result.response_, now);
+  } else if (outcome != AttemptOutcome::kMisdirected) {
     RecordReport(*replica, result.response_, now);
   }
   const auto keep_alive =
--- a/src/gateway/replica_report_decoder.cc
+++ b/src/gateway/replica_report_decoder.cc
@@ -45,4 +45,8 @@
   return report;
 }
 
+bool ReportsDeparture(const http::Headers& headers, const WireNames& names) {
+  return http::FindHeader(headers, names.leaving_) == "1";
+}
+
 }  // namespace clementinerill::gateway
--- a/src/gateway/replica_report_decoder.h
+++ b/src/gateway/replica_report_decoder.h
@@ -14,6 +14,10 @@
     const http::Headers& headers,
     const WireNames& names);
 
+/// @brief Whether the headers of a response say that its replica is leaving.
+[[nodiscard]] bool ReportsDeparture(const http::Headers& headers,
+                                    const WireNames& names);
+
 }  // namespace clementinerill::gateway
 
 #endif  // CLEMENTINERILL_GATEWAY_REPLICA_REPORT_DECODER_H_
--- a/src/gateway/wire_names.h
+++ b/src/gateway/wire_names.h
@@ -17,6 +17,7 @@
   std::string warmup_remaining_;  ///< Remaining warm-up of the replica in ms.
   /// Requests per second that the replica accepts from all daemons.
   std::string rate_limit_;
+  std::string leaving_;          ///< "1" if the replica is leaving.
   std::string part_signatures_;  ///< Signatures of the merged parts.
   std::string missing_parts_;    ///< Number of parts left out of the result.
   std::string ready_path_;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -216,13 +216,10 @@
   response.headers_ = CopyHeaders(message);
   response.body_ = std::move(message.body());
   if (response.status_ < 200) {
-    if (++interim_responses_ > kMaxInterimResponses) {
-      Finish(ExchangeOutcome::kGarbled);
-      return;
-    }
     ResetParser();  // The final response follows.
-    if (request_.on_interim_) {
-      request_.on_interim_(response.status_);
+    OnOtherResponse(response);
+    if (++interim_responses_ > kMaxInterimResponses && !closed_) {
+      Finish(ExchangeOutcome::kGarbled);
     }
     return;
   }
@@ -231,11 +228,11 @@
     // A response to an earlier request. The matching one may follow, but what
     // else arrives is unknown, so the connection is not reused.
     reusable_ = false;
-    if (!response.keep_alive_) {
+    ResetParser();
+    OnOtherResponse(response);
+    if (!response.keep_alive_ && !closed_) {
       Finish(ExchangeOutcome::kGarbled);
-      return;
     }
-    ResetParser();
     return;
   }
   if (!response.keep_alive_ || written_ < request_.bytes_.size() ||
@@ -245,8 +242,26 @@
   Finish(ExchangeOutcome::kResponse, std::move(response));
 }
 
+void ClientConnection::OnOtherResponse(const HttpResponse& response) {
+  if (request_.on_other_response_) {
+    request_.on_other_response_(response);
+  }
+}
+
+HttpResponse ClientConnection::IncompleteResponse() const {
+  HttpResponse response;
+  if (parser_ && parser_->is_header_done()) {
+    response.status_ = static_cast<int>(parser_->get().result_int());
+    response.headers_ = CopyHeaders(parser_->get());
+  }
+  return response;
+}
+
 void ClientConnection::Finish(ExchangeOutcome outcome, HttpResponse response) {
   const auto self = shared_from_this();
+  if (outcome != ExchangeOutcome::kResponse) {
+    response = IncompleteResponse();
+  }
   last_use_ = EventLoop::Now();
   busy_ = false;
   parser_.reset();
@@ -263,7 +278,7 @@
 void ClientConnection::Close() {
   handler_ = nullptr;
   request_.is_matching_response_ = nullptr;
-  request_.on_interim_ = nullptr;
+  request_.on_other_response_ = nullptr;
   busy_ = false;
   CloseSocket();
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -27,6 +27,7 @@
 
 struct ExchangeResult {
   ExchangeOutcome outcome_ = ExchangeOutcome::kBroken;
+  /// If it is not complete: its status and headers, once they were received.
   HttpResponse response_;
 };
 
@@ -38,9 +39,9 @@
   /// a late or duplicate response must not be taken for that of a later
   /// request. Optional; without it every response matches.
   std::function<bool(const HttpResponse&)> is_matching_response_;
-  /// Called with the status of each interim response (RFC 9110 section 15.2).
-  /// Optional.
-  std::function<void(int)> on_interim_;
+  /// Called with each response that does not end the exchange: interim ones
+  /// (RFC 9110 section 15.2) and those that do not match. Optional.
+  std::function<void(const HttpResponse&)> on_other_response_;
 };
 
 /// @brief The client side of an HTTP/1.1 connection to one address.
@@ -109,6 +110,8 @@
   void Parse();
   void ResetParser();
   void HandleResponse();
+  void OnOtherResponse(const HttpResponse& response);
+  [[nodiscard]] HttpResponse IncompleteResponse() const;
   [[nodiscard]] bool ExceedsLimit() const;
   void Finish(ExchangeOutcome outcome, HttpResponse response = {});
   void CloseSocket();
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -134,7 +134,7 @@
                        const ReplicaCriteria& criteria,
                        Instant now) {
   Candidate candidate;
-  if (replica.entry_.leaving_since_) {
+  if (LeavingSince(replica)) {
     candidate.tier_ = Tier::kLeaving;
   } else if (IsOnProbation(replica) && !replica.outstanding_.empty()) {
     candidate.tier_ = Tier::kOnProbation;
--- a/src/traffic/fleet_state.cc
+++ b/src/traffic/fleet_state.cc
@@ -39,6 +39,7 @@
 }
 
 std::shared_ptr<ReplicaState> FindOrCreateReplica(const Replicas& known,
+                                                  const Departures& departures,
                                                   const ReplicaEntry& entry) {
   const auto found = known.find(entry.id_);
   if (found != known.end() && IsSameProcess(found->second->entry_, entry)) {
@@ -47,6 +48,7 @@
   }
   auto replica = std::make_shared<ReplicaState>();
   replica->entry_ = entry;
+  replica->departure_reported_at_ = FindDeparture(departures, entry);
   return replica;
 }
 
@@ -130,7 +132,8 @@
   }
   for (const ReplicaEntry& entry : view->replicas_) {
     GetOrCreateService(fleet, entry.service_)
-        .replicas_.push_back(FindOrCreateReplica(known, entry));
+        .replicas_.push_back(
+            FindOrCreateReplica(known, fleet.departures_, entry));
   }
   fleet.view_ = std::move(view);
   UpdateAggregation(fleet);
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "traffic/aggregation_plan.h"
+#include "traffic/departures.h"
 #include "traffic/extra_attempt_budget.h"
 #include "traffic/latency_estimate.h"
 #include "traffic/replica_state.h"
@@ -72,6 +73,7 @@
   std::shared_ptr<const TrafficView> view_;
   std::map<std::string, std::shared_ptr<ServiceState>, std::less<>> services_;
   std::map<std::string, RouteState, std::less<>> routes_;
+  Departures departures_;               ///< Reported in responses.
   AggregationInput aggregation_input_;  ///< Of `aggregation_`.
   AggregationPlan aggregation_;
   uint64_t rotation_ = 0;  ///< Rotates the choice among equal replicas.
--- a/src/traffic/record_report.cc
+++ b/src/traffic/record_report.cc
@@ -72,4 +72,14 @@
   RecordRateLimit(fleet, replica, report.rate_limit_, now);
 }
 
+bool RecordReportedDeparture(FleetState& fleet,
+                             ReplicaState& replica,
+                             Instant now) {
+  if (replica.departure_reported_at_) {
+    return false;
+  }
+  replica.departure_reported_at_ = now;
+  return RecordDeparture(fleet.departures_, replica.entry_, now);
+}
+
 }  // namespace clementinerill::traffic
--- a/src/traffic/record_report.h
+++ b/src/traffic/record_report.h
@@ -17,6 +17,12 @@
                   const ReplicaReport& report,
                   Instant now);
 
+/// @brief Records that the replica reported its departure, which is final for
+/// its process. Returns whether it is the first such report.
+bool RecordReportedDeparture(FleetState& fleet,
+                             ReplicaState& replica,
+                             Instant now);
+
 }  // namespace clementinerill::traffic
 
 #endif  // CLEMENTINERILL_TRAFFIC_RECORD_REPORT_H_
--- a/src/traffic/replica_eligibility.cc
+++ b/src/traffic/replica_eligibility.cc
@@ -16,7 +16,7 @@
   if (IsEjected(replica, now)) {
     return ReplicaEligibility::kEjected;
   }
-  if (const auto& leaving = replica.entry_.leaving_since_) {
+  if (const auto leaving = LeavingSince(replica)) {
     return now - *leaving >= kLeavingGrace ? ReplicaEligibility::kGone
                                            : ReplicaEligibility::kLeaving;
   }
--- a/src/traffic/replica_state.cc
+++ b/src/traffic/replica_state.cc
@@ -200,6 +200,15 @@
          AvailablePermits(replica.rate_allowance_, now) > 0;
 }
 
+std::optional<Instant> LeavingSince(const ReplicaState& replica) noexcept {
+  const auto& listed = replica.entry_.leaving_since_;
+  const auto& reported = replica.departure_reported_at_;
+  if (listed && reported) {
+    return std::min(*listed, *reported);
+  }
+  return listed ? listed : reported;
+}
+
 bool IsCold(const ReplicaState& replica, Instant now) {
   return replica.entry_.cold_until_ && now < *replica.entry_.cold_until_;
 }
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -32,7 +32,9 @@
   /// its last response; unset if it named none.
   std::optional<double> rate_limit_;
   Instant rate_limit_named_at_{};
-  RateAllowance rate_allowance_;     ///< While there is a rate limit.
+  RateAllowance rate_allowance_;  ///< While there is a rate limit.
+  /// When a response reported that the replica is leaving; never reset.
+  std::optional<Instant> departure_reported_at_;
   std::vector<Instant> cold_sends_;  ///< Sends of the last second while cold.
   /// Whether this daemon prefers the replica; see `AssignPreferredReplicas`.
   bool is_preferred_ = false;
@@ -87,6 +89,11 @@
 /// this daemon to send a request.
 [[nodiscard]] bool HasPermit(const ReplicaState& replica, Instant now);
 
+/// @brief Returns when this daemon learned that the replica is leaving, from
+/// service discovery or from a response, whichever was first.
+[[nodiscard]] std::optional<Instant> LeavingSince(
+    const ReplicaState& replica) noexcept;
+
 [[nodiscard]] bool IsCold(const ReplicaState& replica, Instant now);
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -11,6 +11,7 @@
 #include "traffic/choose_replica.h"
 #include "traffic/connection_shares.h"
 #include "traffic/delegation.h"
+#include "traffic/departures.h"
 #include "traffic/extra_attempt_budget.h"
 #include "traffic/fleet_comparison.h"
 #include "traffic/fleet_state.h"
--- a/tests/traffic/replica_eligibility_test.cc
+++ b/tests/traffic/replica_eligibility_test.cc
@@ -20,6 +20,10 @@
   replica.entry_.leaving_since_ = At({});
   CHECK(eligibility(seconds(1)) == ReplicaEligibility::kLeaving);
   CHECK(eligibility(kLeavingGrace) == ReplicaEligibility::kGone);
+  replica.entry_.leaving_since_.reset();
+  replica.departure_reported_at_ = At({});
+  CHECK(eligibility(seconds(1)) == ReplicaEligibility::kLeaving);
+  CHECK(eligibility(kLeavingGrace) == ReplicaEligibility::kGone);
   RecordOutcome(replica, AttemptOutcome::kBroken, At({}), {}, At({}));
   RecordOutcome(replica, AttemptOutcome::kBroken, At({}), {}, At({}));
   CHECK(eligibility(milliseconds(10)) == ReplicaEligibility::kEjected);
