Cold replicas: divide their limit in whole requests among daemons

Cause: the share of a daemon was rounded up to one request a second, so that the sum over daemons was their number at least.

Ruled out: uncounted hedges and retries (one choice for all), coldness that only some daemons know, bunching on the network (what was sent and arrived in a second was sent by a daemon in it). `RateAllowance` would not do: below one request a second and daemon, the permits of all daemons may fall into the same second.

Fix: the requests a second go to the daemons one by one in the rendezvous order of the replica. Daemons that still count others that are gone get less, never more; a daemon that others may not count yet has no share for 2 s, and a fifth of the limit is a reserve. Requests beyond the share are refused at once or wait for a quarter of their objective; they waited until their deadline before.

--- a/src/base/rendezvous.cc
+++ b/src/base/rendezvous.cc
@@ -27,4 +27,19 @@
   return ranked;
 }
 
+std::optional<size_t> RendezvousRank(std::string_view key,
+                                     std::string_view member,
+                                     const std::vector<std::string>& members) {
+  const uint64_t key_hash = Hash64(key);
+  const uint64_t own = Hash64(member, key_hash);
+  size_t rank = 0;
+  bool is_member = false;
+  for (const std::string& other : members) {
+    const uint64_t score = Hash64(other, key_hash);
+    is_member = is_member || other == member;
+    rank += score > own || (score == own && other < member) ? 1 : 0;
+  }
+  return is_member ? std::optional(rank) : std::nullopt;
+}
+
 }  // namespace clementinerill
--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -204,19 +204,35 @@
   follower_.SetDaemons(records);
   prober_.SetDaemons(records, options_.name_);
   exchange_.SetPeers(follower_.OtherWatchers());
+  UpdateDaemonNames();
   UpdateAggregators();
   const bool is_listed = daemons_.count(options_.name_) > 0;
   // Another daemon deleted it after failing to reach this one for minutes, or
   // the store has returned from a copy that does not have it. A relay's copy
   // may be older than the record.
   const bool is_lost = registered_era_ && changes.era_ > *registered_era_;
-  if (!is_listed && (was_listed_ || is_lost)) {
+  if (!is_listed && (registered_since_ || is_lost)) {
     Log(LogLevel::kWarning, "daemons", "own record is gone",
         {{"name", options_.name_}});
     registered_era_.reset();
     Register();
   }
-  was_listed_ = is_listed;
+  if (!is_listed) {
+    registered_since_.reset();
+  } else if (!registered_since_) {
+    registered_since_ = http::EventLoop::Now();
+  }
+}
+
+void ControlLoop::UpdateDaemonNames() {
+  std::vector<std::string> names;
+  for (const auto& [name, record] : daemons_) {
+    names.push_back(name);
+  }
+  if (!daemon_names_ || *daemon_names_ != names) {
+    daemon_names_ =
+        std::make_shared<const std::vector<std::string>>(std::move(names));
+  }
 }
 
 void ControlLoop::UpdateAggregators() {
@@ -398,6 +414,8 @@
   for (const auto& [name, record] : daemons_) {
     ++view->daemons_[record.failure_domain_];
   }
+  view->daemon_names_ = daemon_names_;
+  view->registered_since_ = registered_since_;
   view->aggregators_ = aggregators_;
   view->unusable_ = unusable_.List();
   publish_(std::move(view));
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -57,6 +57,7 @@
                    const StoredObject& object,
                    const Error& error);
   void ApplyDaemonChanges(const mirror::KindChanges& changes);
+  void UpdateDaemonNames();
   void UpdateAggregators();
   [[nodiscard]] EvidenceHandlers MakeEvidenceHandlers();
   [[nodiscard]] mirror::EvidenceReport OwnReport() const;
@@ -94,8 +95,10 @@
   std::map<std::string, mirror::DaemonRecord> daemons_;
   /// Those of `daemons_` that gather queries for others.
   std::shared_ptr<const std::vector<traffic::Aggregator>> aggregators_;
+  std::shared_ptr<const std::vector<std::string>> daemon_names_;
   bool registering_ = false;  ///< A write of the own record is in flight.
-  bool was_listed_ = false;   ///< The last list had the own record.
+  /// Since when the list has the own record.
+  std::optional<Instant> registered_since_;
   /// Era in which the store accepted the own record, until it is gone.
   std::optional<int64_t> registered_era_;
   bool replicas_known_ = false;
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "traffic/cold_limit.h"
 #include "traffic/skip_overloaded_parts.h"
 
 namespace clementinerill::traffic {
@@ -124,25 +125,12 @@
   return choice;
 }
 
-void RecordColdSend(ReplicaState& replica, Instant now) {
-  if (!IsCold(replica, now)) {
-    replica.cold_sends_.clear();
-    return;
-  }
-  auto& sends = replica.cold_sends_;
-  const auto is_old = [now](Instant t) {
-    return now - t >= std::chrono::seconds(1);
-  };
-  sends.erase(std::remove_if(sends.begin(), sends.end(), is_old), sends.end());
-  sends.push_back(now);
-}
-
 void AddAttempt(QueryPart& part,
                 std::shared_ptr<ReplicaState> replica,
                 bool is_hedge,
                 Instant now) {
   RecordSend(*replica, now);
-  RecordColdSend(*replica, now);
+  RecordColdSend(*part.service_, *replica, now);
   if (part.service_->rollout_) {
     RecordVersionAttempt(*part.service_->rollout_,
                          IsTargetVersion(*part.service_, *replica));
--- a/src/traffic/aggregation_plan.cc
+++ b/src/traffic/aggregation_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 #include "base/rendezvous.h"
 
@@ -82,6 +83,14 @@
                   (daemons + daemons_per_round - 1) / daemons_per_round);
 }
 
+int CountRegions(const std::vector<Aggregator>& daemons) {
+  std::set<std::string> regions;
+  for (const Aggregator& daemon : daemons) {
+    regions.insert(daemon.region_);
+  }
+  return static_cast<int>(regions.size());
+}
+
 bool Contains(const std::vector<Aggregator>& aggregators,
               const std::string& name) {
   return std::any_of(aggregators.begin(), aggregators.end(),
@@ -139,15 +148,24 @@
   }
   const size_t per_domain = AggregatorsPerDomain(input);
   AggregatorsByDomain selected;
+  std::vector<std::string> names;
   for (const std::string& domain : input.shard_domains_) {
     const auto aggregators = SelectInDomain(input, domain, per_domain);
     plan.aggregator_count_ += static_cast<int>(aggregators.size());
+    for (const Aggregator& aggregator : aggregators) {
+      names.push_back(aggregator.name_);
+    }
     plan.is_aggregator_ =
         plan.is_aggregator_ || Contains(aggregators, input.self_);
     if (!aggregators.empty()) {
       selected[domain] = RankFor(input.self_, aggregators);
     }
   }
+  if (!names.empty()) {
+    plan.aggregators_ =
+        std::make_shared<const std::vector<std::string>>(std::move(names));
+    plan.region_count_ = CountRegions(*input.daemons_);
+  }
   if (plan.is_aggregator_) {
     selected.erase(input.failure_domain_);
     plan.remote_ = std::move(selected);
--- a/src/traffic/aggregation_plan.h
+++ b/src/traffic/aggregation_plan.h
@@ -35,6 +35,9 @@
   /// of preference.
   std::map<std::string, std::vector<Aggregator>> remote_;
   int aggregator_count_ = 0;  ///< In the region; 0 if each daemon gathers.
+  /// Names of the aggregators of the region; null if each daemon gathers.
+  std::shared_ptr<const std::vector<std::string>> aggregators_;
+  int region_count_ = 0;  ///< Regions with daemons; 0 if each daemon gathers.
   bool is_aggregator_ = false;
 };
 
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -4,8 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "traffic/cold_limit.h"
 #include "traffic/connection_shares.h"
-#include "traffic/limit_share.h"
 #include "traffic/replica_eligibility.h"
 
 namespace clementinerill::traffic {
@@ -40,9 +40,6 @@
 // of that of the waiting request: the median latency of a service includes
 // queueing.
 constexpr double kMaxQueuedWorkFactor = 3.0;
-// Share of the rate limit of a cold replica that daemons use. The limit applies
-// to any interval of one second, and requests can bunch up on the network.
-constexpr double kUsableColdRateShare = 0.6;
 
 enum class Tier { kNormal, kOnProbation, kLeaving };
 
@@ -84,26 +81,6 @@
   return IsTargetVersion(service, replica) == criteria.takes_target_version_;
 }
 
-// Whether this daemon may send one more request to a cold replica now.
-bool HasColdCapacity(const FleetState& fleet,
-                     const ServiceState& service,
-                     const ReplicaState& replica,
-                     Instant now) {
-  const double rate = service.rule_.cold_requests_per_s_;
-  if (!IsCold(replica, now) || rate <= 0) {
-    return true;
-  }
-  const FleetLimits& limits = fleet.limits_;
-  const double total =
-      (rate * limits.cold_overage_ + limits.cold_slack_) * kUsableColdRateShare;
-  const int share =
-      std::max(1, static_cast<int>(total * LimitShare(fleet, service)));
-  const auto recent = std::count_if(
-      replica.cold_sends_.begin(), replica.cold_sends_.end(),
-      [now](Instant sent) { return now - sent < std::chrono::seconds(1); });
-  return recent < share;
-}
-
 bool HasConnection(const FleetState& fleet,
                    const ServiceState& service,
                    const ReplicaState& replica,
@@ -207,15 +184,19 @@
         !MatchesVersion(service, *replica, criteria)) {
       continue;
     }
-    if (!HasConnection(fleet, service, *replica, now) ||
-        !HasColdCapacity(fleet, service, *replica, now)) {
+    if (!HasConnection(fleet, service, *replica, now)) {
       if (!choice.replica_) {
         choice.reason_ = NoReplicaReason::kNoConnection;
       }
       continue;
     }
-    CountPermits(*replica, now, permits);
-    if (!HasPermit(*replica, now)) {
+    const Duration cold_wait = TimeUntilColdSend(fleet, service, *replica, now);
+    if (cold_wait > Duration::zero()) {
+      permits.wait_ = std::min(permits.wait_, cold_wait);
+    } else {
+      CountPermits(*replica, now, permits);
+    }
+    if (cold_wait > Duration::zero() || !HasPermit(*replica, now)) {
       if (choice.reason_ == NoReplicaReason::kUnavailable) {
         choice.reason_ = NoReplicaReason::kRateLimited;
       }
--- a/src/traffic/choose_replica.h
+++ b/src/traffic/choose_replica.h
@@ -13,10 +13,10 @@
 enum class NoReplicaReason {
   kNone,         ///< A replica was chosen.
   kUnavailable,  ///< No remaining replica may receive the request.
-  /// Eligible replicas have no free connection or have reached their rate while
-  /// cold; try again.
+  /// Eligible replicas have no free connection; try again.
   kNoConnection,
-  /// All eligible replicas have reached the rate that they accept; another
+  /// All eligible replicas have reached the rate that they accept, named by
+  /// them or configured for cold ones; another
   /// request may be sent after `ReplicaChoice::permit_wait_`.
   kRateLimited,
 };
@@ -54,8 +54,8 @@
 /// failure, a new connection and traffic between failure domains. A replica on
 /// probation with a request in flight ranks after all others, a leaving one
 /// last. Replicas in evacuated failure domains, ejected replicas, those that
-/// have reached the rate that they accept and those that were already tried are
-/// never chosen.
+/// have reached the rate that they accept, also while cold, and those that were
+/// already tried are never chosen.
 [[nodiscard]] ReplicaChoice ChooseReplica(FleetState& fleet,
                                           const ServiceState& service,
                                           const ReplicaCriteria& criteria,
--- a/src/traffic/forward_declarations.h
+++ b/src/traffic/forward_declarations.h
@@ -10,6 +10,7 @@
 struct Aggregator;
 struct AggregatorHealth;
 struct Attempt;
+struct ColdShareCache;
 struct Departures;
 struct FleetComparison;
 struct FleetState;
--- a/src/traffic/replica_state.cc
+++ b/src/traffic/replica_state.cc
@@ -101,6 +101,11 @@
 
 void CancelSend(ReplicaState& replica, Instant sent) {
   RemoveOutstanding(replica, sent);
+  auto& sends = replica.recent_sends_;
+  const auto found = std::find(sends.begin(), sends.end(), sent);
+  if (found != sends.end()) {
+    sends.erase(found);
+  }
   if (replica.rate_limit_) {
     ReturnPermit(replica.rate_allowance_);
   }
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -1,7 +1,10 @@
 #ifndef CLEMENTINERILL_TRAFFIC_REPLICA_STATE_H_
 #define CLEMENTINERILL_TRAFFIC_REPLICA_STATE_H_
 
+#include <deque>
+#include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "base/time.h"
@@ -11,6 +14,14 @@
 
 namespace clementinerill::traffic {
 
+/// @brief This daemon's share in the limit of a cold replica, and what it was
+/// computed from.
+struct ColdShareCache {
+  std::shared_ptr<const std::vector<std::string>> senders_;
+  int limit_ = 0;  ///< Requests per second of all senders.
+  int share_ = 0;  ///< Requests per second of this daemon.
+};
+
 /// @brief State of one replica in the traffic thread of this daemon.
 ///
 /// Health is determined from responses alone, because health endpoints lag.
@@ -35,7 +46,9 @@
   RateAllowance rate_allowance_;  ///< While there is a rate limit.
   /// When a response reported that the replica is leaving; never reset.
   std::optional<Instant> departure_reported_at_;
-  std::vector<Instant> cold_sends_;  ///< Sends of the last second while cold.
+  /// Sends of the last second, if the service limits those to cold replicas.
+  std::deque<Instant> recent_sends_;
+  ColdShareCache cold_share_;
   /// Whether this daemon prefers the replica; see `AssignPreferredReplicas`.
   bool is_preferred_ = false;
   double preferring_daemons_ = 0;  ///< Daemons that prefer the replica.
@@ -49,7 +62,7 @@
 void RecordSend(ReplicaState& replica, Instant now);
 
 /// @brief Removes a recorded send that did not take place, and returns its
-/// permit.
+/// permit and its part of the limit while cold.
 void CancelSend(ReplicaState& replica, Instant sent);
 
 /// @brief Records the outcome of an attempt that was sent at `sent`.
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -9,6 +9,7 @@
 #include "traffic/aggregator_health.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/choose_replica.h"
+#include "traffic/cold_limit.h"
 #include "traffic/connection_shares.h"
 #include "traffic/delegation.h"
 #include "traffic/departures.h"
--- a/src/traffic/traffic_view.h
+++ b/src/traffic/traffic_view.h
@@ -3,10 +3,12 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "base/time.h"
 #include "traffic/aggregation_plan.h"
 #include "traffic/replica_entry.h"
 #include "traffic/rollout_order.h"
@@ -31,6 +33,10 @@
   std::vector<RolloutOrder> rollouts_;
   /// Daemons that share the limits, by failure domain; empty when unknown.
   std::map<std::string, int> daemons_;
+  /// The names of these daemons; null if unknown.
+  std::shared_ptr<const std::vector<std::string>> daemon_names_;
+  /// Since when this daemon is one of them; unset if it is not.
+  std::optional<Instant> registered_since_;
   /// Registered daemons that gather queries for others; null if unknown.
   std::shared_ptr<const std::vector<Aggregator>> aggregators_;
   /// For the status page; a bounded number of them.
--- a/tests/base/rendezvous_test.cc
+++ b/tests/base/rendezvous_test.cc
@@ -27,5 +27,15 @@
         RankByRendezvous("k", {"c", "a", "b"}));
 }
 
+// Guards against a rank that differs from the order that it stands for.
+TEST_CASE("the rank of a member is its position in the order", "[rendezvous]") {
+  const std::vector<std::string> members = {"a", "b", "c", "d"};
+  const auto ranked = RankByRendezvous("pool-1", members);
+  for (size_t i = 0; i < ranked.size(); ++i) {
+    CHECK(RendezvousRank("pool-1", ranked[i], members) == i);
+  }
+  CHECK_FALSE(RendezvousRank("pool-1", "e", members));
+}
+
 }  // namespace
 }  // namespace clementinerill
--- a/tests/traffic/choose_replica_test.cc
+++ b/tests/traffic/choose_replica_test.cc
@@ -88,7 +88,7 @@
     const ReplicaChoice chosen =
         ChooseReplica(fixture.fleet_.state_, service, fixture.criteria_, now);
     if (chosen.replica_) {
-      chosen.replica_->cold_sends_.push_back(now);
+      RecordColdSend(service, *chosen.replica_, now);
       ++sent;
     }
   }
--- a/tests/traffic/fleet_fixture.h
+++ b/tests/traffic/fleet_fixture.h
@@ -76,6 +76,15 @@
   return route;
 }
 
+/// The names `vm-0`, `vm-1` and so on.
+inline std::shared_ptr<const std::vector<std::string>> DaemonNames(int count) {
+  std::vector<std::string> names;
+  for (int i = 0; i < count; ++i) {
+    names.push_back("vm-" + std::to_string(i));
+  }
+  return std::make_shared<const std::vector<std::string>>(std::move(names));
+}
+
 /// State of a daemon with one replica of each service in each of three failure
 /// domains.
 struct Fleet {
@@ -84,6 +93,8 @@
     configuration->version_ = 1;
     auto view = std::make_shared<TrafficView>();
     view->daemons_["a"] = daemons;
+    view->daemon_names_ = DaemonNames(daemons);
+    view->registered_since_ = At({}) - std::chrono::hours(1);
     for (RouteRule& route : routes) {
       for (const std::string& shard : route.shards_) {
         AddService(*configuration, *view, shard);
@@ -94,6 +105,7 @@
       AddRoute(*configuration, std::move(route));
     }
     view->configuration_ = configuration;
+    state_.name_ = "vm-0";
     state_.failure_domain_ = "a";
     ApplyView(state_, view);
   }
