Responses: limit the bytes that are kept of all of them

Callers: a replica whose responses do not end fills the memory of a VM; the daemon is ended and with it the requests of everyone else.

Cause: one limit of 16 MiB for each response, none for their sum, and bodies were kept as long as an attempt was open, also after the caller had its response.

Ruled out: heads, header fields, chunk extensions, trailers and interim responses without end are cut off at 64 KiB (`http_test`).

Fix: a budget of an eighth of the memory in the settings with a dynamic threshold, so that one replica, or many, leave room for small responses. A response beyond it ends like a malformed one. `content_length()` is no longer asked for before the head is complete.

--- a/src/gateway/connection_pool.cc
+++ b/src/gateway/connection_pool.cc
@@ -9,8 +9,8 @@
 namespace clementinerill::gateway {
 namespace {
 
-// Longest response accepted from a replica. The smallest VMs have 160 MB of
-// memory.
+// Longest response accepted from a replica; the budget for all responses may
+// allow less.
 constexpr uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
 
 // An idle connection is retired this long before the replica's idle timeout, so
@@ -41,6 +41,11 @@
   auto connection = std::make_shared<http::ClientConnection>(
       loop_, replica->entry_.address_, replica->entry_.port_,
       kMaxResponseBytes);
+  if (!replica->response_buffers_) {
+    replica->response_buffers_ = std::make_shared<BufferAccount>();
+    replica->response_buffers_->budget_ = response_budget_;
+  }
+  connection->SetBufferAccount(replica->response_buffers_);
   ++replica->open_connections_;
   const std::weak_ptr<http::ClientConnection> weak = connection;
   http::ClientConnection* raw = connection.get();
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -3,8 +3,10 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
+#include "base/buffer_budget.h"
 #include "base/time.h"
 #include "http/client_connection.h"
 #include "traffic/fleet_state.h"
@@ -17,7 +19,11 @@
 /// them to stay within the connection limit of this daemon.
 class ConnectionPool {
  public:
-  explicit ConnectionPool(http::EventLoop& loop) : loop_(loop) {}
+  /// @param response_budget limit of the bytes of all responses that are
+  /// received or not passed on yet.
+  ConnectionPool(http::EventLoop& loop,
+                 std::shared_ptr<BufferBudget> response_budget)
+      : loop_(loop), response_budget_(std::move(response_budget)) {}
 
   /// @brief Returns the most recently used idle connection if it was used
   /// within `max_idle`, otherwise a new connection.
@@ -60,6 +66,7 @@
   void Preconnect(Entry& entry, Instant now);
 
   http::EventLoop& loop_;
+  const std::shared_ptr<BufferBudget> response_budget_;
   std::map<traffic::ReplicaState*, Entry> entries_;
 };
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINERILL_GATEWAY_GATEWAY_METRICS_H_
 #define CLEMENTINERILL_GATEWAY_GATEWAY_METRICS_H_
 
+#include "http/client_connection.h"
 #include "metrics/registry.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/forward_outcome.h"
@@ -39,6 +40,13 @@
             "gateway_failed_parts_total",
             "Parts without an answer, by why no further attempt was made.",
             traffic::kPartFailureReasonNames)),
+        responses_cut_off_(registry_.AddReasonCounters(
+            "gateway_responses_cut_off_total",
+            "Responses of replicas that were cut off, by the limit.",
+            http::kResponseLimitNames)),
+        response_buffers_(registry_.AddGauge(
+            "gateway_response_buffer_bytes",
+            "Bytes of responses that are received or not passed on yet.")),
         departures_(registry_.AddCounter(
             "gateway_departures_reported_total",
             "Replicas that reported in a response that they are leaving.")),
@@ -85,6 +93,8 @@
   Counter& gathered_for_others_;
   Counter& forwards_refused_;
   ReasonCounters<traffic::PartFailureReason, 7> failed_parts_;
+  ReasonCounters<http::ResponseLimit, 3> responses_cut_off_;
+  Gauge& response_buffers_;
   Counter& departures_;
   Counter& skipped_parts_;
   Counter& unrouted_;
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINERILL_GATEWAY_GATEWAY_OPTIONS_H_
 #define CLEMENTINERILL_GATEWAY_GATEWAY_OPTIONS_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -31,6 +32,8 @@
   /// Relays to start from while the store is unavailable.
   std::vector<Endpoint> seeds_;
   int capacity_ = 0;  ///< CPU of this process in thousandths of a core.
+  /// Memory that this process may use; that of the smallest VMs if not set.
+  uint64_t memory_bytes_ = 160'000'000;
   /// The strictest of the bounds within which a change in the store must be in
   /// force.
   Duration max_propagation_delay_ = std::chrono::seconds(3);
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -346,6 +346,21 @@
              {"status", response.status_}});
 }
 
+void QuerySession::LogCutOff(const traffic::ReplicaState& replica,
+                             const http::ExchangeResult& result,
+                             Instant now) const {
+  if (result.cut_off_by_ == http::ResponseLimit::kNone) {
+    return;
+  }
+  context_.metrics_.responses_cut_off_.Increment(result.cut_off_by_);
+  static RateLimitedLogger lines;
+  lines.Log(now, LogLevel::kWarning, "replicas", "response cut off",
+            {{"replica", replica.entry_.id_},
+             {"service", replica.entry_.service_},
+             {"limit", NameOf(http::kResponseLimitNames, result.cut_off_by_)},
+             {"buffered_bytes", replica.response_buffers_->held_bytes_}});
+}
+
 void QuerySession::OnExchange(traffic::SendAction action,
                               http::ExchangeResult result) {
   const Instant now = http::EventLoop::Now();
@@ -369,6 +384,7 @@
   } else if (outcome != AttemptOutcome::kMisdirected) {
     RecordReport(*replica, result.response_, now);
   }
+  LogCutOff(*replica, result, now);
   const auto keep_alive =
       ParseKeepAlive(http::FindHeader(result.response_.headers_, "Keep-Alive"));
   traffic::ReplicaResponse response;
@@ -377,6 +393,7 @@
       http::FindHeader(result.response_.headers_, context_.names_.signature_));
   response.headers_ = http::EndToEndHeaders(result.response_.headers_);
   response.body_ = std::move(result.response_.body_);
+  response.hold_ = std::move(result.hold_);
   traffic::RecordAttemptOutcome(context_.fleet_, query_, action, outcome,
                                 std::move(response), now);
   context_.pool_.Release(replica, connection, keep_alive, now);
@@ -429,6 +446,15 @@
   CountUnansweredParts();
   context_.metrics_.latency_.Record(now - query_.started_);
   LogEnd(response.status_, now);
+  ReleaseResponses();
+}
+
+// Attempts may go on until the deadline and keep this session.
+void QuerySession::ReleaseResponses() {
+  for (traffic::QueryPart& part : query_.parts_) {
+    part.response_ = {};
+    part.failed_response_ = {};
+  }
 }
 
 void QuerySession::CountUnansweredParts() {
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -84,6 +84,10 @@
   void OnCallerDisconnected();
   void Respond(Instant now);
   void CloseRunningAttempts(traffic::AttemptOutcome outcome, Instant now);
+  void LogCutOff(const traffic::ReplicaState& replica,
+                 const http::ExchangeResult& result,
+                 Instant now) const;
+  void ReleaseResponses();
   void CountUnansweredParts();
   void LogEnd(int status, Instant now) const;
 
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -35,6 +35,10 @@
 // Lower bound of that time.
 constexpr Duration kMinServeTime = milliseconds(100);
 
+// Part of the memory for the responses of replicas. A response takes up to
+// three times its size, while its buffer grows and while it is passed on.
+constexpr uint64_t kResponseMemoryPart = 8;
+
 // Aggregators that a query is forwarded to until one does not refuse it.
 constexpr int kMaxForwardTries = 3;
 
@@ -63,7 +67,8 @@
     : loop_(loop),
       options_(options),
       metrics_(metrics),
-      pool_(loop),
+      response_budget_(std::make_shared<BufferBudget>()),
+      pool_(loop, response_budget_),
       aggregators_(loop),
       context_{loop,           fleet_,  pool_,    aggregators_,
                options.names_, metrics, draining_},
@@ -131,6 +136,7 @@
 void TrafficServer::SetSettings(const GatewayOptions& settings) {
   fleet_.limits_ = settings.limits_;
   stop_grace_ = settings.stop_grace_;
+  response_budget_->limit_bytes_ = settings.memory_bytes_ / kResponseMemoryPart;
 }
 
 bool TrafficServer::IsReady() const {
@@ -416,6 +422,8 @@
   forward_listener_.CheckTimeouts(false, now);
   pool_.Maintain(fleet_, now);
   aggregators_.Maintain(traffic::UsedAggregators(fleet_.aggregation_), now);
+  metrics_.response_buffers_.Set(
+      static_cast<int64_t>(response_budget_->held_bytes_));
   RemoveExpiredSessions();
   CheckDrain(now);
   ReportRolloutEvidence();
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -100,6 +100,7 @@
   const GatewayOptions& options_;
   GatewayMetrics& metrics_;
   traffic::FleetState fleet_;
+  std::shared_ptr<BufferBudget> response_budget_;
   ConnectionPool pool_;
   AggregatorPool aggregators_;
   bool draining_ = false;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -34,6 +34,12 @@
       max_response_bytes_(max_response_bytes),
       last_use_(EventLoop::Now()) {}
 
+void ClientConnection::SetBufferAccount(
+    std::shared_ptr<BufferAccount> account) {
+  buffer_account_ = std::move(account);
+  hold_ = BufferHold(buffer_account_);
+}
+
 void ClientConnection::Open() {
   Connect();
 }
@@ -177,7 +183,11 @@
     const size_t used = parser_->put(asio::buffer(input_), error);
     input_.erase(0, used);
     if (ExceedsLimit()) {
-      Finish(ExchangeOutcome::kGarbled);
+      CutOff(ResponseLimit::kSize);
+      return;
+    }
+    if (!hold_.TryResize(BufferedBytes())) {
+      CutOff(ResponseLimit::kBuffers);
       return;
     }
     if (parser_->is_done()) {
@@ -190,7 +200,7 @@
     }
     if (error || used == 0) {
       if (input_.size() > kMaxUnparsedBytes) {
-        Finish(ExchangeOutcome::kGarbled);
+        CutOff(ResponseLimit::kSize);
       }
       return;
     }
@@ -203,11 +213,23 @@
 // Boost.Beast 1.74 does not check the Content-Length of a response against its
 // body limit.
 bool ClientConnection::ExceedsLimit() const {
+  if (!parser_->is_header_done()) {
+    return false;
+  }
   const auto length = parser_->content_length();
   return (length && *length > max_response_bytes_) ||
          parser_->get().body().size() > max_response_bytes_;
 }
 
+uint64_t ClientConnection::BufferedBytes() const {
+  return input_.size() + parser_->get().body().size();
+}
+
+void ClientConnection::CutOff(ResponseLimit limit) {
+  cut_off_by_ = limit;
+  Finish(ExchangeOutcome::kGarbled);
+}
+
 void ClientConnection::HandleResponse() {
   HttpResponse response;
   auto message = parser_->release();
@@ -265,13 +287,14 @@
   last_use_ = EventLoop::Now();
   busy_ = false;
   parser_.reset();
+  BufferHold hold = std::exchange(hold_, BufferHold(buffer_account_));
   Handler handler = std::move(handler_);
   handler_ = nullptr;
   if (outcome != ExchangeOutcome::kResponse || !reusable_) {
     CloseSocket();
   }
   if (handler) {
-    handler({outcome, std::move(response)});
+    handler({outcome, std::move(response), cut_off_by_, std::move(hold)});
   }
 }
 
@@ -290,6 +313,9 @@
   const auto self = shared_from_this();
   closed_ = true;
   reusable_ = false;
+  parser_.reset();
+  input_ = std::string();
+  hold_.Release();
   error_code ignored;
   socket_.close(ignored);
   const auto callback = std::move(on_closed_);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -12,6 +12,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "base/buffer_budget.h"
+#include "base/name_table.h"
 #include "http/event_loop.h"
 #include "http/http_message.h"
 
@@ -25,10 +27,26 @@
   kGarbled,   ///< Malformed, mismatched, too long or endless response.
 };
 
+/// @brief The limit because of which a response was cut off.
+enum class ResponseLimit {
+  kNone,
+  kSize,     ///< Of one response or of a part of its framing.
+  kBuffers,  ///< Of the bytes that are kept of all responses.
+};
+
+inline constexpr std::array<NameEntry<ResponseLimit>, 3> kResponseLimitNames = {
+    {
+        {ResponseLimit::kNone, "none"},
+        {ResponseLimit::kSize, "size"},
+        {ResponseLimit::kBuffers, "buffers"},
+    }};
+
 struct ExchangeResult {
   ExchangeOutcome outcome_ = ExchangeOutcome::kBroken;
   /// If it is not complete: its status and headers, once they were received.
   HttpResponse response_;
+  ResponseLimit cut_off_by_ = ResponseLimit::kNone;  ///< If garbled.
+  BufferHold hold_;  ///< Counts the bytes of the body.
 };
 
 /// @brief A serialized request and the rule for matching its response.
@@ -78,6 +96,10 @@
   /// Takes effect when the connection is opened.
   void EnableKeepAlive() noexcept { tcp_keep_alive_ = true; }
 
+  /// @brief Counts the bytes of responses for an account. A response beyond its
+  /// budget ends the exchange with `ExchangeOutcome::kGarbled`.
+  void SetBufferAccount(std::shared_ptr<BufferAccount> account);
+
   /// @brief Sets the callback that is called once when the connection closes,
   /// for whatever reason.
   void OnClosed(std::function<void()> callback) {
@@ -113,6 +135,8 @@
   void OnOtherResponse(const HttpResponse& response);
   [[nodiscard]] HttpResponse IncompleteResponse() const;
   [[nodiscard]] bool ExceedsLimit() const;
+  [[nodiscard]] uint64_t BufferedBytes() const;
+  void CutOff(ResponseLimit limit);
   void Finish(ExchangeOutcome outcome, HttpResponse response = {});
   void CloseSocket();
 
@@ -127,6 +151,9 @@
   int interim_responses_ = 0;  ///< Received for this request.
   Handler handler_;
   std::optional<Parser> parser_;
+  std::shared_ptr<BufferAccount> buffer_account_;
+  BufferHold hold_;  ///< Of the response in progress.
+  ResponseLimit cut_off_by_ = ResponseLimit::kNone;
   std::function<void()> on_closed_;
   Instant last_use_{};
   bool connecting_ = false;
--- a/src/traffic/replica_response.h
+++ b/src/traffic/replica_response.h
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/buffer_budget.h"
+
 namespace clementinerill::traffic {
 
 /// @brief A complete response of a replica.
@@ -13,6 +15,7 @@
   std::string signature_;  ///< Signature of the replica for this response.
   std::vector<std::pair<std::string, std::string>> headers_;  ///< End-to-end.
   std::string body_;
+  BufferHold hold_ = {};  ///< Counts the bytes of the body.
 };
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/buffer_budget.h"
 #include "base/time.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/rate_allowance.h"
@@ -54,6 +55,8 @@
   double preferring_daemons_ = 0;  ///< Daemons that prefer the replica.
   int idle_connections_ = 0;       ///< Idle in the connection pool.
   int open_connections_ = 0;       ///< In use, idle or being opened.
+  /// Of the responses that are received or not passed on yet.
+  std::shared_ptr<BufferAccount> response_buffers_;
   /// Another process answered at the address; no more requests are sent there.
   bool misdirected_ = false;
 };
--- a/tests/gateway/aggregation_test.cc
+++ b/tests/gateway/aggregation_test.cc
@@ -187,8 +187,9 @@
     request.bytes_ =
         "GET /s/1 HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: 1\r\n" +
         header + "\r\n\r\n";
-    connection->Start(std::move(request),
-                      [&result](http::ExchangeResult r) { result = r; });
+    connection->Start(std::move(request), [&result](http::ExchangeResult r) {
+      result = std::move(r);
+    });
     fixture.RunUntil([&result] { return result.has_value(); });
     connection->Close();
     return result->response_.status_;
--- /dev/null
+++ b/tests/gateway/buffer_test.cc
@@ -0,0 +1,100 @@
+#include <malloc.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway_fixture.h"
+#include "http/test_server.h"
+
+namespace clementinerill::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Memory of the smallest VMs, for which a daemon is set up by default.
+constexpr uint64_t kMemoryBytes = 160'000'000;
+
+/// Memory of this process in use, including that of the fakes.
+uint64_t ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  uint64_t total_pages = 0;
+  uint64_t resident_pages = 0;
+  file >> total_pages >> resident_pages;
+  return resident_pages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+/// A daemon whose service `hold` has one replica, which sends what the test
+/// chooses.
+struct BufferFixture : GatewayFixture {
+  explicit BufferFixture(http::TestServer::Reply reply)
+      : faulty_(loop_, [reply](const std::string& /*head*/) { return reply; }) {
+    PutEverything();
+    nlohmann::json entry = replicas_[2]->Entry("hold");
+    entry["address"] = "127.0.0.1:" + std::to_string(faulty_.Port());
+    store_.Put("servers", "c1", entry);
+    daemon_ = &Start(Options("vm-1"));
+    REQUIRE(RunUntil([this] { return IsReady(*daemon_); }));
+  }
+
+  /// Starts requests for `hold` that take up to 800 ms.
+  void StartCalls(int count) {
+    const Endpoint& endpoint = daemon_->options_.caller_listen_;
+    for (int i = 0; i < count; ++i) {
+      auto connection = std::make_shared<http::ClientConnection>(
+          loop_, endpoint.address_, endpoint.port_, 1 << 20);
+      http::ExchangeRequest request;
+      request.bytes_ =
+          "GET /h5/1 HTTP/1.1\r\nHost: hold.example\r\nX-Request-Id: call-" +
+          std::to_string(i) + "\r\nX-Request-Deadline: 800\r\n\r\n";
+      connection->Start(
+          std::move(request),
+          [this](const http::ExchangeResult& /*result*/) { ++ended_calls_; });
+      calls_.push_back(std::move(connection));
+    }
+  }
+
+  http::TestServer faulty_;
+  Daemon* daemon_ = nullptr;
+  std::vector<std::shared_ptr<http::ClientConnection>> calls_;
+  int ended_calls_ = 0;
+};
+
+// Guards against a replica that ends a daemon, and with it the requests for all
+// other replicas, by sending bytes without end in many responses at once.
+TEST_CASE("bytes without end stay within the memory of the VM",
+          "[gateway][buffers]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\n";
+  const std::string filler(64 * 1024, 'x');
+  const auto reply = GENERATE_COPY(values<http::TestServer::Reply>(
+      {{head + "\r\n", false, filler},
+       {head + "Transfer-Encoding: chunked\r\n\r\n", false,
+        "10000\r\n" + filler + "\r\n"},
+       {head + "Content-Length: 16777000\r\n\r\n", false, filler}}));
+  INFO(reply.bytes_);
+  BufferFixture fixture(reply);
+  // Without what earlier tests have freed and the allocator keeps.
+  malloc_trim(0);
+  const uint64_t before = ResidentBytes();
+  uint64_t most = before;
+  constexpr int kCalls = 60;
+  fixture.StartCalls(kCalls);
+  int served = 0;
+  int sweeps = 0;
+  while (fixture.ended_calls_ < kCalls && sweeps < 5000) {
+    ++sweeps;
+    served += fixture.FanOut(*fixture.daemon_).status_ == 200 ? 1 : 0;
+    most = std::max(most, ResidentBytes());
+  }
+  CHECK(fixture.ended_calls_ == kCalls);
+  CHECK(served == sweeps);
+  CHECK(most - before < kMemoryBytes);
+}
+
+}  // namespace
+}  // namespace clementinerill::gateway
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -247,8 +247,9 @@
     request.bytes_ = "GET " + target + " HTTP/1.1\r\nHost: " + host +
                      "\r\nX-Request-Id: " + id +
                      "\r\nX-Request-Deadline: 800\r\n\r\n";
-    connection->Start(std::move(request),
-                      [&result](http::ExchangeResult r) { result = r; });
+    connection->Start(std::move(request), [&result](http::ExchangeResult r) {
+      result = std::move(r);
+    });
     RunUntil([&result] { return result.has_value(); });
     connection->Close();
     return result ? result->response_ : http::HttpResponse{};
--- a/tests/http/client_connection_test.cc
+++ b/tests/http/client_connection_test.cc
@@ -34,7 +34,7 @@
     connection_->Start(std::move(request),
                        [&result](ExchangeResult r) { result = std::move(r); });
     REQUIRE(RunUntil(loop_, [&result] { return result.has_value(); }));
-    return *result;
+    return std::move(*result);
   }
 
   EventLoop loop_;
