Requests: limit the bytes that are kept of all of them

Callers: uploads that stop before their end fill the memory of a VM, as responses without end did; found on the related paths of that fault.

Cause: a limit for each body, none for their sum.

Ruled out: kernel buffers; the bytes are in the daemon's own memory.

Fix: an eighth of the memory for requests, from their first byte until their response, counted twice for the copy that goes to a replica. What exceeds it is refused with 503 and `Retry-After` before it runs; bytes ahead of the next request are not read then.

--- a/src/base/buffer_budget.cc
+++ b/src/base/buffer_budget.cc
@@ -12,6 +12,13 @@
          account.held_bytes_ + more <= budget.limit_bytes_ - held;
 }
 
+std::shared_ptr<BufferAccount> MakeBufferAccount(
+    std::shared_ptr<BufferBudget> budget) {
+  return budget ? std::make_shared<BufferAccount>(
+                      BufferAccount{std::move(budget), 0})
+                : nullptr;
+}
+
 BufferHold::BufferHold(std::shared_ptr<BufferAccount> account) noexcept
     : account_(std::move(account)) {}
 
@@ -38,6 +45,7 @@
   }
   BufferBudget& budget = *account_->budget_;
   if (bytes > bytes_ && !MayHold(budget, *account_, bytes - bytes_)) {
+    ++budget.refusals_;
     return false;
   }
   budget.held_bytes_ += bytes - bytes_;
--- a/src/base/buffer_budget.h
+++ b/src/base/buffer_budget.h
@@ -10,6 +10,7 @@
 struct BufferBudget {
   uint64_t limit_bytes_ = 0;
   uint64_t held_bytes_ = 0;
+  uint64_t refusals_ = 0;  ///< Buffers that were not allowed to grow.
 };
 
 /// @brief The part of a budget that one holder uses, for example one replica.
@@ -27,6 +28,10 @@
                            const BufferAccount& account,
                            uint64_t more) noexcept;
 
+/// @brief Returns an account for one holder; null if `budget` is null.
+[[nodiscard]] std::shared_ptr<BufferAccount> MakeBufferAccount(
+    std::shared_ptr<BufferBudget> budget);
+
 /// @brief Bytes in one buffer, which count for an account while this exists.
 class BufferHold {
  public:
--- a/src/gateway/connection_pool.cc
+++ b/src/gateway/connection_pool.cc
@@ -42,8 +42,7 @@
       loop_, replica->entry_.address_, replica->entry_.port_,
       kMaxResponseBytes);
   if (!replica->response_buffers_) {
-    replica->response_buffers_ = std::make_shared<BufferAccount>();
-    replica->response_buffers_->budget_ = response_budget_;
+    replica->response_buffers_ = MakeBufferAccount(response_budget_);
   }
   connection->SetBufferAccount(replica->response_buffers_);
   ++replica->open_connections_;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -47,6 +47,13 @@
         response_buffers_(registry_.AddGauge(
             "gateway_response_buffer_bytes",
             "Bytes of responses that are received or not passed on yet.")),
+        request_buffers_(registry_.AddGauge(
+            "gateway_request_buffer_bytes",
+            "Bytes of requests that are received or in progress.")),
+        requests_refused_(registry_.AddCounter(
+            "gateway_request_buffers_refused_total",
+            "Times that the memory for requests was used up: requests refused "
+            "or not read ahead.")),
         departures_(registry_.AddCounter(
             "gateway_departures_reported_total",
             "Replicas that reported in a response that they are leaving.")),
@@ -95,6 +102,8 @@
   ReasonCounters<traffic::PartFailureReason, 7> failed_parts_;
   ReasonCounters<http::ResponseLimit, 3> responses_cut_off_;
   Gauge& response_buffers_;
+  Gauge& request_buffers_;
+  Counter& requests_refused_;
   Counter& departures_;
   Counter& skipped_parts_;
   Counter& unrouted_;
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -39,6 +39,9 @@
 // three times its size, while its buffer grows and while it is passed on.
 constexpr uint64_t kResponseMemoryPart = 8;
 
+// Part of the memory for the requests of callers.
+constexpr uint64_t kRequestMemoryPart = 8;
+
 // Aggregators that a query is forwarded to until one does not refuse it.
 constexpr int kMaxForwardTries = 3;
 
@@ -68,6 +71,7 @@
       options_(options),
       metrics_(metrics),
       response_budget_(std::make_shared<BufferBudget>()),
+      request_budget_(std::make_shared<BufferBudget>()),
       pool_(loop, response_budget_),
       aggregators_(loop),
       context_{loop,           fleet_,  pool_,    aggregators_,
@@ -96,6 +100,7 @@
   fleet_.region_ = options.region_;
   SetSettings(options);
   fleet_.view_ = std::make_shared<traffic::TrafficView>();
+  caller_listener_.SetRequestBudget(request_budget_);
 }
 
 Result<void> TrafficServer::Listen() {
@@ -137,6 +142,7 @@
   fleet_.limits_ = settings.limits_;
   stop_grace_ = settings.stop_grace_;
   response_budget_->limit_bytes_ = settings.memory_bytes_ / kResponseMemoryPart;
+  request_budget_->limit_bytes_ = settings.memory_bytes_ / kRequestMemoryPart;
 }
 
 bool TrafficServer::IsReady() const {
@@ -424,12 +430,21 @@
   aggregators_.Maintain(traffic::UsedAggregators(fleet_.aggregation_), now);
   metrics_.response_buffers_.Set(
       static_cast<int64_t>(response_budget_->held_bytes_));
+  ReportRequestBuffers();
   RemoveExpiredSessions();
   CheckDrain(now);
   ReportRolloutEvidence();
   loop_.Timers().Add(now + kTickPeriod, [this] { Tick(); });
 }
 
+void TrafficServer::ReportRequestBuffers() {
+  metrics_.request_buffers_.Set(
+      static_cast<int64_t>(request_budget_->held_bytes_));
+  metrics_.requests_refused_.Increment(request_budget_->refusals_ -
+                                       counted_refusals_);
+  counted_refusals_ = request_budget_->refusals_;
+}
+
 void TrafficServer::ReportRolloutEvidence() {
   if (!on_evidence_) {
     return;
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -93,6 +93,7 @@
   void CheckDrain(Instant now);
   /// When a stopping daemon sends its last responses.
   [[nodiscard]] Instant ServeEnd() const;
+  void ReportRequestBuffers();
   void ReportRolloutEvidence();
   void RemoveExpiredSessions();
 
@@ -101,6 +102,8 @@
   GatewayMetrics& metrics_;
   traffic::FleetState fleet_;
   std::shared_ptr<BufferBudget> response_budget_;
+  std::shared_ptr<BufferBudget> request_budget_;
+  uint64_t counted_refusals_ = 0;  ///< Of `request_budget_`, in the metrics.
   ConnectionPool pool_;
   AggregatorPool aggregators_;
   bool draining_ = false;
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -73,6 +73,7 @@
         const auto connection = std::make_shared<ServerConnection>(
             loop_, std::move(socket), limits_, handler_);
         connections_.push_back(connection);
+        connection->SetRequestBudget(request_budget_);
         connection->Start();
         Accept();
       });
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -30,6 +31,12 @@
   /// ones; to be called periodically. With `draining`, closes all idle ones.
   void CheckTimeouts(bool draining, Instant now);
 
+  /// @brief Sets the budget for the requests on connections that are accepted
+  /// from now on.
+  void SetRequestBudget(std::shared_ptr<BufferBudget> budget) {
+    request_budget_ = std::move(budget);
+  }
+
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
   /// @brief The number of connections with a request in progress.
@@ -43,6 +50,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   ServerConnection::Handler handler_;
   CallerLimits limits_;
+  std::shared_ptr<BufferBudget> request_budget_;
   std::list<std::shared_ptr<ServerConnection>> connections_;
 };
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -7,6 +7,7 @@
 
 #include "http/parsed_headers.h"
 #include "http/socket_options.h"
+#include "logging/log.h"
 
 namespace clementinerill::http {
 
@@ -20,6 +21,13 @@
 // only when the response is written.
 constexpr size_t kMaxReadAhead = 64 * 1024;
 
+// A request body and its copy for the replica.
+constexpr uint64_t kCopiesOfBody = 2;
+
+// `Retry-After` of a request that is refused for lack of memory, in seconds.
+// Other daemons can take it.
+constexpr const char* kBusyRetryAfterS = "0.1";
+
 // A request with its body may take this multiple of the header timeout.
 constexpr int kBodyTimeoutFactor = 3;
 
@@ -36,6 +44,10 @@
       last_use_(EventLoop::Now()),
       request_start_(last_use_) {}
 
+void ServerConnection::SetRequestBudget(std::shared_ptr<BufferBudget> budget) {
+  request_hold_ = BufferHold(MakeBufferAccount(std::move(budget)));
+}
+
 void ServerConnection::Start() {
   SetNoDelay(socket_);
   error_code ignored;
@@ -84,7 +96,10 @@
   if (!serving_ && !writing_) {
     Parse();
   }
-  Read();
+  // Without memory for bytes ahead, reading pauses until the response.
+  if (!closed_ && request_hold_.TryResize(BufferedBytes())) {
+    Read();
+  }
 }
 
 void ServerConnection::Parse() {
@@ -98,6 +113,10 @@
       Reject(too_large ? 413 : long_header ? 431 : 400);
       return;
     }
+    if (!request_hold_.TryResize(BufferedBytes())) {
+      RejectOverBudget();
+      return;
+    }
     if (parser_->is_done()) {
       DispatchRequest();
       continue;
@@ -123,6 +142,7 @@
   request.target_ = std::string(message.target());
   request.headers_ = CopyHeaders(message);
   request.body_ = std::move(message.body());
+  serving_body_bytes_ = request.body_.size();
   keep_alive_ = request.keep_alive_;
   is_head_ = request.method_ == "HEAD";
   serving_ = true;
@@ -130,19 +150,39 @@
   handler_(shared_from_this(), std::move(request));
 }
 
-void ServerConnection::Reject(int status) {
+void ServerConnection::Reject(int status, Headers headers) {
   HttpResponse response;
   response.status_ = status;
+  response.headers_ = std::move(headers);
   serving_ = true;
   is_head_ = false;
   Respond(response, true);
 }
 
+// The body is copied once more for each attempt at a replica.
+uint64_t ServerConnection::BufferedBytes() const {
+  const uint64_t body = serving_body_bytes_ + parser_->get().body().size();
+  return input_.size() + kCopiesOfBody * body;
+}
+
+void ServerConnection::RejectOverBudget() {
+  static RateLimitedLogger lines;
+  lines.Log(EventLoop::Now(), LogLevel::kWarning, "caller",
+            "request refused, no memory for its body",
+            {{"status", 503}, {"bytes", BufferedBytes()}});
+  ResetParser();
+  input_ = std::string();
+  Reject(503, {{"Retry-After", kBusyRetryAfterS}});
+}
+
 void ServerConnection::Respond(const HttpResponse& response, bool close) {
   if (closed_ || !serving_) {
     return;
   }
   serving_ = false;
+  serving_body_bytes_ = 0;
+  // Fewer bytes are always allowed.
+  static_cast<void>(request_hold_.TryResize(BufferedBytes()));
   on_disconnect_ = nullptr;
   const bool closes = close || !keep_alive_;
   Write(ToBytes(response, closes, is_head_), closes);
@@ -218,6 +258,9 @@
   closed_ = true;
   on_disconnect_ = nullptr;
   handler_ = nullptr;
+  input_ = std::string();
+  parser_.reset();
+  request_hold_.Release();
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   socket_.close(ignored);
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "base/buffer_budget.h"
 #include "base/caller_limits.h"
 #include "base/time.h"
 #include "http/event_loop.h"
@@ -37,6 +38,10 @@
 
   void Start();
 
+  /// @brief Counts the bytes of requests for a budget. A request beyond it is
+  /// refused with status 503. To be called before `Start`.
+  void SetRequestBudget(std::shared_ptr<BufferBudget> budget);
+
   /// @brief Sends the response to the request in progress. With `close` the
   /// connection is closed afterwards.
   void Respond(const HttpResponse& response, bool close);
@@ -76,7 +81,9 @@
   void OnRead(const boost::system::error_code& error, size_t bytes);
   void Parse();
   void DispatchRequest();
-  void Reject(int status);
+  void Reject(int status, Headers headers = {});
+  void RejectOverBudget();
+  [[nodiscard]] uint64_t BufferedBytes() const;
   void Write(std::string bytes, bool close);
   void OnWritten(bool close);
   [[nodiscard]] bool IsIdle() const noexcept;
@@ -89,6 +96,8 @@
   std::string input_;
   std::string output_;
   std::optional<Parser> parser_;
+  BufferHold request_hold_;  ///< Of the bytes received, until the response.
+  uint64_t serving_body_bytes_ = 0;  ///< Of the request in progress.
   std::function<void()> on_disconnect_;
   Instant last_use_;
   Instant request_start_;
--- a/tests/gateway/buffer_test.cc
+++ b/tests/gateway/buffer_test.cc
@@ -3,10 +3,12 @@
 
 #include <algorithm>
 #include <fstream>
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "gateway/gateway_fixture.h"
@@ -96,5 +98,46 @@
   CHECK(most - before < kMemoryBytes);
 }
 
+// Guards against callers that end a daemon by uploads that stop before their
+// end.
+TEST_CASE("uploads that stop short stay within the memory of the VM",
+          "[gateway][buffers]") {
+  BufferFixture fixture({"", false});
+  const Endpoint& endpoint = fixture.daemon_->options_.caller_listen_;
+  // The limit of a body is 1 MiB if none is configured.
+  const std::string upload =
+      "POST /h5/1 HTTP/1.1\r\nHost: hold.example\r\nX-Request-Id: up\r\n"
+      "Content-Length: 1000001\r\n\r\n" +
+      std::string(1000000, 'x');
+  // Without what earlier tests have freed and the allocator keeps.
+  malloc_trim(0);
+  const uint64_t before = ResidentBytes();
+  constexpr int kUploads = 400;
+  std::list<boost::asio::ip::tcp::socket> callers;
+  int sent = 0;
+  for (int i = 0; i < kUploads; ++i) {
+    auto& caller = callers.emplace_back(fixture.loop_.Context());
+    caller.connect(
+        {boost::asio::ip::make_address(endpoint.address_), endpoint.port_});
+    boost::asio::async_write(
+        caller, boost::asio::buffer(upload),
+        [&sent](const auto& /*error*/, size_t /*size*/) { ++sent; });
+  }
+  uint64_t most = before;
+  fixture.RunUntil([&] {
+    most = std::max(most, ResidentBytes());
+    return sent == kUploads;
+  });
+  CHECK(sent == kUploads);
+  // The kernel may have taken bytes that the daemon has not read yet.
+  const Instant end = http::EventLoop::Now() + milliseconds(1500);
+  fixture.RunUntil([&] {
+    most = std::max(most, ResidentBytes());
+    return http::EventLoop::Now() >= end;
+  });
+  CHECK(fixture.FanOut(*fixture.daemon_).status_ == 200);
+  CHECK(most - before < kMemoryBytes);
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
