Replicas: keep the pause that a replica asks for with a refusal

Cause: nothing read `Retry-After` of replicas.

Ruled out: a header that is read and overridden; there was no reader.

Fix: no request until the end of the pause that ends last; decimal seconds, an hour at most, other values are ignored.

--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -54,6 +54,9 @@
             "gateway_request_buffers_refused_total",
             "Times that the memory for requests was used up: requests refused "
             "or not read ahead.")),
+        pauses_(registry_.AddCounter(
+            "gateway_pauses_requested_total",
+            "Refusals with which a replica asked for a pause.")),
         departures_(registry_.AddCounter(
             "gateway_departures_reported_total",
             "Replicas that reported in a response that they are leaving.")),
@@ -104,6 +107,7 @@
   Gauge& response_buffers_;
   Gauge& request_buffers_;
   Counter& requests_refused_;
+  Counter& pauses_;
   Counter& departures_;
   Counter& skipped_parts_;
   Counter& unrouted_;
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -311,9 +311,10 @@
                                 Instant now) const {
   RecordDeparture(replica, response, now);
   const std::optional<double> previous = replica.rate_limit_;
+  const Instant paused_until = replica.paused_until_;
   traffic::RecordReport(context_.fleet_, replica,
-                        DecodeReplicaReport(response.headers_, context_.names_),
-                        now);
+                        DecodeReplicaReport(response, context_.names_), now);
+  LogPause(replica, paused_until, now);
   if (replica.rate_limit_ == previous) {
     return;
   }
@@ -326,6 +327,20 @@
              {"previous", previous.value_or(0)}});
 }
 
+void QuerySession::LogPause(const traffic::ReplicaState& replica,
+                            Instant previous,
+                            Instant now) const {
+  if (replica.paused_until_ == previous) {
+    return;
+  }
+  context_.metrics_.pauses_.Increment();
+  static RateLimitedLogger lines;
+  lines.Log(now, LogLevel::kInfo, "replicas", "pause requested",
+            {{"replica", replica.entry_.id_},
+             {"service", replica.entry_.service_},
+             {"pause_ms", Duration(replica.paused_until_ - now)}});
+}
+
 // Also of responses that are not used otherwise: a departure is true whatever
 // becomes of the response that reports it.
 void QuerySession::RecordDeparture(traffic::ReplicaState& replica,
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -77,6 +77,9 @@
   void RecordReport(traffic::ReplicaState& replica,
                     const http::HttpResponse& response,
                     Instant now) const;
+  void LogPause(const traffic::ReplicaState& replica,
+                Instant previous,
+                Instant now) const;
   void RecordDeparture(traffic::ReplicaState& replica,
                        const http::HttpResponse& response,
                        Instant now) const;
--- a/src/gateway/replica_report_decoder.cc
+++ b/src/gateway/replica_report_decoder.cc
@@ -15,6 +15,9 @@
 constexpr uint64_t kMaxLoad = 1000000;
 constexpr std::chrono::milliseconds kMaxWarmup = std::chrono::hours(1);
 
+// Cap of a pause; longer ones are taken for a mistake.
+constexpr double kMaxPauseS = 3600;
+
 std::optional<traffic::ReportedLoad> ParseLoad(std::string_view text) {
   std::array<int, 3> numbers{};
   for (int& number : numbers) {
@@ -29,10 +32,20 @@
   return traffic::ReportedLoad{numbers[0], numbers[1], numbers[2]};
 }
 
+// Decimal seconds only; a date would depend on the clocks of both sides.
+std::optional<Duration> ParsePause(std::string_view text) {
+  const auto seconds = ParseDecimal(text);
+  if (!seconds) {
+    return std::nullopt;
+  }
+  return FromSeconds(std::min(*seconds, kMaxPauseS));
+}
+
 }  // namespace
 
-traffic::ReplicaReport DecodeReplicaReport(const http::Headers& headers,
+traffic::ReplicaReport DecodeReplicaReport(const http::HttpResponse& response,
                                            const WireNames& names) {
+  const http::Headers& headers = response.headers_;
   traffic::ReplicaReport report;
   report.load_ = ParseLoad(http::FindHeader(headers, names.load_));
   const auto warmup = ParseNumberUpTo(
@@ -42,6 +55,9 @@
   }
   report.rate_limit_ =
       ParseDecimal(http::FindHeader(headers, names.rate_limit_));
+  if (response.status_ == 503) {
+    report.pause_ = ParsePause(http::FindHeader(headers, "Retry-After"));
+  }
   return report;
 }
 
--- a/src/gateway/replica_report_decoder.h
+++ b/src/gateway/replica_report_decoder.h
@@ -7,11 +7,11 @@
 
 namespace clementinerill::gateway {
 
-/// @brief Decodes what the headers of a response say about its replica.
+/// @brief Decodes what a response says about its replica.
 ///
 /// Headers that are missing or malformed are left out.
 [[nodiscard]] traffic::ReplicaReport DecodeReplicaReport(
-    const http::Headers& headers,
+    const http::HttpResponse& response,
     const WireNames& names);
 
 /// @brief Whether the headers of a response say that its replica is leaving.
--- a/src/traffic/choose_replica.cc
+++ b/src/traffic/choose_replica.cc
@@ -190,13 +190,15 @@
       }
       continue;
     }
-    const Duration cold_wait = TimeUntilColdSend(fleet, service, *replica, now);
-    if (cold_wait > Duration::zero()) {
-      permits.wait_ = std::min(permits.wait_, cold_wait);
+    const Duration wait =
+        std::max(TimeUntilColdSend(fleet, service, *replica, now),
+                 Duration(replica->paused_until_ - now));
+    if (wait > Duration::zero()) {
+      permits.wait_ = std::min(permits.wait_, wait);
     } else {
       CountPermits(*replica, now, permits);
     }
-    if (cold_wait > Duration::zero() || !HasPermit(*replica, now)) {
+    if (wait > Duration::zero() || !HasPermit(*replica, now)) {
       if (choice.reason_ == NoReplicaReason::kUnavailable) {
         choice.reason_ = NoReplicaReason::kRateLimited;
       }
--- a/src/traffic/choose_replica.h
+++ b/src/traffic/choose_replica.h
@@ -15,9 +15,9 @@
   kUnavailable,  ///< No remaining replica may receive the request.
   /// Eligible replicas have no free connection; try again.
   kNoConnection,
-  /// All eligible replicas have reached the rate that they accept, named by
-  /// them or configured for cold ones; another
-  /// request may be sent after `ReplicaChoice::permit_wait_`.
+  /// All eligible replicas have reached the rate that they accept, which is
+  /// lower while they are cold, or take no requests for a time; another request
+  /// may be sent after `ReplicaChoice::permit_wait_`.
   kRateLimited,
 };
 
--- a/src/traffic/record_report.cc
+++ b/src/traffic/record_report.cc
@@ -70,6 +70,10 @@
     replica.entry_.cold_until_ = now + *report.warmup_remaining_;
   }
   RecordRateLimit(fleet, replica, report.rate_limit_, now);
+  if (report.pause_) {
+    replica.paused_until_ =
+        std::max(replica.paused_until_, now + *report.pause_);
+  }
 }
 
 bool RecordReportedDeparture(FleetState& fleet,
--- a/src/traffic/record_report.h
+++ b/src/traffic/record_report.h
@@ -11,7 +11,8 @@
 ///
 /// Of a rate limit this daemon may use an equal share, so that all daemons
 /// together stay within it without messages between them. The limit ends with a
-/// response that names none.
+/// response that names none. Of several pauses the one that ends last counts: a
+/// shorter one may answer a request that was sent earlier.
 void RecordReport(const FleetState& fleet,
                   ReplicaState& replica,
                   const ReplicaReport& report,
--- a/src/traffic/replica_report.h
+++ b/src/traffic/replica_report.h
@@ -15,6 +15,9 @@
   /// Requests per second that the replica accepts from all daemons together,
   /// for as long as its responses name a limit.
   std::optional<double> rate_limit_;
+  /// How long the replica, which refused a request, takes no further ones from
+  /// this daemon.
+  std::optional<Duration> pause_;
 };
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -45,6 +45,9 @@
   std::optional<double> rate_limit_;
   Instant rate_limit_named_at_{};
   RateAllowance rate_allowance_;  ///< While there is a rate limit.
+  /// Until when the replica takes no requests from this daemon, as it said with
+  /// a refusal.
+  Instant paused_until_{};
   /// When a response reported that the replica is leaving; never reset.
   std::optional<Instant> departure_reported_at_;
   /// Sends of the last second, if the service limits those to cold replicas.
