Cold replicas: bound the limit before it becomes an integer

Found while reading the diff: a configured cold_per_s beyond 2^31 was converted to int out of range, which is undefined. The new test of traffic_test [cold] failed before (1e10 and 1e300 requests/s); the limit is 10^6 at most now.

--- a/src/traffic/cold_limit.cc
+++ b/src/traffic/cold_limit.cc
@@ -15,6 +15,9 @@
 // Share of the limit that daemons use. The rest is a reserve for daemons that
 // have started and that others do not count yet.
 constexpr double kUsableShare = 0.8;
+// Upper bound of the limit, far above the rate of any replica, which keeps it
+// in the range of its type.
+constexpr double kMaxRequestsPerS = 1e6;
 
 bool UsesAggregators(const FleetState& fleet, const ServiceState& service) {
   return service.is_aggregated_ && fleet.aggregation_.aggregators_;
@@ -23,9 +26,10 @@
 // Requests that all daemons of `SendersTo` may send to a cold replica in a
 // second.
 int FleetLimit(const FleetState& fleet, const ServiceState& service) {
-  const double total =
+  const double total = std::min(
       service.rule_.cold_requests_per_s_ * fleet.limits_.cold_overage_ +
-      fleet.limits_.cold_slack_;
+          fleet.limits_.cold_slack_,
+      kMaxRequestsPerS);
   const int usable = std::max(static_cast<int>(total * kUsableShare),
                               std::min(static_cast<int>(total), 1));
   return UsesAggregators(fleet, service)
--- a/tests/traffic/cold_limit_test.cc
+++ b/tests/traffic/cold_limit_test.cc
@@ -176,6 +176,15 @@
         milliseconds(800));
 }
 
+// Guards against a configured rate that is too large for the type of a share.
+TEST_CASE("the limit of a cold replica has an upper bound", "[cold]") {
+  ColdFleet fleet(1, GENERATE(1e10, 1e300));
+  FleetState& state = fleet.fleets_[0]->state_;
+  ServiceState& service = *FindService(state, "docket");
+  CHECK(ColdRequestLimit(state, service, *service.replicas_[0], At({})) ==
+        800000);
+}
+
 // Guards against a part of the limit that is lost with a request that was not
 // sent.
 TEST_CASE("a cancelled send does not count for a cold replica", "[cold]") {
