Replicas: derive the grace period of leaving ones from the drain bound

Callers: on a deployment with a drain bound below 2 s, requests that reach a replica after it has exited.

Cause: the grace period was a constant of 2 s. Departures from responses and from the store both use it.

Evidence, seen before the fix: `gateway_test` [departure] with a grace period of 0.4 s, the only replica of a service gets a request after it; `traffic_test` [departure], the same under a steady load; settings with a `drain_ms` of 900 gave 2 s.

Ruled out: a departure that is forgotten; its time was kept, the bound was wrong.

Fix: two thirds of `drain_ms`, 2 s at most, so that the value of all sites in force stays. A third is left for the propagation of a departure.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -408,6 +408,7 @@
   for (const auto& [id, entry] : directory_.replicas_) {
     view->replicas_.push_back(entry);
   }
+  view->leaving_grace_ = options_.leaving_grace_;
   view->evacuated_ = evacuations_.FailureDomains();
   rollouts_.ForgetWithdrawn(directory_);
   view->rollouts_ = rollouts_.Orders();
@@ -423,7 +424,8 @@
 
 void ControlLoop::Tick() {
   const Instant now = http::EventLoop::Now();
-  const bool evicted = traffic::EvictDepartedReplicas(directory_, now);
+  const bool evicted =
+      traffic::EvictDepartedReplicas(directory_, options_.leaving_grace_, now);
   if (evacuations_.EndLost(now) || evicted) {
     PublishView();
   }
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -13,6 +13,7 @@
 #include "gateway/wire_names.h"
 #include "settings/endpoint.h"
 #include "traffic/fleet_state.h"
+#include "traffic/replica_directory.h"
 
 namespace clementinerill::gateway {
 
@@ -37,6 +38,8 @@
   /// The strictest of the bounds within which a change in the store must be in
   /// force.
   Duration max_propagation_delay_ = std::chrono::seconds(3);
+  /// How long leaving replicas may be used if there is no other one.
+  Duration leaving_grace_ = traffic::kLeavingGrace;
   Duration stop_grace_ = std::chrono::seconds(6);  ///< From SIGTERM to SIGKILL.
   traffic::FleetLimits limits_;
   WireNames names_;
--- a/src/traffic/replica_directory.cc
+++ b/src/traffic/replica_directory.cc
@@ -49,12 +49,14 @@
   }
 }
 
-bool EvictDepartedReplicas(ReplicaDirectory& directory, Instant now) {
+bool EvictDepartedReplicas(ReplicaDirectory& directory,
+                           Duration grace,
+                           Instant now) {
   bool changed = false;
   auto& replicas = directory.replicas_;
   for (auto it = replicas.begin(); it != replicas.end();) {
     const auto& leaving = it->second.leaving_since_;
-    const bool is_over = leaving && now - *leaving >= kLeavingGrace;
+    const bool is_over = leaving && now - *leaving >= grace;
     // Listed replicas stay, so that the time of their first announcement is
     // kept.
     if (is_over && !it->second.is_listed_) {
--- a/src/traffic/replica_directory.h
+++ b/src/traffic/replica_directory.h
@@ -11,8 +11,9 @@
 
 namespace clementinerill::traffic {
 
-/// @brief How long a replica whose entry was removed, or that announced its
-/// departure, may still receive requests if its service has no other replica.
+/// @brief The longest time for which a replica whose entry was removed, or that
+/// announced its departure, may still receive requests if its service has no
+/// other replica. A deployment may allow less.
 ///
 /// Entries that expired during an outage of the store return within about 2 s.
 /// A leaving replica serves for at least 3 s after the store accepted its
@@ -45,8 +46,10 @@
                      Instant now);
 
 /// @brief Removes unlisted replicas that have been leaving for at least
-/// `kLeavingGrace`. Returns whether there were any.
-bool EvictDepartedReplicas(ReplicaDirectory& directory, Instant now);
+/// `grace`. Returns whether there were any.
+bool EvictDepartedReplicas(ReplicaDirectory& directory,
+                           Duration grace,
+                           Instant now);
 
 }  // namespace clementinerill::traffic
 
--- a/src/traffic/replica_eligibility.cc
+++ b/src/traffic/replica_eligibility.cc
@@ -17,8 +17,8 @@
     return ReplicaEligibility::kEjected;
   }
   if (const auto leaving = LeavingSince(replica)) {
-    return now - *leaving >= kLeavingGrace ? ReplicaEligibility::kGone
-                                           : ReplicaEligibility::kLeaving;
+    return now - *leaving >= view.leaving_grace_ ? ReplicaEligibility::kGone
+                                                 : ReplicaEligibility::kLeaving;
   }
   return IsOnProbation(replica) ? ReplicaEligibility::kOnProbation
                                 : ReplicaEligibility::kUsable;
--- a/src/traffic/traffic_view.h
+++ b/src/traffic/traffic_view.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "traffic/aggregation_plan.h"
+#include "traffic/replica_directory.h"
 #include "traffic/replica_entry.h"
 #include "traffic/rollout_order.h"
 #include "traffic/traffic_configuration.h"
@@ -28,6 +29,8 @@
   /// Null until the first configuration has been received.
   std::shared_ptr<const TrafficConfiguration> configuration_;
   std::vector<ReplicaEntry> replicas_;
+  /// How long leaving replicas may be used if there is no other one.
+  Duration leaving_grace_ = kLeavingGrace;
   /// Failure domains whose replicas receive no new requests.
   std::set<std::string> evacuated_;
   std::vector<RolloutOrder> rollouts_;
--- a/tests/gateway/departure_test.cc
+++ b/tests/gateway/departure_test.cc
@@ -165,5 +165,27 @@
   CHECK(misdirected == 1);
 }
 
+// Guards against requests to the only replica of a service after the time for
+// which the settings say that a leaving replica serves.
+TEST_CASE("the only replica gets nothing after the grace period",
+          "[gateway][departure]") {
+  GatewayFixture fixture;
+  fixture.PutEverything();
+  fixture.replicas_[2]->extra_headers_ = {{"Server-Leaving", "1"}};
+  GatewayOptions options = fixture.Options("vm-1");
+  options.leaving_grace_ = milliseconds(400);
+  const Daemon& daemon = fixture.Start(options);
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsReady(daemon); }));
+  const auto status = [&] {
+    return fixture.Get(daemon.options_.caller_listen_, "hold.example", "/h5/1")
+        .status_;
+  };
+  CHECK(status() == 200);
+  CHECK(status() == 200);
+  fixture.RunFor(milliseconds(400));
+  CHECK(status() == 503);
+  CHECK(fixture.replicas_[2]->requests_.size() == 2);
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -298,6 +298,24 @@
   CHECK(options->max_propagation_delay_ == milliseconds(2000));
 }
 
+// Guards against requests to a leaving replica later than the deployment
+// allows.
+TEST_CASE("the drain bound limits the grace period of leaving replicas",
+          "[settings]") {
+  const auto grace = [](const std::string& drain_ms) {
+    std::string text = kSettings;
+    const std::string known = "drain_ms: 3000";
+    text.replace(text.find(known), known.size(), "drain_ms: " + drain_ms);
+    const auto options = ParseNodeSettings(text, "boot.yaml");
+    REQUIRE(options);
+    return options->leaving_grace_;
+  };
+  CHECK(grace("3000") == milliseconds(2000));
+  CHECK(grace("6000") == milliseconds(2000));
+  CHECK(grace("900") == milliseconds(600));
+  CHECK(grace("0") == milliseconds(0));
+}
+
 // Guards against a daemon that starts with a wrong address, or that fails to
 // start without saying which setting is invalid.
 TEST_CASE("invalid settings are errors that name the field and the line",
--- a/tests/traffic/departures_test.cc
+++ b/tests/traffic/departures_test.cc
@@ -83,6 +83,21 @@
   CHECK(CountRequests(fixture.fleet_, kLeavingGrace, seconds(9)).empty());
 }
 
+// Guards against requests to a replica that has exited where replicas have to
+// serve only briefly after their departure.
+TEST_CASE("a shorter grace period of the fleet is kept", "[departure][load]") {
+  DepartedFixture fixture;
+  for (size_t i = 1; i < 3; ++i) {
+    RecordReportedDeparture(fixture.fleet_.state_,
+                            fixture.fleet_.Replica("docket", i), At({}));
+  }
+  auto view = std::make_shared<TrafficView>(*fixture.fleet_.state_.view_);
+  view->leaving_grace_ = milliseconds(600);
+  ApplyView(fixture.fleet_.state_, view);
+  CHECK_FALSE(CountRequests(fixture.fleet_, {}, milliseconds(600)).empty());
+  CHECK(CountRequests(fixture.fleet_, milliseconds(600), seconds(9)).empty());
+}
+
 // Guards against a departure that ends with time or with a newer copy of the
 // store in which the replica is still ready.
 TEST_CASE("a reported departure lasts as long as the process", "[departure]") {
--- a/tests/traffic/replica_directory_test.cc
+++ b/tests/traffic/replica_directory_test.cc
@@ -12,12 +12,13 @@
   ReplicaDirectory directory;
   UpsertReplica(directory, MakeReplica("r1", "s", "a"));
   ReplaceReplicas(directory, {}, At(seconds(1)));
-  CHECK_FALSE(EvictDepartedReplicas(directory, At(seconds(2))));
+  CHECK_FALSE(EvictDepartedReplicas(directory, kLeavingGrace, At(seconds(2))));
   CHECK(directory.replicas_.at("r1").leaving_since_ == At(seconds(1)));
   UpsertReplica(directory, MakeReplica("r1", "s", "a"));
   CHECK_FALSE(directory.replicas_.at("r1").leaving_since_);
   MarkReplicaUnlisted(directory, "r1", At(seconds(5)));
-  CHECK(EvictDepartedReplicas(directory, At(seconds(5)) + kLeavingGrace));
+  CHECK(EvictDepartedReplicas(directory, kLeavingGrace,
+                              At(seconds(5)) + kLeavingGrace));
   CHECK(directory.replicas_.empty());
 }
 
@@ -41,12 +42,12 @@
   ReplicaEntry entry = MakeReplica("r1", "s", "a");
   entry.leaving_since_ = At(seconds(1));
   UpsertReplica(directory, entry);
-  EvictDepartedReplicas(directory, At(seconds(4)));
+  EvictDepartedReplicas(directory, kLeavingGrace, At(seconds(4)));
   entry.leaving_since_ = At(seconds(4));
   UpsertReplica(directory, entry);
   CHECK(directory.replicas_.at("r1").leaving_since_ == At(seconds(1)));
   MarkReplicaUnlisted(directory, "r1", At(seconds(5)));
-  CHECK(EvictDepartedReplicas(directory, At(seconds(5))));
+  CHECK(EvictDepartedReplicas(directory, kLeavingGrace, At(seconds(5))));
 }
 
 // Guards against failure counts of an earlier process that are applied to a new
