Store: continue a list after a page of one odd entry

Cause: the metadata of an object was parsed as a whole within the bounds of an entry. Metadata beyond them took the name along, and a list continues after a name; a page without one ended the list, which began again from its first page.

The new `gateway_test` [odd] on that code: four forms of such a page are never listed, and a replica whose entry is replaced by such an entry stays in use.

Ruled out: a page beyond the size that the client takes (8 MiB), and an entry that fails the decoding of its page.

A page carries its last name as the bytes that the store sent, so that a name that is not valid UTF-8 does as well.

--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -34,15 +34,6 @@
   return Hash64(kind, static_cast<uint64_t>(now.time_since_epoch().count()));
 }
 
-// Returns the name from which the list continues. Objects whose names cannot be
-// read have empty ones.
-std::string LastName(const std::vector<mirror::StoredObject>& objects) {
-  const auto last = std::find_if(
-      objects.rbegin(), objects.rend(),
-      [](const mirror::StoredObject& o) { return !o.name_.empty(); });
-  return last == objects.rend() ? std::string() : last->name_;
-}
-
 }  // namespace
 
 KindWatch::KindWatch(http::EventLoop& loop,
@@ -152,12 +143,11 @@
   std::move(page->objects_.begin(), page->objects_.end(),
             std::back_inserter(pending_list_.upserted_));
   if (page->has_more_) {
-    const std::string last = LastName(pending_list_.upserted_);
-    if (last == listed_until_) {
+    if (page->last_name_.empty() || page->last_name_ == listed_until_) {
       ScheduleRetry("the list does not advance");
       return;
     }
-    listed_until_ = last;
+    listed_until_ = std::move(page->last_name_);
     List();
     return;
   }
--- a/src/gateway/store_codec.h
+++ b/src/gateway/store_codec.h
@@ -25,8 +25,11 @@
 /// @brief One page of a list of the objects of one kind.
 struct StorePage {
   std::vector<StoredObject> objects_;
-  bool has_more_ = false;  ///< Continue after the last object's name.
-  int64_t revision_ = 0;   ///< Revision of the store to watch from.
+  bool has_more_ = false;  ///< Continue after `last_name_`.
+  /// The last name that can be read, as the bytes that the store sent: it need
+  /// not be valid UTF-8. Empty if there is none.
+  std::string last_name_;
+  int64_t revision_ = 0;  ///< Revision of the store to watch from.
 };
 
 /// @brief Names of the object kinds in the store.
--- a/tests/gateway/odd_entry_test.cc
+++ b/tests/gateway/odd_entry_test.cc
@@ -144,6 +144,55 @@
   CHECK(fixture.store_.request_counts_["GET servers"] <= 6);
 }
 
+// Guards against a daemon that starts without replicas for as long as there is
+// an entry that fills a page of the list and whose metadata cannot be read as a
+// whole.
+TEST_CASE("a list continues after a page of one odd entry", "[odd]") {
+  const std::string name = "a2";
+  const std::string finalizers =
+      nlohmann::json(std::vector<std::string>(20000, "cleanup")).dump();
+  const std::string deep = std::string(300, '[') + std::string(300, ']');
+  struct Odd {
+    std::string name_;
+    std::string metadata_;
+  };
+  const auto odd = GENERATE_COPY(values<Odd>(
+      {{name, R"({"finalizers":)" + finalizers + R"(,"name":"a2"})"},
+       {name, R"({"name":"a2","finalizers":)" + deep + "}"},
+       {name, R"({"name":"a2","rev":1e999})"},
+       {"a2\xff", "{\"name\":\"a2\xff\",\"rev\":7}"}}));
+  INFO(odd.metadata_.substr(0, 60));
+  GatewayFixture fixture;
+  fixture.store_.page_size_ = 1;
+  fixture.PutEverything();
+  fixture.store_.Put("servers", odd.name_, {{"slots", 3}});
+  fixture.store_.odd_metadata_[odd.name_] = odd.metadata_;
+  const Daemon& daemon = fixture.Start(fixture.Options("d1"));
+  CHECK(
+      fixture.RunUntil([&] { return daemon.metrics_.replicas_.Value() == 3; }));
+  CheckFollowsChanges(fixture, daemon);
+}
+
+// Guards against an entry that stays in use after it was replaced by one that
+// cannot be used.
+TEST_CASE("an entry whose metadata became odd is still found by its name",
+          "[odd]") {
+  GatewayFixture fixture;
+  fixture.PutEverything();
+  fixture.store_.Put("servers", "a2", fixture.replicas_[0]->Entry("shard-a"));
+  const Daemon& daemon = fixture.Start(fixture.Options("d1"));
+  REQUIRE(
+      fixture.RunUntil([&] { return daemon.metrics_.replicas_.Value() == 4; }));
+  fixture.store_.odd_metadata_["a2"] =
+      R"({"name":"a2","finalizers":)" +
+      nlohmann::json(std::vector<std::string>(20000, "cleanup")).dump() + "}";
+  fixture.store_.Put("servers", "a2", {{"slots", 3}});
+  CHECK(
+      fixture.RunUntil([&] { return daemon.metrics_.replicas_.Value() == 3; }));
+  CHECK(Status(fixture, daemon)["unusable_objects"].dump().find(
+            R"("name":"a2")") != std::string::npos);
+}
+
 // Guards against an entry that is left out in silence.
 TEST_CASE("odd entries are counted and named on the status page", "[odd]") {
   GatewayFixture fixture;
