Requests: reject bodies whose transfer coding is not chunked

Cause: Boost.Beast decodes `chunked` alone and leaves other codings to its user; a request with one of them has no body for it.

The new `http_test` [caller] on that code: 10 of 13 framings are taken as requests; [client]: three of three codings of responses are passed on.

Ruled out: the parser's own checks (a Content-Length besides, the field given twice with `chunked` first) and pipelining, which is right once the end of a body is known.

Fix: 400 where the end of the body is not known (RFC 9112, section 6.3), 501 for a further coding, both with the end of the connection; such a response of a replica is malformed. Rejected requests had no log line and no counter: `caller: request rejected`, which also replaces the line of uploads without memory, and `gateway_requests_rejected_total`.

Not tried: `serve`, whose server is another one.

--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,6 +2,7 @@
 #define CLEMENTINERILL_GATEWAY_GATEWAY_METRICS_H_
 
 #include "http/client_connection.h"
+#include "http/request_error.h"
 #include "metrics/registry.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/forward_outcome.h"
@@ -54,6 +55,11 @@
             "gateway_request_buffers_refused_total",
             "Times that the memory for requests was used up: requests refused "
             "or not read ahead.")),
+        requests_rejected_(registry_.AddReasonCounters(
+            "gateway_requests_rejected_total",
+            "Requests that were rejected before they were complete or because "
+            "they are not valid.",
+            http::kRequestErrorNames)),
         pauses_(registry_.AddCounter(
             "gateway_pauses_requested_total",
             "Refusals with which a replica asked for a pause.")),
@@ -107,6 +113,7 @@
   Gauge& response_buffers_;
   Gauge& request_buffers_;
   Counter& requests_refused_;
+  ReasonCounters<http::RequestError, 7> requests_rejected_;
   Counter& pauses_;
   Counter& departures_;
   Counter& skipped_parts_;
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -101,6 +101,9 @@
   SetSettings(options);
   fleet_.view_ = std::make_shared<traffic::TrafficView>();
   caller_listener_.SetRequestBudget(request_budget_);
+  caller_listener_.SetOnReject([this](http::RequestError error) {
+    metrics_.requests_rejected_.Increment(error);
+  });
 }
 
 Result<void> TrafficServer::Listen() {
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
 
+#include "http/body_framing.h"
 #include "http/parsed_headers.h"
 #include "http/socket_options.h"
 
@@ -231,6 +232,10 @@
 }
 
 void ClientConnection::HandleResponse() {
+  if (CheckBodyFraming(parser_->get()) != BodyFraming::kSupported) {
+    Finish(ExchangeOutcome::kGarbled);
+    return;
+  }
   HttpResponse response;
   auto message = parser_->release();
   response.status_ = static_cast<int>(message.result_int());
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -3,6 +3,7 @@
 
 // Convenience header: includes all headers of the http library.
 
+#include "http/body_framing.h"
 #include "http/client.h"
 #include "http/client_connection.h"
 #include "http/event_loop.h"
@@ -10,6 +11,7 @@
 #include "http/http_message.h"
 #include "http/listener.h"
 #include "http/parsed_headers.h"
+#include "http/request_error.h"
 #include "http/server_connection.h"
 #include "http/socket_options.h"
 #include "http/timer_queue.h"
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -74,6 +74,7 @@
             loop_, std::move(socket), limits_, handler_);
         connections_.push_back(connection);
         connection->SetRequestBudget(request_budget_);
+        connection->SetOnReject(on_reject_);
         connection->Start();
         Accept();
       });
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -2,6 +2,7 @@
 #define CLEMENTINERILL_HTTP_LISTENER_H_
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -37,6 +38,12 @@
     request_budget_ = std::move(budget);
   }
 
+  /// @brief Sets the callback for requests that are rejected before they reach
+  /// the handler, on connections that are accepted from now on.
+  void SetOnReject(std::function<void(RequestError)> callback) {
+    on_reject_ = std::move(callback);
+  }
+
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
   /// @brief The number of connections with a request in progress.
@@ -51,6 +58,7 @@
   ServerConnection::Handler handler_;
   CallerLimits limits_;
   std::shared_ptr<BufferBudget> request_budget_;
+  std::function<void(RequestError)> on_reject_;
   std::list<std::shared_ptr<ServerConnection>> connections_;
 };
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include "http/body_framing.h"
 #include "http/parsed_headers.h"
 #include "http/socket_options.h"
 #include "logging/log.h"
@@ -31,6 +32,15 @@
 // A request with its body may take this multiple of the header timeout.
 constexpr int kBodyTimeoutFactor = 3;
 
+RequestError ErrorOf(const error_code& error) {
+  if (error == boost::beast::http::error::body_limit) {
+    return RequestError::kBodyTooLarge;
+  }
+  return error == boost::beast::http::error::header_limit
+             ? RequestError::kHeaderTooLarge
+             : RequestError::kMalformed;
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(EventLoop& loop,
@@ -61,6 +71,7 @@
   parser_->header_limit(limits_.max_header_bytes_);
   parser_->body_limit(limits_.max_body_bytes_);
   parser_->eager(true);
+  header_checked_ = false;
   continue_sent_ = false;
 }
 
@@ -108,13 +119,15 @@
     const size_t used = parser_->put(asio::buffer(input_), error);
     input_.erase(0, used);
     if (error && error != boost::beast::http::error::need_more) {
-      const bool too_large = error == boost::beast::http::error::body_limit;
-      const bool long_header = error == boost::beast::http::error::header_limit;
-      Reject(too_large ? 413 : long_header ? 431 : 400);
+      Reject(ErrorOf(error));
+      return;
+    }
+    if (const auto header_error = CheckHeader()) {
+      Reject(*header_error);
       return;
     }
     if (!request_hold_.TryResize(BufferedBytes())) {
-      RejectOverBudget();
+      Reject(RequestError::kNoMemory);
       return;
     }
     if (parser_->is_done()) {
@@ -134,6 +147,23 @@
   }
 }
 
+// Checks the header section once, when it is complete.
+std::optional<RequestError> ServerConnection::CheckHeader() {
+  if (header_checked_ || !parser_->is_header_done()) {
+    return std::nullopt;
+  }
+  header_checked_ = true;
+  switch (CheckBodyFraming(parser_->get())) {
+    case BodyFraming::kUnknownEnd:
+      return RequestError::kUnknownEnd;
+    case BodyFraming::kUnsupportedCoding:
+      return RequestError::kUnsupportedCoding;
+    case BodyFraming::kSupported:
+      break;
+  }
+  return std::nullopt;
+}
+
 void ServerConnection::DispatchRequest() {
   auto message = parser_->release();
   HttpRequest request;
@@ -150,10 +180,23 @@
   handler_(shared_from_this(), std::move(request));
 }
 
-void ServerConnection::Reject(int status, Headers headers) {
+// What else was received is dropped: its beginning is not known for certain.
+void ServerConnection::Reject(RequestError error) {
   HttpResponse response;
-  response.status_ = status;
-  response.headers_ = std::move(headers);
+  response.status_ = StatusOf(error);
+  if (error == RequestError::kNoMemory) {
+    response.headers_ = {{"Retry-After", kBusyRetryAfterS}};
+  }
+  static RateLimitedLogger lines;
+  lines.Log(EventLoop::Now(), LogLevel::kWarning, "caller", "request rejected",
+            {{"reason", NameOf(kRequestErrorNames, error)},
+             {"status", response.status_},
+             {"bytes", BufferedBytes()}});
+  if (on_reject_) {
+    on_reject_(error);
+  }
+  ResetParser();
+  input_ = std::string();
   serving_ = true;
   is_head_ = false;
   Respond(response, true);
@@ -165,16 +208,6 @@
   return input_.size() + kCopiesOfBody * body;
 }
 
-void ServerConnection::RejectOverBudget() {
-  static RateLimitedLogger lines;
-  lines.Log(EventLoop::Now(), LogLevel::kWarning, "caller",
-            "request refused, no memory for its body",
-            {{"status", 503}, {"bytes", BufferedBytes()}});
-  ResetParser();
-  input_ = std::string();
-  Reject(503, {{"Retry-After", kBusyRetryAfterS}});
-}
-
 void ServerConnection::Respond(const HttpResponse& response, bool close) {
   if (closed_ || !serving_) {
     return;
@@ -257,6 +290,7 @@
   const auto self = shared_from_this();
   closed_ = true;
   on_disconnect_ = nullptr;
+  on_reject_ = nullptr;
   handler_ = nullptr;
   input_ = std::string();
   parser_.reset();
@@ -285,7 +319,7 @@
     return;
   }
   if (now - request_start_ > limits.header_timeout_ * kBodyTimeoutFactor) {
-    Reject(408);
+    Reject(RequestError::kTooSlow);
   }
 }
 
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -17,6 +17,7 @@
 #include "base/time.h"
 #include "http/event_loop.h"
 #include "http/http_message.h"
+#include "http/request_error.h"
 
 namespace clementinerill::http {
 
@@ -42,6 +43,12 @@
   /// refused with status 503. To be called before `Start`.
   void SetRequestBudget(std::shared_ptr<BufferBudget> budget);
 
+  /// @brief Sets the callback for requests that are rejected before they reach
+  /// the handler. To be called before `Start`.
+  void SetOnReject(std::function<void(RequestError)> callback) {
+    on_reject_ = std::move(callback);
+  }
+
   /// @brief Sends the response to the request in progress. With `close` the
   /// connection is closed afterwards.
   void Respond(const HttpResponse& response, bool close);
@@ -81,8 +88,8 @@
   void OnRead(const boost::system::error_code& error, size_t bytes);
   void Parse();
   void DispatchRequest();
-  void Reject(int status, Headers headers = {});
-  void RejectOverBudget();
+  [[nodiscard]] std::optional<RequestError> CheckHeader();
+  void Reject(RequestError error);
   [[nodiscard]] uint64_t BufferedBytes() const;
   void Write(std::string bytes, bool close);
   void OnWritten(bool close);
@@ -99,6 +106,7 @@
   BufferHold request_hold_;  ///< Of the bytes received, until the response.
   uint64_t serving_body_bytes_ = 0;  ///< Of the request in progress.
   std::function<void()> on_disconnect_;
+  std::function<void(RequestError)> on_reject_;
   Instant last_use_;
   Instant request_start_;
   bool is_head_ = false;
@@ -106,7 +114,8 @@
   bool serving_ = false;
   bool writing_ = false;
   bool reading_ = false;
-  bool continue_sent_ = false;  ///< `100 Continue`, for this request.
+  bool header_checked_ = false;  ///< Of this request.
+  bool continue_sent_ = false;   ///< `100 Continue`, for this request.
   bool closed_ = false;
 };
 
--- a/tests/http/client_connection_test.cc
+++ b/tests/http/client_connection_test.cc
@@ -175,5 +175,22 @@
   CHECK(exchange.Run("1").outcome_ == ExchangeOutcome::kNotSent);
 }
 
+// Guards against a body that is passed on without the coding that it has.
+TEST_CASE("a response with a coding other than chunked is malformed",
+          "[client]") {
+  for (const std::string coding : {"gzip, chunked", "chunked, identity",
+                                   "gzip\r\nTransfer-Encoding: chunked"}) {
+    Exchange exchange([&coding](const std::string&) {
+      return TestServer::Reply{
+          "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+          "Transfer-Encoding: " +
+              coding + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+          true};
+    });
+    INFO(coding);
+    CHECK(exchange.Run("1").outcome_ == ExchangeOutcome::kGarbled);
+  }
+}
+
 }  // namespace
 }  // namespace clementinerill::http
--- a/tests/http/server_connection_test.cc
+++ b/tests/http/server_connection_test.cc
@@ -133,5 +133,54 @@
   }));
 }
 
+// Guards against a request in the body of another one that is taken for the
+// next request of the connection, because the end of the body was not known,
+// and against a body that is forwarded without its coding.
+TEST_CASE("a transfer coding other than chunked is rejected", "[caller]") {
+  struct Framing {
+    std::string version_;
+    std::string headers_;
+    std::string status_;
+  };
+  const auto framing = GENERATE(values<Framing>(
+      {{"1.1", "Transfer-Encoding: chunked, identity\r\n", "400"},
+       {"1.1", "Transfer-Encoding: identity\r\n", "400"},
+       {"1.1", "Transfer-Encoding: xchunked\r\n", "400"},
+       {"1.1", "Transfer-Encoding: chunked;q=1\r\n", "400"},
+       {"1.1", "Transfer-Encoding: \r\n", "400"},
+       {"1.1", "Transfer-Encoding: chunked, chunked\r\n", "400"},
+       {"1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "400"},
+       {"1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        "400"},
+       {"1.1", "Transfer-Encoding: identity\r\nContent-Length: 0\r\n", "400"},
+       {"1.1", "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n", "400"},
+       {"1.0", "Transfer-Encoding: chunked\r\nConnection: keep-alive\r\n",
+        "400"},
+       {"1.1", "Transfer-Encoding: gzip, chunked\r\n", "501"},
+       {"1.1", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        "501"}}));
+  INFO(framing.headers_);
+  Server server;
+  server.Send("POST /outer HTTP/" + framing.version_ + "\r\nHost: h\r\n" +
+              framing.headers_ +
+              "\r\n"
+              "0\r\n\r\n"
+              "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  const std::string received = server.ReadUntil("Connection: close");
+  CHECK(received.find("HTTP/1.1 " + framing.status_) == 0);
+  CHECK(server.requests_.empty());
+}
+
+// Guards against a strict check that rejects usual spellings.
+TEST_CASE("the name of the chunked coding is case-insensitive", "[caller]") {
+  Server server;
+  server.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\ntransfer-encoding:  Chunked \r\n\r\n"
+      "3\r\nabc\r\n0\r\n\r\n");
+  REQUIRE(server.WaitForRequests(1));
+  CHECK(server.requests_[0].body_ == "abc");
+}
+
 }  // namespace
 }  // namespace clementinerill::http
