Attempts: take an unfounded refusal of a replica for a failure

Cause: attempts with a status below 500 were called answered and passed on. The table of the statuses that callers take as a guarantee was used for failures alone, which already made a 503 of this kind a 502.

Ruled out: a header that is lost on the way; the replica sends none. A retry by the daemon: non-idempotent requests are not repeated then.

Fix: one table in both places. Such an answer is a failure: 502 without the replica's signature, another attempt for idempotent requests, and it counts in the health of the replica.

True refusals and other client errors are passed on as before.

--- a/src/gateway/caller_response.cc
+++ b/src/gateway/caller_response.cc
@@ -62,12 +62,6 @@
   return response;
 }
 
-// Whether callers take the status as a guarantee that the request was not
-// executed.
-bool ImpliesNotExecuted(int status) {
-  return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
 http::HttpResponse FailureResponse(const Query& query) {
   const ReplicaResponse& failure = query.parts_.front().failed_response_;
   if (!IsFanOut(*query.route_) && failure.status_ != 0 &&
@@ -92,6 +86,10 @@
 
 }  // namespace
 
+bool ImpliesNotExecuted(int status) noexcept {
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
 http::HttpResponse RefusalResponse(double retry_after_s) {
   std::array<char, 32> text{};
   std::snprintf(text.data(), text.size(), "%.3f", retry_after_s);
--- a/src/gateway/caller_response.h
+++ b/src/gateway/caller_response.h
@@ -16,10 +16,14 @@
                                                     const WireNames& names,
                                                     Instant now);
 
+/// @brief Whether callers take the status as a guarantee that the request has
+/// not been executed and will not be.
+[[nodiscard]] bool ImpliesNotExecuted(int status) noexcept;
+
 /// @brief Builds a 503 for a request that no replica has executed.
 /// `retry_after_s` is the value of `Retry-After`, in seconds.
 [[nodiscard]] http::HttpResponse RefusalResponse(double retry_after_s);
 
 }  // namespace clementinerill::gateway
 
-#endif  // CLEMENTINERILL_GATEWAY_CALLER_ANSWER_H_
+#endif  // CLEMENTINERILL_GATEWAY_CALLER_RESPONSE_H_
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -300,7 +300,9 @@
       http::FindHeader(response.headers_, names.signature_).empty()) {
     return AttemptOutcome::kGarbled;
   }
-  if (response.status_ >= 500 || (IsFanOut(*query_.route_) && !success)) {
+  // Without the header, such a status would be an untrue guarantee.
+  if (response.status_ >= 500 || ImpliesNotExecuted(response.status_) ||
+      (IsFanOut(*query_.route_) && !success)) {
     return AttemptOutcome::kFailed;
   }
   return AttemptOutcome::kAnswered;
