Connections: free the memory of what was sent

Callers: those that ask for large responses and do not read them fill the memory of a VM, so that the daemon is ended with everyone's requests.

Cause: an idle connection kept the memory of its largest response. Its output was emptied by `clear()`, other strings by the assignment of an empty one; both keep the capacity. Bodies in a session whose attempts were still open were emptied in the same way and no longer counted.

Ruled out: sessions that outlive their responses.

Fix: `ReleaseMemory` for output and input of connections and for the requests of kept connections to replicas; bodies of sessions are moved out.

Responses that the kernel does not take have no limit yet.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -12,6 +12,7 @@
 #include "base/log_level.h"
 #include "base/name_table.h"
 #include "base/parse_number.h"
+#include "base/release_memory.h"
 #include "base/rendezvous.h"
 #include "base/result.h"
 #include "base/source_position.h"
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -469,8 +469,9 @@
 // Attempts may go on until the deadline and keep this session.
 void QuerySession::ReleaseResponses() {
   for (traffic::QueryPart& part : query_.parts_) {
-    part.response_ = {};
-    part.failed_response_ = {};
+    // The assignment of an empty response would keep the memory of the body.
+    static_cast<void>(std::exchange(part.response_, {}));
+    static_cast<void>(std::exchange(part.failed_response_, {}));
   }
 }
 
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
 
+#include "base/release_memory.h"
 #include "http/body_framing.h"
 #include "http/parsed_headers.h"
 #include "http/socket_options.h"
@@ -298,6 +299,7 @@
   if (outcome != ExchangeOutcome::kResponse || !reusable_) {
     CloseSocket();
   }
+  ReleaseMemory(request_.bytes_);
   if (handler) {
     handler({outcome, std::move(response), cut_off_by_, std::move(hold)});
   }
@@ -319,7 +321,7 @@
   closed_ = true;
   reusable_ = false;
   parser_.reset();
-  input_ = std::string();
+  ReleaseMemory(input_);
   hold_.Release();
   error_code ignored;
   socket_.close(ignored);
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -5,6 +5,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include "base/release_memory.h"
 #include "http/body_framing.h"
 #include "http/parsed_headers.h"
 #include "http/socket_options.h"
@@ -196,7 +197,7 @@
     on_reject_(error);
   }
   ResetParser();
-  input_ = std::string();
+  ReleaseMemory(input_);
   serving_ = true;
   is_head_ = false;
   Respond(response, true);
@@ -272,7 +273,7 @@
     return;
   }
   writing_ = false;
-  output_.clear();
+  ReleaseMemory(output_);
   last_use_ = EventLoop::Now();
   request_start_ = last_use_;
   if (close) {
@@ -292,7 +293,7 @@
   on_disconnect_ = nullptr;
   on_reject_ = nullptr;
   handler_ = nullptr;
-  input_ = std::string();
+  ReleaseMemory(input_);
   parser_.reset();
   request_hold_.Release();
   error_code ignored;
--- a/tests/gateway/buffer_test.cc
+++ b/tests/gateway/buffer_test.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -139,5 +140,66 @@
   CHECK(most - before < kMemoryBytes);
 }
 
+/// A caller of the service `hold` that sends one request and reads nothing.
+boost::asio::ip::tcp::socket CallWithoutReading(http::EventLoop& loop,
+                                                const Endpoint& endpoint,
+                                                int number) {
+  boost::asio::ip::tcp::socket caller(loop.Context());
+  caller.open(boost::asio::ip::tcp::v4());
+  // The kernel then takes little of the response for the caller.
+  caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  caller.connect(
+      {boost::asio::ip::make_address(endpoint.address_), endpoint.port_});
+  const std::string request =
+      "GET /h5/1 HTTP/1.1\r\nHost: hold.example\r\nX-Request-Id: unread-" +
+      std::to_string(number) + "\r\nX-Request-Deadline: 800\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request));
+  return caller;
+}
+
+// Guards against callers that end a daemon by asking for large responses and
+// not reading them.
+TEST_CASE("responses that callers do not read stay within the memory of the VM",
+          "[gateway][buffers]") {
+  struct Load {
+    int calls_;
+    size_t body_bytes_;
+  };
+  // The kernel takes a part of each response, up to 4 MB.
+  const auto [calls, body_bytes] = GENERATE(values<Load>({{300, 1'000'000}}));
+  BufferFixture fixture(
+      {"HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nContent-Length: " +
+           std::to_string(body_bytes) + "\r\n\r\n" +
+           std::string(body_bytes, 'x'),
+       false});
+  const Endpoint& endpoint = fixture.daemon_->options_.caller_listen_;
+  auto& answered = fixture.daemon_->metrics_.queries_;
+  // Without what earlier tests have freed and the allocator keeps.
+  malloc_trim(0);
+  const uint64_t before = ResidentBytes();
+  uint64_t most = before;
+  std::list<boost::asio::ip::tcp::socket> callers;
+  for (int i = 0; i < calls; ++i) {
+    callers.push_back(CallWithoutReading(fixture.loop_, endpoint, i));
+    REQUIRE(fixture.RunUntil([&] {
+      return answered.Value(traffic::QueryOutcome::kComplete) ==
+             static_cast<uint64_t>(i) + 1;
+    }));
+    most = std::max(most, ResidentBytes());
+  }
+  CHECK(most - before < kMemoryBytes);
+  CHECK(fixture.FanOut(*fixture.daemon_).status_ == 200);
+  const auto reader = std::make_shared<http::ClientConnection>(
+      fixture.loop_, endpoint.address_, endpoint.port_, 2 * body_bytes);
+  std::optional<http::ExchangeResult> result;
+  http::ExchangeRequest request;
+  request.bytes_ =
+      "GET /h5/1 HTTP/1.1\r\nHost: hold.example\r\nX-Request-Id: read\r\n\r\n";
+  reader->Start(std::move(request),
+                [&result](http::ExchangeResult r) { result = std::move(r); });
+  REQUIRE(fixture.RunUntil([&result] { return result.has_value(); }));
+  CHECK(result->response_.body_.size() == body_bytes);
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
