Callers: limit the bytes of responses that are not read

Callers: some that do not read large responses fill the memory of a VM; the daemon is ended with everyone's requests.

Cause: a response waits in its connection until the kernel has taken it. Nothing limited the sum and no time-out ended the wait.

Evidence: `gateway_test` [buffers], 60 responses of 6 MB, with the memory of sent responses freed already: 390 MB, 160 MB are allowed.

Ruled out: the budget of replicas' responses for these bytes. It would let callers that do not read have the responses of sound replicas cut off.

Fix: an eighth of the memory. When it is used up, the connection that was read least recently is closed; one that was not read for 15 s is closed anyway. A response larger than the budget is sent all the same. Log line `caller: response dropped, not read` and two metrics. Responses to other daemons count too.

--- a/src/base/buffer_budget.cc
+++ b/src/base/buffer_budget.cc
@@ -9,7 +9,8 @@
              uint64_t more) noexcept {
   const uint64_t held = budget.held_bytes_ + more;
   return held <= budget.limit_bytes_ &&
-         account.held_bytes_ + more <= budget.limit_bytes_ - held;
+         (budget.is_first_come_ ||
+          account.held_bytes_ + more <= budget.limit_bytes_ - held);
 }
 
 std::shared_ptr<BufferAccount> MakeBufferAccount(
--- a/src/base/buffer_budget.h
+++ b/src/base/buffer_budget.h
@@ -11,6 +11,8 @@
   uint64_t limit_bytes_ = 0;
   uint64_t held_bytes_ = 0;
   uint64_t refusals_ = 0;  ///< Buffers that were not allowed to grow.
+  /// Whether one holder may use all of it, for holders that can be removed.
+  bool is_first_come_ = false;
 };
 
 /// @brief The part of a budget that one holder uses, for example one replica.
@@ -24,6 +26,7 @@
 /// A holder may have as many bytes as then remain free, a dynamic threshold
 /// (Choudhury and Hahne, 1998): one holder gets half of the budget, each of `n`
 /// large ones an n + 1st part, and the same part stays free for small ones.
+/// With `BufferBudget::is_first_come_` all that is free.
 [[nodiscard]] bool MayHold(const BufferBudget& budget,
                            const BufferAccount& account,
                            uint64_t more) noexcept;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -51,6 +51,14 @@
         request_buffers_(registry_.AddGauge(
             "gateway_request_buffer_bytes",
             "Bytes of requests that are received or in progress.")),
+        unread_responses_(registry_.AddGauge(
+            "gateway_unread_response_bytes",
+            "Bytes of responses that callers and other daemons have not "
+            "read.")),
+        unread_dropped_(registry_.AddCounter(
+            "gateway_unread_responses_dropped_total",
+            "Unread responses that were dropped because the memory for them "
+            "was used up.")),
         requests_refused_(registry_.AddCounter(
             "gateway_request_buffers_refused_total",
             "Times that the memory for requests was used up: requests refused "
@@ -112,6 +120,8 @@
   ReasonCounters<http::ResponseLimit, 3> responses_cut_off_;
   Gauge& response_buffers_;
   Gauge& request_buffers_;
+  Gauge& unread_responses_;
+  Counter& unread_dropped_;
   Counter& requests_refused_;
   ReasonCounters<http::RequestError, 7> requests_rejected_;
   Counter& pauses_;
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -42,6 +42,9 @@
 // Part of the memory for the requests of callers.
 constexpr uint64_t kRequestMemoryPart = 8;
 
+// Part of the memory for responses that callers and other daemons do not read.
+constexpr uint64_t kUnreadMemoryPart = 8;
+
 // Aggregators that a query is forwarded to until one does not refuse it.
 constexpr int kMaxForwardTries = 3;
 
@@ -72,6 +75,7 @@
       metrics_(metrics),
       response_budget_(std::make_shared<BufferBudget>()),
       request_budget_(std::make_shared<BufferBudget>()),
+      unread_budget_(std::make_shared<BufferBudget>()),
       pool_(loop, response_budget_),
       aggregators_(loop),
       context_{loop,           fleet_,  pool_,    aggregators_,
@@ -100,7 +104,10 @@
   fleet_.region_ = options.region_;
   SetSettings(options);
   fleet_.view_ = std::make_shared<traffic::TrafficView>();
+  unread_budget_->is_first_come_ = true;
   caller_listener_.SetRequestBudget(request_budget_);
+  caller_listener_.SetResponseBudget(unread_budget_);
+  forward_listener_.SetResponseBudget(unread_budget_);
   caller_listener_.SetOnReject([this](http::RequestError error) {
     metrics_.requests_rejected_.Increment(error);
   });
@@ -146,6 +153,7 @@
   stop_grace_ = settings.stop_grace_;
   response_budget_->limit_bytes_ = settings.memory_bytes_ / kResponseMemoryPart;
   request_budget_->limit_bytes_ = settings.memory_bytes_ / kRequestMemoryPart;
+  unread_budget_->limit_bytes_ = settings.memory_bytes_ / kUnreadMemoryPart;
 }
 
 bool TrafficServer::IsReady() const {
@@ -431,21 +439,26 @@
   forward_listener_.CheckTimeouts(false, now);
   pool_.Maintain(fleet_, now);
   aggregators_.Maintain(traffic::UsedAggregators(fleet_.aggregation_), now);
-  metrics_.response_buffers_.Set(
-      static_cast<int64_t>(response_budget_->held_bytes_));
-  ReportRequestBuffers();
+  ReportBuffers();
   RemoveExpiredSessions();
   CheckDrain(now);
   ReportRolloutEvidence();
   loop_.Timers().Add(now + kTickPeriod, [this] { Tick(); });
 }
 
-void TrafficServer::ReportRequestBuffers() {
-  metrics_.request_buffers_.Set(
-      static_cast<int64_t>(request_budget_->held_bytes_));
+void TrafficServer::ReportBuffers() {
+  const auto report = [](const BufferBudget& budget, Gauge& gauge) {
+    gauge.Set(static_cast<int64_t>(budget.held_bytes_));
+  };
+  report(*response_budget_, metrics_.response_buffers_);
+  report(*request_budget_, metrics_.request_buffers_);
+  report(*unread_budget_, metrics_.unread_responses_);
   metrics_.requests_refused_.Increment(request_budget_->refusals_ -
                                        counted_refusals_);
   counted_refusals_ = request_budget_->refusals_;
+  metrics_.unread_dropped_.Increment(unread_budget_->refusals_ -
+                                     counted_drops_);
+  counted_drops_ = unread_budget_->refusals_;
 }
 
 void TrafficServer::ReportRolloutEvidence() {
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -93,7 +93,7 @@
   void CheckDrain(Instant now);
   /// When a stopping daemon sends its last responses.
   [[nodiscard]] Instant ServeEnd() const;
-  void ReportRequestBuffers();
+  void ReportBuffers();
   void ReportRolloutEvidence();
   void RemoveExpiredSessions();
 
@@ -103,7 +103,9 @@
   traffic::FleetState fleet_;
   std::shared_ptr<BufferBudget> response_budget_;
   std::shared_ptr<BufferBudget> request_budget_;
+  std::shared_ptr<BufferBudget> unread_budget_;  ///< Of sent responses.
   uint64_t counted_refusals_ = 0;  ///< Of `request_budget_`, in the metrics.
+  uint64_t counted_drops_ = 0;     ///< Of `unread_budget_`, in the metrics.
   ConnectionPool pool_;
   AggregatorPool aggregators_;
   bool draining_ = false;
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -74,12 +74,29 @@
             loop_, std::move(socket), limits_, handler_);
         connections_.push_back(connection);
         connection->SetRequestBudget(request_budget_);
+        connection->SetResponseBudget(
+            response_budget_, [this] { return DropLeastRecentlyRead(); });
         connection->SetOnReject(on_reject_);
         connection->Start();
         Accept();
       });
 }
 
+bool Listener::DropLeastRecentlyRead() {
+  std::shared_ptr<ServerConnection> oldest;
+  for (const auto& connection : connections_) {
+    if (connection->HasUnsentResponse() &&
+        (!oldest || connection->LastProgress() < oldest->LastProgress())) {
+      oldest = connection;
+    }
+  }
+  if (!oldest) {
+    return false;
+  }
+  oldest->DropResponse(EventLoop::Now());
+  return true;
+}
+
 void Listener::StopAccepting() {
   error_code ignored;
   acceptor_.close(ignored);
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -38,6 +38,13 @@
     request_budget_ = std::move(budget);
   }
 
+  /// @brief Sets the budget for the responses that clients have not read, on
+  /// connections that are accepted from now on. The response that was read
+  /// least recently makes room for a new one.
+  void SetResponseBudget(std::shared_ptr<BufferBudget> budget) {
+    response_budget_ = std::move(budget);
+  }
+
   /// @brief Sets the callback for requests that are rejected before they reach
   /// the handler, on connections that are accepted from now on.
   void SetOnReject(std::function<void(RequestError)> callback) {
@@ -52,12 +59,14 @@
 
  private:
   void Accept();
+  bool DropLeastRecentlyRead();
 
   EventLoop& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   ServerConnection::Handler handler_;
   CallerLimits limits_;
   std::shared_ptr<BufferBudget> request_budget_;
+  std::shared_ptr<BufferBudget> response_budget_;
   std::function<void(RequestError)> on_reject_;
   std::list<std::shared_ptr<ServerConnection>> connections_;
 };
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/write.hpp>
+#include <boost/asio/buffer.hpp>
 
 #include "base/release_memory.h"
 #include "http/body_framing.h"
@@ -30,6 +30,10 @@
 // Other daemons can take it.
 constexpr const char* kBusyRetryAfterS = "0.1";
 
+// A client that has read nothing for this long is gone: it is longer than
+// callers wait for a response.
+constexpr Duration kMaxUnreadTime = std::chrono::seconds(15);
+
 // A request with its body may take this multiple of the header timeout.
 constexpr int kBodyTimeoutFactor = 3;
 
@@ -52,13 +56,20 @@
       socket_(std::move(socket)),
       limits_(limits),
       handler_(std::move(handler)),
-      last_use_(EventLoop::Now()),
+      last_progress_(EventLoop::Now()),
+      last_use_(last_progress_),
       request_start_(last_use_) {}
 
 void ServerConnection::SetRequestBudget(std::shared_ptr<BufferBudget> budget) {
   request_hold_ = BufferHold(MakeBufferAccount(std::move(budget)));
 }
 
+void ServerConnection::SetResponseBudget(std::shared_ptr<BufferBudget> budget,
+                                         std::function<bool()> make_room) {
+  response_hold_ = BufferHold(MakeBufferAccount(std::move(budget)));
+  make_room_ = std::move(make_room);
+}
+
 void ServerConnection::Start() {
   SetNoDelay(socket_);
   error_code ignored;
@@ -244,10 +255,11 @@
 void ServerConnection::Write(std::string bytes, bool close) {
   writing_ = true;
   output_ = std::move(bytes);
+  last_progress_ = EventLoop::Now();
   const auto self = shared_from_this();
   error_code error;
-  const size_t sent = socket_.write_some(asio::buffer(output_), error);
-  if (!error && sent == output_.size()) {
+  sent_ = socket_.write_some(asio::buffer(output_), error);
+  if (!error && sent_ == output_.size()) {
     // Posted, so that the next request is not dispatched from within `Respond`.
     loop_.Post([self, close] { self->OnWritten(close); });
     return;
@@ -256,24 +268,57 @@
     Close();
     return;
   }
-  const size_t begin = error ? 0 : sent;
-  asio::async_write(
-      socket_, asio::buffer(output_.data() + begin, output_.size() - begin),
-      [self, close](const error_code& failed, size_t /*bytes*/) {
-        if (failed) {
+  HoldResponse();
+  WriteRest(close);
+}
+
+// A response that is larger than the whole budget is sent all the same: its
+// size has a limit, and others have made room.
+void ServerConnection::HoldResponse() {
+  while (!response_hold_.TryResize(output_.size()) && make_room_ &&
+         make_room_()) {
+  }
+  has_unsent_response_ = true;
+}
+
+void ServerConnection::WriteRest(bool close) {
+  const auto self = shared_from_this();
+  socket_.async_write_some(
+      asio::buffer(output_.data() + sent_, output_.size() - sent_),
+      [self, close](const error_code& error, size_t bytes) {
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
           self->Close();
-        } else {
+          return;
+        }
+        self->sent_ += bytes;
+        self->last_progress_ = EventLoop::Now();
+        if (self->sent_ == self->output_.size()) {
           self->OnWritten(close);
+        } else {
+          self->WriteRest(close);
         }
       });
 }
 
+void ServerConnection::DropResponse(Instant now) {
+  static RateLimitedLogger lines;
+  lines.Log(now, LogLevel::kWarning, "caller", "response dropped, not read",
+            {{"unsent_bytes", output_.size() - sent_},
+             {"unread_ms", ToMilliseconds(now - last_progress_)}});
+  Close();
+}
+
 void ServerConnection::OnWritten(bool close) {
   if (closed_) {
     return;
   }
   writing_ = false;
   ReleaseMemory(output_);
+  has_unsent_response_ = false;
+  response_hold_.Release();
   last_use_ = EventLoop::Now();
   request_start_ = last_use_;
   if (close) {
@@ -293,9 +338,12 @@
   on_disconnect_ = nullptr;
   on_reject_ = nullptr;
   handler_ = nullptr;
+  make_room_ = nullptr;
   ReleaseMemory(input_);
+  ReleaseMemory(output_);
   parser_.reset();
   request_hold_.Release();
+  response_hold_.Release();
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   socket_.close(ignored);
@@ -310,6 +358,9 @@
                                      bool draining,
                                      Instant now) {
   limits_ = limits;
+  if (HasUnsentResponse() && now - last_progress_ > kMaxUnreadTime) {
+    DropResponse(now);
+  }
   if (closed_ || serving_ || writing_) {
     return;
   }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -43,6 +43,12 @@
   /// refused with status 503. To be called before `Start`.
   void SetRequestBudget(std::shared_ptr<BufferBudget> budget);
 
+  /// @brief Counts the bytes of responses that the client has not read for a
+  /// budget. `make_room` closes another connection with such a response and
+  /// returns false if there is none. To be called before `Start`.
+  void SetResponseBudget(std::shared_ptr<BufferBudget> budget,
+                         std::function<bool()> make_room);
+
   /// @brief Sets the callback for requests that are rejected before they reach
   /// the handler. To be called before `Start`.
   void SetOnReject(std::function<void(RequestError)> callback) {
@@ -74,6 +80,17 @@
   /// have arrived. Data that was sent before may not have been read yet.
   [[nodiscard]] bool IsPeerClosed();
 
+  /// @brief Whether a part of a response is not sent yet and counts for the
+  /// budget.
+  [[nodiscard]] bool HasUnsentResponse() const noexcept {
+    return !closed_ && has_unsent_response_;
+  }
+  /// @brief When bytes of the response were last taken by the network.
+  [[nodiscard]] Instant LastProgress() const noexcept { return last_progress_; }
+
+  /// @brief Closes the connection although its response is not sent.
+  void DropResponse(Instant now);
+
   [[nodiscard]] bool IsClosed() const noexcept { return closed_; }
   [[nodiscard]] bool IsServing() const noexcept { return serving_; }
   /// @brief When the first bytes of the current request were received.
@@ -92,6 +109,8 @@
   void Reject(RequestError error);
   [[nodiscard]] uint64_t BufferedBytes() const;
   void Write(std::string bytes, bool close);
+  void WriteRest(bool close);
+  void HoldResponse();
   void OnWritten(bool close);
   [[nodiscard]] bool IsIdle() const noexcept;
 
@@ -103,6 +122,10 @@
   std::string input_;
   std::string output_;
   std::optional<Parser> parser_;
+  size_t sent_ = 0;  ///< Bytes of `output_`.
+  BufferHold response_hold_;
+  std::function<bool()> make_room_;
+  Instant last_progress_;
   BufferHold request_hold_;  ///< Of the bytes received, until the response.
   uint64_t serving_body_bytes_ = 0;  ///< Of the request in progress.
   std::function<void()> on_disconnect_;
@@ -113,6 +136,7 @@
   bool keep_alive_ = true;
   bool serving_ = false;
   bool writing_ = false;
+  bool has_unsent_response_ = false;
   bool reading_ = false;
   bool header_checked_ = false;  ///< Of this request.
   bool continue_sent_ = false;   ///< `100 Continue`, for this request.
--- a/tests/gateway/buffer_test.cc
+++ b/tests/gateway/buffer_test.cc
@@ -166,7 +166,8 @@
     size_t body_bytes_;
   };
   // The kernel takes a part of each response, up to 4 MB.
-  const auto [calls, body_bytes] = GENERATE(values<Load>({{300, 1'000'000}}));
+  const auto [calls, body_bytes] =
+      GENERATE(values<Load>({{300, 1'000'000}, {60, 6'000'000}}));
   BufferFixture fixture(
       {"HTTP/1.1 200 OK\r\nX-Server-Stamp: stamp\r\nContent-Length: " +
            std::to_string(body_bytes) + "\r\n\r\n" +
