Responses: end an exchange whose connection has ended

Callers: a request whose replica answers with a status below 100 and closes waits until its deadline.

Cause: Boost.Beast accepts such a status and expects a body until the end of the connection. At that end everything below 200 counted as an interim response, and the exchange waited for the next one.

Ruled out: usual interim responses, which have no body.

Fix: a status below 100 is malformed, and what is open after the end of its connection is broken.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -21,6 +21,9 @@
 // response, such as a chunk header or the trailers; the parser has no limit for
 // these.
 constexpr size_t kMaxUnparsedBytes = 64 * 1024;
+// Lowest status. Boost.Beast accepts lower ones, with a body until the end of
+// the connection.
+constexpr unsigned kMinStatus = 100;
 // Limit of interim responses before the final one.
 constexpr int kMaxInterimResponses = 16;
 
@@ -152,7 +155,9 @@
       if (parser_->is_done()) {
         reusable_ = false;
         HandleResponse();
-        return;
+        if (!busy_) {
+          return;
+        }
       }
     }
     OnConnectionEnd();
@@ -233,7 +238,8 @@
 }
 
 void ClientConnection::HandleResponse() {
-  if (CheckBodyFraming(parser_->get()) != BodyFraming::kSupported) {
+  if (CheckBodyFraming(parser_->get()) != BodyFraming::kSupported ||
+      parser_->get().result_int() < kMinStatus) {
     Finish(ExchangeOutcome::kGarbled);
     return;
   }
--- a/tests/http/client_connection_test.cc
+++ b/tests/http/client_connection_test.cc
@@ -192,5 +192,18 @@
   }
 }
 
+// Guards against an exchange that does not end with the connection, so that its
+// caller waits until the deadline. Found by the fuzz test.
+TEST_CASE("a response with a status below 100 is malformed", "[client]") {
+  for (const std::string status : {"000", "003", "099"}) {
+    Exchange exchange([&status](const std::string&) {
+      return TestServer::Reply{
+          "HTTP/1.1 " + status + " Early\r\n\r\n" + Ok("1", "body"), true};
+    });
+    INFO(status);
+    CHECK(exchange.Run("1").outcome_ == ExchangeOutcome::kGarbled);
+  }
+}
+
 }  // namespace
 }  // namespace clementinerill::http
