Aggregators: count their responses for the budget of responses

Callers: a faulty daemon whose responses to forwarded queries do not end fills the memory of the daemons that forward to it, which are ended with everyone's requests. A related path of bytes without end.

Cause: connections to aggregators had no account of the budget, those to replicas had one.

Ruled out: a limit of 16 MiB that does not hold on this path; it did, for each response.

Fix: an account for each aggregator, kept until the caller has its response. What is cut off has a log line and counts in the metric.

Responses of the store are left.

--- a/src/gateway/aggregator_pool.cc
+++ b/src/gateway/aggregator_pool.cc
@@ -20,11 +20,15 @@
 
 }  // namespace
 
-AggregatorPool::Connection AggregatorPool::Connect(const Entry& entry) {
+AggregatorPool::Connection AggregatorPool::Connect(Entry& entry) {
   auto connection = std::make_shared<http::ClientConnection>(
       loop_, entry.aggregator_.address_, entry.aggregator_.port_,
       kMaxResponseBytes);
   connection->EnableKeepAlive();
+  if (!entry.response_buffers_) {
+    entry.response_buffers_ = MakeBufferAccount(response_budget_);
+  }
+  connection->SetBufferAccount(entry.response_buffers_);
   return connection;
 }
 
--- a/src/gateway/aggregator_pool.h
+++ b/src/gateway/aggregator_pool.h
@@ -5,8 +5,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "base/buffer_budget.h"
 #include "base/time.h"
 #include "http/client_connection.h"
 #include "traffic/aggregation_plan.h"
@@ -26,7 +28,11 @@
     std::shared_ptr<http::ClientConnection> connection_;
   };
 
-  explicit AggregatorPool(http::EventLoop& loop) : loop_(loop) {}
+  /// @param response_budget limit of the bytes of all responses that are
+  /// received or not passed on yet; none if null.
+  explicit AggregatorPool(http::EventLoop& loop,
+                          std::shared_ptr<BufferBudget> response_budget = {})
+      : loop_(loop), response_budget_(std::move(response_budget)) {}
 
   /// @brief Returns a connection to the first usable one of `aggregators`.
   [[nodiscard]] std::optional<Lease> Acquire(
@@ -52,14 +58,16 @@
     std::vector<Connection> idle_;  ///< Includes those being opened.
     int leased_ = 0;
     Instant opened_at_{};
+    std::shared_ptr<BufferAccount> response_buffers_;
   };
 
-  [[nodiscard]] Connection Connect(const Entry& entry);
+  [[nodiscard]] Connection Connect(Entry& entry);
   [[nodiscard]] std::optional<Lease> AcquireFrom(Entry& entry);
   void MaintainEntry(Entry& entry, Instant now);
   static void CloseIdle(Entry& entry);
 
   http::EventLoop& loop_;
+  const std::shared_ptr<BufferBudget> response_budget_;
   std::map<std::string, Entry> entries_;
 };
 
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "logging/log.h"
+
 namespace clementinerill::gateway {
 
 using http::ExchangeOutcome;
@@ -68,6 +70,15 @@
   if (!is_open_) {
     return;
   }
+  if (result.cut_off_by_ != http::ResponseLimit::kNone) {
+    metrics_.responses_cut_off_.Increment(result.cut_off_by_);
+    static RateLimitedLogger lines;
+    lines.Log(
+        http::EventLoop::Now(), LogLevel::kWarning, "aggregators",
+        "response cut off",
+        {{"aggregator", lease_.aggregator_},
+         {"limit", NameOf(http::kResponseLimitNames, result.cut_off_by_)}});
+  }
   switch (result.outcome_) {
     case ExchangeOutcome::kNotSent:
       End(ForwardOutcome::kNotSent);
@@ -83,7 +94,8 @@
   if (result.response_.status_ == kForwardRefused) {
     End(ForwardOutcome::kRefused);
   } else {
-    End(ForwardOutcome::kAnswered, std::move(result.response_));
+    End({ForwardOutcome::kAnswered, std::move(result.response_),
+         std::move(result.hold_)});
   }
 }
 
@@ -95,18 +107,18 @@
   }
 }
 
-void ForwardExchange::End(ForwardOutcome outcome, http::HttpResponse response) {
+void ForwardExchange::End(ForwardResult result) {
   is_open_ = false;
   if (timer_) {
     loop_.Timers().Cancel(*timer_);
     timer_.reset();
   }
-  pool_.Release(lease_, outcome, http::EventLoop::Now());
-  metrics_.forwards_.Increment(outcome);
+  pool_.Release(lease_, result.outcome_, http::EventLoop::Now());
+  metrics_.forwards_.Increment(result.outcome_);
   const Handler handler = std::move(handler_);
   handler_ = nullptr;
   if (handler) {
-    handler({outcome, std::move(response)});
+    handler(std::move(result));
   }
 }
 
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -19,6 +19,7 @@
 struct ForwardResult {
   traffic::ForwardOutcome outcome_ = traffic::ForwardOutcome::kNotSent;
   http::HttpResponse response_;  ///< If answered.
+  BufferHold hold_ = {};         ///< Counts the bytes of its body.
 };
 
 /// @brief Sends one query to an aggregator and waits for its response.
@@ -56,7 +57,8 @@
   void OnStarted(Instant deadline);
   void OnTimer();
   void OnResult(http::ExchangeResult result);
-  void End(traffic::ForwardOutcome outcome, http::HttpResponse response = {});
+  void End(traffic::ForwardOutcome outcome) { End({outcome, {}}); }
+  void End(ForwardResult result);
 
   http::EventLoop& loop_;
   AggregatorPool& pool_;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -43,7 +43,8 @@
             traffic::kPartFailureReasonNames)),
         responses_cut_off_(registry_.AddReasonCounters(
             "gateway_responses_cut_off_total",
-            "Responses of replicas that were cut off, by the limit.",
+            "Responses of replicas and aggregators that were cut off, by the "
+            "limit.",
             http::kResponseLimitNames)),
         response_buffers_(registry_.AddGauge(
             "gateway_response_buffer_bytes",
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/parse_number.h"
+#include "base/release_memory.h"
 #include "gateway/caller_response.h"
 #include "gateway/query_log.h"
 #include "gateway/replica_report_decoder.h"
@@ -117,25 +118,25 @@
                                         context_.metrics_, std::move(*lease));
   delegated_.push_back(exchange);
   const auto self = shared_from_this();
-  exchange->Start(MakeForwardedRequest(request_, header, context_.names_,
-                                       traffic::RemainingTime(query_, now)),
-                  now + traffic::AcknowledgeTimeout(*query_.route_),
-                  query_.deadline_,
-                  [self, index, tries_left](const ForwardResult& result) {
-                    self->OnDelegation(index, tries_left - 1, result);
-                  });
+  exchange->Start(
+      MakeForwardedRequest(request_, header, context_.names_,
+                           traffic::RemainingTime(query_, now)),
+      now + traffic::AcknowledgeTimeout(*query_.route_), query_.deadline_,
+      [self, index, tries_left](ForwardResult result) {
+        self->OnDelegation(index, tries_left - 1, std::move(result));
+      });
 }
 
 void QuerySession::OnDelegation(size_t index,
                                 int tries_left,
-                                const ForwardResult& result) {
+                                ForwardResult result) {
   if (!IsOpen()) {
     return;
   }
   const Instant now = http::EventLoop::Now();
   switch (result.outcome_) {
     case traffic::ForwardOutcome::kAnswered:
-      RecordDelegation(index, result.response_);
+      RecordDelegation(index, std::move(result));
       break;
     case traffic::ForwardOutcome::kRefused:
     case traffic::ForwardOutcome::kNotSent:
@@ -153,8 +154,8 @@
   Step();
 }
 
-void QuerySession::RecordDelegation(size_t index,
-                                    const http::HttpResponse& response) {
+void QuerySession::RecordDelegation(size_t index, ForwardResult result) {
+  http::HttpResponse& response = result.response_;
   const Instant now = http::EventLoop::Now();
   if (response.status_ == 503) {
     traffic::ReturnDelegation(query_, index, false, now);
@@ -174,7 +175,8 @@
     return;
   }
   traffic::RecordDelegation(query_, index, *missing, std::move(signatures),
-                            response.body_);
+                            std::move(response.body_));
+  query_.delegations_[index].hold_ = std::move(result.hold_);
 }
 
 void QuerySession::CancelDelegations() {
@@ -473,6 +475,10 @@
     static_cast<void>(std::exchange(part.response_, {}));
     static_cast<void>(std::exchange(part.failed_response_, {}));
   }
+  for (traffic::Delegation& delegation : query_.delegations_) {
+    ReleaseMemory(delegation.body_);
+    delegation.hold_.Release();
+  }
 }
 
 void QuerySession::CountUnansweredParts() {
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -65,8 +65,8 @@
   void Send(traffic::SendAction action, Instant now);
   void StartDelegations(Instant now);
   void StartDelegation(size_t index, int tries_left, Instant now);
-  void OnDelegation(size_t index, int tries_left, const ForwardResult& result);
-  void RecordDelegation(size_t index, const http::HttpResponse& response);
+  void OnDelegation(size_t index, int tries_left, ForwardResult result);
+  void RecordDelegation(size_t index, ForwardResult result);
   void CancelDelegations();
   [[nodiscard]] http::ExchangeRequest MakeExchange(
       const traffic::ReplicaState& replica,
--- a/src/traffic/delegation.h
+++ b/src/traffic/delegation.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/buffer_budget.h"
 #include "base/time.h"
 
 namespace clementinerill::traffic {
@@ -39,6 +40,7 @@
   DelegationState state_ = DelegationState::kOpen;
   std::string signatures_;  ///< Of the parts answered, separated by commas.
   std::string body_;        ///< Merged records.
+  BufferHold hold_ = {};    ///< Counts the bytes of `body_`.
 };
 
 /// @brief Delegates the parts without a usable replica in this failure domain
--- a/tests/gateway/aggregation_test.cc
+++ b/tests/gateway/aggregation_test.cc
@@ -1,3 +1,6 @@
+#include <malloc.h>
+
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -293,4 +296,47 @@
   }
 }
 
+// Guards against a faulty daemon that ends the others by responses without end.
+TEST_CASE("responses of aggregators stay within the memory of the VM",
+          "[aggregation][buffers]") {
+  AggregationFixture fixture;
+  const std::string head =
+      "HTTP/1.1 " + std::to_string(kForwardStarted) +
+      " Started\r\n\r\nHTTP/1.1 200 OK\r\nX-Missing-Parts: 0\r\n\r\n";
+  http::TestServer faulty(fixture.loop_, [&head](const std::string&) {
+    return http::TestServer::Reply{head, false, std::string(64 * 1024, 'x')};
+  });
+  fixture.PutRecord("aggregator", faulty.Port(), 1000);
+  Daemon& entry = fixture.StartDaemon("vm-entry", 100);
+  const Endpoint& endpoint = entry.options_.caller_listen_;
+  REQUIRE(fixture.RunUntil([&] { return faulty.Connections() > 0; }));
+  fixture.RunFor(std::chrono::milliseconds(300));
+  constexpr int kCalls = 60;
+  int ended = 0;
+  std::vector<std::shared_ptr<http::ClientConnection>> calls;
+  for (int i = 0; i < kCalls; ++i) {
+    calls.push_back(std::make_shared<http::ClientConnection>(
+        fixture.loop_, endpoint.address_, endpoint.port_, 1 << 20));
+    http::ExchangeRequest request;
+    request.bytes_ =
+        "GET /s/1 HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: call-" +
+        std::to_string(i) + "\r\nX-Request-Deadline: 800\r\n\r\n";
+    calls.back()->Start(std::move(request),
+                        [&ended](const http::ExchangeResult&) { ++ended; });
+  }
+  malloc_trim(0);
+  const size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+  size_t most = before;
+  fixture.RunUntil([&] {
+    most = std::max(most, mallinfo2().uordblks + mallinfo2().hblkhd);
+    return ended == kCalls;
+  });
+  CHECK(ended == kCalls);
+  CHECK(entry.metrics_.forwards_.Value(ForwardOutcome::kAnswered) == 0);
+  CHECK(entry.metrics_.forwards_.Value(ForwardOutcome::kBroken) > 0);
+  // An eighth of the memory, of which a response takes up to three times its
+  // size.
+  CHECK(most - before < 3 * entry.options_.memory_bytes_ / 8);
+}
+
 }  // namespace clementinerill::gateway
