--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -103,7 +103,7 @@
   traffic::FleetState fleet_;
   std::shared_ptr<BufferBudget> response_budget_;
   std::shared_ptr<BufferBudget> request_budget_;
-  std::shared_ptr<BufferBudget> unread_budget_;  ///< Of sent responses.
+  std::shared_ptr<BufferBudget> unread_budget_;  ///< Not read yet.
   uint64_t counted_refusals_ = 0;  ///< Of `request_budget_`, in the metrics.
   uint64_t counted_drops_ = 0;     ///< Of `unread_budget_`, in the metrics.
   ConnectionPool pool_;
--- a/tests/mirror/relay_test.cc
+++ b/tests/mirror/relay_test.cc
@@ -1,8 +1,11 @@
 #include <set>
+#include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
 #include "mirror/mirror.h"
+#include "property.h"
 
 namespace clementinerill::mirror {
 namespace {
@@ -166,5 +169,41 @@
         std::chrono::milliseconds(0));
 }
 
+// Guards against a faulty daemon that ends others by bytes of another message.
+TEST_CASE("mutated relay messages are decoded or rejected", "[relay][fuzz]") {
+  RolloutEvidence evidence;
+  evidence.service_ = "docket";
+  evidence.routes_["case"] = {1, 0, 20, 4};
+  evidence.latencies_["case"] = {0, 3};
+  evidence.trial_ = {6, 2};
+  RelayRequest request;
+  request.evidence_ = {evidence};
+  request.revisions_["config"] = 12;
+  RelayReply reply;
+  reply.evidence_ = {evidence};
+  reply.kinds_["servers"] = {{7, true, {{"good", {{"slots", 3}}}}, {"gone"}},
+                             {}};
+  const std::vector<std::string> messages = {
+      Encode(request), Encode(reply), Encode(EvidenceReport{"vm", {evidence}})};
+  CheckProperty(20261209, 3000, [&messages] {
+    std::string message = *rc::gen::elementOf(messages);
+    const auto mutations = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < mutations; ++i) {
+      const auto at = *rc::gen::inRange<size_t>(0, message.size());
+      message[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+    }
+    // Whatever was decoded can be passed on.
+    if (const auto decoded = DecodeRelayRequest(message)) {
+      RC_ASSERT(!Encode(*decoded).empty());
+    }
+    if (const auto decoded = DecodeRelayReply(message)) {
+      RC_ASSERT(!Encode(*decoded).empty());
+    }
+    if (const auto decoded = DecodeEvidenceReport(message)) {
+      RC_ASSERT(!Encode(*decoded).empty());
+    }
+  });
+}
+
 }  // namespace
 }  // namespace clementinerill::mirror
