--- a/src/http/event_loop.h
+++ b/src/http/event_loop.h
@@ -1,12 +1,15 @@
 #ifndef CLEMENTINERILL_HTTP_EVENT_LOOP_H_
 #define CLEMENTINERILL_HTTP_EVENT_LOOP_H_
 
+#include <ctime>
+
 #include <functional>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include "base/boot_instant.h"
 #include "base/time.h"
 #include "http/timer_queue.h"
 
@@ -24,6 +27,15 @@
   /// read a clock themselves.
   [[nodiscard]] static Instant Now() noexcept { return Instant::clock::now(); }
 
+  /// @brief The current time of the clock that counts through suspensions of
+  /// the VM.
+  [[nodiscard]] static BootInstant BootNow() noexcept {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return BootInstant(std::chrono::seconds(time.tv_sec) +
+                       std::chrono::nanoseconds(time.tv_nsec));
+  }
+
   /// @brief Runs `task` on the thread of the loop. Thread-safe.
   void Post(std::function<void()> task) {
     boost::asio::post(context_, std::move(task));
--- /dev/null
+++ b/src/organisations/organisations.h
@@ -0,0 +1,7 @@
+#ifndef CLEMENTINERILL_ORGANISATIONS_ORGANISATIONS_H_
+#define CLEMENTINERILL_ORGANISATIONS_ORGANISATIONS_H_
+
+#include "organisations/forward_declarations.h"
+#include "organisations/view_proof.h"
+
+#endif  // CLEMENTINERILL_ORGANISATIONS_ORGANISATIONS_H_
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "organisations/view_proof.h"
 #include "traffic/aggregation_plan.h"
 #include "traffic/departures.h"
 #include "traffic/extra_attempt_budget.h"
@@ -63,6 +64,9 @@
   ExtraAttemptLimit extra_attempts_;
   double cold_overage_ = 1.5;  ///< Factor on the rate of a cold replica.
   double cold_slack_ = 5;      ///< Requests per second added to the product.
+  /// Maximum age of the proof of the configuration with which requests that
+  /// need a key may run; unset if no proof is required.
+  std::optional<Duration> max_view_age_;
 };
 
 /// @brief Mutable state of services and routes; owned by the traffic thread.
@@ -72,6 +76,7 @@
   std::string region_;          ///< Region of this daemon.
   FleetLimits limits_;
   std::shared_ptr<const TrafficView> view_;
+  organisations::ViewProof view_proof_;  ///< Of the configuration of `view_`.
   std::map<std::string, std::shared_ptr<ServiceState>, std::less<>> services_;
   std::map<std::string, RouteState, std::less<>> routes_;
   Departures departures_;               ///< Reported in responses.
