--- a/src/base/boot_instant.h
+++ b/src/base/boot_instant.h
@@ -12,7 +12,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 };
 
 /// @brief A point in time on the boot clock, for bounds that must hold in true
