Relay server and list of aggregators in files of their own

The part that serves copies to other daemons moves to relay_server, the selection of aggregators to listed_aggregators. No change of behaviour; the moved files compile on their own.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gateway/daemon_record_json.h"
+#include "gateway/listed_aggregators.h"
 #include "logging/log.h"
 
 namespace clementinerill::gateway {
@@ -236,16 +237,8 @@
 }
 
 void ControlLoop::UpdateAggregators() {
-  std::vector<traffic::Aggregator> aggregators;
-  for (const auto& [name, record] : daemons_) {
-    if (!record.forward_address_.empty()) {
-      aggregators.push_back({name, record.failure_domain_, record.region_,
-                             record.forward_address_, record.forward_port_,
-                             record.capacity_});
-    }
-  }
   aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
-      std::move(aggregators));
+      ListedAggregators(daemons_));
 }
 
 void ControlLoop::DeleteDaemonRecord(const mirror::DaemonRecord& daemon) {
--- /dev/null
+++ b/src/gateway/relay_server.h
@@ -0,0 +1,86 @@
+#ifndef CLEMENTINERILL_GATEWAY_RELAY_SERVER_H_
+#define CLEMENTINERILL_GATEWAY_RELAY_SERVER_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/followed_kind.h"
+#include "http/listener.h"
+#include "mirror/relay_message.h"
+#include "settings/endpoint.h"
+
+namespace clementinerill::gateway {
+
+/// @brief Path of the liveness check, on the relay address of a daemon.
+inline constexpr const char* kLivenessPath = "/alive";
+
+/// @brief Path at which a daemon relays its copies.
+inline constexpr const char* kRelayPath = "/relay";
+
+/// @brief Evidence on rollouts that travels with relay messages, from and to
+/// the part of the daemon that judges.
+struct EvidenceHandlers {
+  using Evidence = std::vector<mirror::RolloutEvidence>;
+
+  /// Evidence of this daemon, sent to the relay that it follows.
+  std::function<Evidence()> own_;
+  /// Evidence of all daemons, sent to those that follow this one.
+  std::function<Evidence()> sums_;
+  /// Called with the request of a daemon that follows this one.
+  std::function<void(const mirror::RelayRequest&)> on_request_;
+  /// Called with the sums that the relay sent.
+  std::function<void(const Evidence&)> on_sums_;
+  /// Called with the report of another daemon that follows the store; returns
+  /// that of this one.
+  std::function<mirror::EvidenceReport(const mirror::EvidenceReport&)>
+      on_report_;
+};
+
+/// @brief Serves this daemon's copies of the store to other daemons.
+class RelayServer {
+ public:
+  /// @param kinds the copies; must outlive this object.
+  /// @param evidence must outlive this object.
+  RelayServer(http::EventLoop& loop,
+              const std::map<std::string, FollowedKind>& kinds,
+              const EvidenceHandlers& evidence);
+
+  void Listen(const Endpoint& endpoint);
+
+  /// @brief Replies to the waiting readers for which there are changes.
+  void ReplyToWaitingReaders();
+
+  /// @brief Closes connections of readers that have timed out.
+  void CheckTimeouts(Instant now) { listener_.CheckTimeouts(false, now); }
+
+ private:
+  using Caller = std::shared_ptr<http::ServerConnection>;
+
+  struct WaitingReader {
+    Caller caller_;
+    mirror::RelayRequest request_;
+    http::TimerQueue::Id timer_;
+  };
+
+  void OnRequest(const Caller& caller, const http::HttpRequest& request);
+  void OnRelayRequest(const Caller& caller,
+                      const mirror::RelayRequest& request);
+  /// Replies if there are changes for the reader or with `even_if_unchanged`.
+  [[nodiscard]] bool TryReply(const Caller& caller,
+                              const mirror::RelayRequest& request,
+                              bool even_if_unchanged);
+
+  http::EventLoop& loop_;
+  const std::map<std::string, FollowedKind>& kinds_;
+  const EvidenceHandlers& evidence_;
+  http::Listener listener_;
+  std::list<WaitingReader> waiting_readers_;
+};
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_GATEWAY_RELAY_SERVER_H_
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -4,7 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "gateway/rollout_exchange.h"
 #include "gateway/watch_wait.h"
 #include "logging/log.h"
 
@@ -13,8 +12,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char* kRelayPath = "/relay";
-
 // Shares of the maximum propagation delay: the maximum age of a relay's copy,
 // and the long-poll time of a reader at its relay. They leave a third for
 // switching relays.
@@ -26,8 +23,6 @@
 // store.
 constexpr double kStandbyFailoverShare = 0.1;
 constexpr double kReaderFailoverShare = 0.25;
-// Upper limit of the long-poll time that a reader may request.
-constexpr milliseconds kMaxRelayWait{8000};
 // A relay answers at the end of the long-poll time at the latest; the margin
 // allows for a busy CPU.
 constexpr Duration kRelayTimeoutMargin = milliseconds(800);
@@ -55,18 +50,6 @@
   return std::chrono::duration_cast<milliseconds>(bound * share);
 }
 
-void RespondCbor(const std::shared_ptr<http::ServerConnection>& caller,
-                 std::string body) {
-  caller->Respond(
-      {200, {{"Content-Type", "application/cbor"}}, std::move(body), true},
-      false);
-}
-
-bool HasChanges(const mirror::KindChanges& changes) {
-  return changes.is_full_list_ || !changes.upserted_.empty() ||
-         !changes.removed_.empty();
-}
-
 }  // namespace
 
 StoreFollower::StoreFollower(http::EventLoop& loop,
@@ -77,11 +60,7 @@
       options_(options),
       metrics_(metrics),
       on_changes_(std::move(on_changes)),
-      relay_listener_(
-          loop,
-          [this](const Caller& caller, const http::HttpRequest& request) {
-            OnRequest(caller, request);
-          }) {
+      relay_server_(loop, kinds_, evidence_) {
   const StoreKinds& kinds = options.store_codec_.kinds_;
   AddKind(kinds.configuration_, {}, true);
   AddKind(kinds.replicas_, kReplicaBatchDelay, true);
@@ -116,13 +95,7 @@
 
 void StoreFollower::Start() {
   if (options_.relay_listen_) {
-    const auto port = relay_listener_.Listen(options_.relay_listen_->address_,
-                                             options_.relay_listen_->port_);
-    if (!port) {
-      Log(LogLevel::kError, "relay",
-          "cannot listen, not relaying to other daemons",
-          {{"error", Format(port.error())}});
-    }
+    relay_server_.Listen(*options_.relay_listen_);
   }
   for (const Endpoint& seed : options_.seeds_) {
     if (!options_.relay_listen_ || !(seed == *options_.relay_listen_)) {
@@ -220,7 +193,7 @@
 void StoreFollower::OnKindChanged(const std::string& kind,
                                   const mirror::KindChanges& changes) {
   on_changes_(kind, changes);
-  ReplyToWaitingReaders();
+  relay_server_.ReplyToWaitingReaders();
 }
 
 mirror::RelayRequest StoreFollower::MakeRequest() const {
@@ -348,98 +321,6 @@
   });
 }
 
-void StoreFollower::OnRequest(const Caller& caller,
-                              const http::HttpRequest& request) {
-  int status = 404;
-  if (request.target_ == kLivenessPath) {
-    caller->Respond({200, {}, "", true}, true);
-    return;
-  }
-  if (request.target_ == kRelayPath) {
-    if (const auto decoded = mirror::DecodeRelayRequest(request.body_)) {
-      OnRelayRequest(caller, *decoded);
-      return;
-    }
-    status = 400;
-  } else if (request.target_ == kEvidencePath && evidence_.on_report_) {
-    if (const auto decoded = mirror::DecodeEvidenceReport(request.body_)) {
-      RespondCbor(caller, mirror::Encode(evidence_.on_report_(*decoded)));
-      return;
-    }
-    status = 400;
-  }
-  http::HttpResponse response;
-  response.status_ = status;
-  caller->Respond(response, false);
-}
-
-void StoreFollower::OnRelayRequest(const Caller& caller,
-                                   const mirror::RelayRequest& request) {
-  if (evidence_.on_request_ && !request.evidence_.empty()) {
-    evidence_.on_request_(request);
-  }
-  if (TryReply(caller, request, request.wait_ <= milliseconds(0))) {
-    return;
-  }
-  const auto position =
-      waiting_readers_.insert(waiting_readers_.end(), {caller, request, {}});
-  const auto wait = std::min(request.wait_, kMaxRelayWait);
-  position->timer_ =
-      loop_.Timers().Add(http::EventLoop::Now() + wait, [this, position] {
-        const WaitingReader reader = *position;
-        waiting_readers_.erase(position);
-        (void)TryReply(reader.caller_, reader.request_, true);
-      });
-}
-
-bool StoreFollower::TryReply(const Caller& caller,
-                             const mirror::RelayRequest& request,
-                             bool even_if_unchanged) {
-  const Instant now = http::EventLoop::Now();
-  mirror::RelayReply reply;
-  bool has_changes = even_if_unchanged;
-  for (const auto& [kind, followed] : kinds_) {
-    if (followed.mirror_.revision_ == 0) {
-      continue;
-    }
-    const auto known = request.revisions_.find(kind);
-    const int64_t revision =
-        known == request.revisions_.end() ? 0 : known->second;
-    // Daemons of the previous version name no era.
-    const auto known_era = request.eras_.find(kind);
-    const int64_t era = known_era == request.eras_.end() ? followed.mirror_.era_
-                                                         : known_era->second;
-    mirror::RelayedKind& relayed = reply.kinds_[kind];
-    relayed.changes_ = mirror::ChangesSince(followed.mirror_, era, revision);
-    relayed.age_ = std::chrono::duration_cast<milliseconds>(
-        mirror::Age(followed.mirror_, now));
-    // The revision also advances with changes of other kinds.
-    has_changes =
-        has_changes || followed.mirror_.era_ > era ||
-        (followed.mirror_.era_ == era &&
-         followed.mirror_.revision_ > revision && HasChanges(relayed.changes_));
-  }
-  if (!has_changes) {
-    return false;
-  }
-  if (evidence_.sums_) {
-    reply.evidence_ = evidence_.sums_();
-  }
-  RespondCbor(caller, mirror::Encode(reply));
-  return true;
-}
-
-void StoreFollower::ReplyToWaitingReaders() {
-  for (auto it = waiting_readers_.begin(); it != waiting_readers_.end();) {
-    if (!TryReply(it->caller_, it->request_, false)) {
-      ++it;
-      continue;
-    }
-    loop_.Timers().Cancel(it->timer_);
-    it = waiting_readers_.erase(it);
-  }
-}
-
 void StoreFollower::RecordCopyAge(Instant now) {
   Duration oldest = Duration::zero();
   for (const auto& [kind, followed] : kinds_) {
@@ -452,7 +333,7 @@
 
 void StoreFollower::Tick() {
   const Instant now = http::EventLoop::Now();
-  relay_listener_.CheckTimeouts(false, now);
+  relay_server_.CheckTimeouts(now);
   ActivateWatches();
   RecordCopyAge(now);
   loop_.Timers().Add(now + kTickPeriod, [this] { Tick(); });
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -2,46 +2,22 @@
 #define CLEMENTINERILL_GATEWAY_STORE_FOLLOWER_H_
 
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "gateway/followed_kind.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
-#include "gateway/kind_watch.h"
+#include "gateway/relay_server.h"
 #include "http/client.h"
-#include "http/listener.h"
-#include "mirror/kind_mirror.h"
 #include "mirror/relay_message.h"
 #include "mirror/relay_plan.h"
 
 namespace clementinerill::gateway {
 
-/// @brief Path of the liveness check, on the relay address of a daemon.
-inline constexpr const char* kLivenessPath = "/alive";
-
-/// @brief Evidence on rollouts that travels with relay messages, from and to
-/// the part of the daemon that judges.
-struct EvidenceHandlers {
-  using Evidence = std::vector<mirror::RolloutEvidence>;
-
-  /// Evidence of this daemon, sent to the relay that it follows.
-  std::function<Evidence()> own_;
-  /// Evidence of all daemons, sent to those that follow this one.
-  std::function<Evidence()> sums_;
-  /// Called with the request of a daemon that follows this one.
-  std::function<void(const mirror::RelayRequest&)> on_request_;
-  /// Called with the sums that the relay sent.
-  std::function<void(const Evidence&)> on_sums_;
-  /// Called with the report of another daemon that follows the store; returns
-  /// that of this one.
-  std::function<mirror::EvidenceReport(const mirror::EvidenceReport&)>
-      on_report_;
-};
-
 /// @brief Keeps this daemon's copies of the store up to date and relays them to
 /// other daemons.
 ///
@@ -82,20 +58,6 @@
   void SetDaemons(const std::vector<mirror::DaemonRecord>& daemons);
 
  private:
-  using Caller = std::shared_ptr<http::ServerConnection>;
-
-  struct FollowedKind {
-    mirror::KindMirror mirror_;
-    std::unique_ptr<KindWatch> watch_;
-    bool must_be_fresh_ = true;
-  };
-
-  struct WaitingReader {
-    Caller caller_;
-    mirror::RelayRequest request_;
-    http::TimerQueue::Id timer_;
-  };
-
   void AddKind(const std::string& kind,
                Duration batch_delay,
                bool must_be_fresh);
@@ -109,14 +71,6 @@
   void OnRelayFailed(const std::string& reason);
   [[nodiscard]] bool ApplyRelayReply(const mirror::RelayReply& reply);
   [[nodiscard]] mirror::RelayRequest MakeRequest() const;
-  void OnRequest(const Caller& caller, const http::HttpRequest& request);
-  void OnRelayRequest(const Caller& caller,
-                      const mirror::RelayRequest& request);
-  /// Replies if there are changes for the reader or with `even_if_unchanged`.
-  [[nodiscard]] bool TryReply(const Caller& caller,
-                              const mirror::RelayRequest& request,
-                              bool even_if_unchanged);
-  void ReplyToWaitingReaders();
   void RecordCopyAge(Instant now);
   void Tick();
 
@@ -127,8 +81,7 @@
   EvidenceHandlers evidence_;
   std::vector<mirror::DaemonRecord> daemons_;
   std::map<std::string, FollowedKind> kinds_;
-  http::Listener relay_listener_;
-  std::list<WaitingReader> waiting_readers_;
+  RelayServer relay_server_;
   mirror::RelayPlan plan_;
   size_t relay_index_ = 0;  ///< The relay in use, modulo their number.
   int relay_failures_ = 0;
