Proof that a copy of the store is recent: decisions and relay fields

A key that the store has revoked must not be used by a daemon that does not know of it yet, also after a suspension of its VM. The copy of a kind keeps the time of sending of the latest call whose response proved it; a relay states the age of its proof and for how long it held the poll. Both fields are optional and not sent by anyone yet.

--- a/src/mirror/kind_mirror.cc
+++ b/src/mirror/kind_mirror.cc
@@ -69,6 +69,10 @@
       RecordChange(mirror, changes.revision_, name);
     }
   }
+  if (changes.era_ != mirror.era_) {
+    mirror.proven_at_.reset();
+    mirror.proven_revision_ = 0;
+  }
   mirror.era_ = changes.era_;
   mirror.revision_ = changes.revision_;
   return true;
--- a/src/mirror/kind_mirror.h
+++ b/src/mirror/kind_mirror.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "base/boot_instant.h"
 #include "base/time.h"
 #include "mirror/kind_changes.h"
 
@@ -34,6 +35,10 @@
   /// When the store last confirmed the copy, directly or through another
   /// daemon.
   std::optional<Instant> confirmed_at_;
+  /// Latest time at which the copy certainly had all that the store had
+  /// acknowledged; see copy_proof.h. Lost when the era changes.
+  std::optional<BootInstant> proven_at_;
+  int64_t proven_revision_ = 0;  ///< Of the copy when it was proven.
 };
 
 /// @brief Whether revisions of `era` cannot be compared with that of the copy.
--- a/src/mirror/mirror.h
+++ b/src/mirror/mirror.h
@@ -3,6 +3,7 @@
 
 // Convenience header: includes all headers of the mirror library.
 
+#include "mirror/copy_proof.h"
 #include "mirror/daemon_liveness.h"
 #include "mirror/daemon_record.h"
 #include "mirror/forward_declarations.h"
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -29,6 +29,16 @@
                     kMaxTime);
 }
 
+// A negative time counts as missing: as the age of a proof, 0 would be too
+// favourable.
+std::optional<milliseconds> DecodeOptionalTime(const json& message,
+                                               const char* field) {
+  if (!message.contains(field) || message.at(field).get<int64_t>() < 0) {
+    return std::nullopt;
+  }
+  return DecodeTime(message.at(field));
+}
+
 // Largest counts that a message can name, so that sums stay in range.
 constexpr int64_t kMaxDaemons = 1'000'000;
 constexpr int64_t kMaxAttempts = 1'000'000'000'000;
@@ -62,12 +72,16 @@
   for (const StoredObject& object : kind.changes_.upserted_) {
     present[object.name_] = EncodeObject(object);
   }
-  return {{"era", kind.changes_.era_},
-          {"revision", kind.changes_.revision_},
-          {"complete", kind.changes_.is_full_list_},
-          {"age_ms", kind.age_.count()},
-          {"present", std::move(present)},
-          {"removed", kind.changes_.removed_}};
+  json encoded = {{"era", kind.changes_.era_},
+                  {"revision", kind.changes_.revision_},
+                  {"complete", kind.changes_.is_full_list_},
+                  {"age_ms", kind.age_.count()},
+                  {"present", std::move(present)},
+                  {"removed", kind.changes_.removed_}};
+  if (kind.proof_age_) {
+    encoded["proof_age_ms"] = kind.proof_age_->count();
+  }
+  return encoded;
 }
 
 RelayedKind DecodeKind(const json& message) {
@@ -77,6 +91,7 @@
   kind.changes_.revision_ = message.at("revision").get<int64_t>();
   kind.changes_.is_full_list_ = message.at("complete").get<bool>();
   kind.age_ = DecodeTime(message.at("age_ms"));
+  kind.proof_age_ = DecodeOptionalTime(message, "proof_age_ms");
   for (const auto& [name, object] : message.at("present").items()) {
     kind.changes_.upserted_.push_back(DecodeObject(name, object));
   }
@@ -194,8 +209,12 @@
   for (const auto& [name, kind] : reply.kinds_) {
     kinds[name] = EncodeKind(kind);
   }
-  return ToCbor({{"kinds", std::move(kinds)},
-                 {"evidence", EncodeEvidenceList(reply.evidence_)}});
+  json message = {{"kinds", std::move(kinds)},
+                  {"evidence", EncodeEvidenceList(reply.evidence_)}};
+  if (reply.held_) {
+    message["held_ms"] = reply.held_->count();
+  }
+  return ToCbor(message);
 }
 
 std::string Encode(const EvidenceReport& report) {
@@ -227,6 +246,7 @@
     if (message.contains("evidence")) {
       reply.evidence_ = DecodeEvidenceList(message.at("evidence"));
     }
+    reply.held_ = DecodeOptionalTime(message, "held_ms");
     return reply;
   });
 }
--- a/src/mirror/relay_message.h
+++ b/src/mirror/relay_message.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
   KindChanges changes_;
   /// Time since the store last confirmed the copy.
   std::chrono::milliseconds age_{};
+  /// Age of the proof of the copy when the relay replied, rounded up; unset if
+  /// the relay has none or none is required.
+  std::optional<std::chrono::milliseconds> proof_age_ = {};
 };
 
 /// @brief The response to a `RelayRequest`: the kinds that the relay mirrors.
@@ -35,6 +39,9 @@
   std::map<std::string, RelayedKind> kinds_;
   /// Sums over all daemons, of rollouts in progress.
   std::vector<RolloutEvidence> evidence_;
+  /// Time from the receipt of the request to the reply, rounded down; unset if
+  /// no proof is required.
+  std::optional<std::chrono::milliseconds> held_ = {};
 };
 
 /// @brief Evidence on rollouts in progress that daemons which follow the store
