Proof that the view is recent: waits, relays, traffic thread, readiness

With bounds.strict_revoke a daemon is ready only while its configuration is proven to have been the newest one less than revoke_ms - 100 ms ago. Lists, watches and polls of the configuration kind are judged; the proof reaches the traffic thread after the view that it holds for. Without the setting, messages, waits and calls are as before.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -41,6 +41,7 @@
                          PublishShares publish_shares)
     : loop_(loop),
       options_(options),
+      max_view_age_(options.limits_.max_view_age_),
       publish_(std::move(publish)),
       publish_shares_(std::move(publish_shares)),
       follower_(
@@ -65,6 +66,7 @@
 
 void ControlLoop::Start() {
   follower_.SetEvidenceHandlers(MakeEvidenceHandlers());
+  UpdateProofLimit();
   follower_.Start();
   Register();
   prober_.Start();
@@ -130,6 +132,7 @@
        {"services", decoded->services_.size()}});
   configuration_ = std::make_shared<const traffic::TrafficConfiguration>(
       std::move(*decoded));
+  UpdateProofLimit();
 }
 
 void ControlLoop::ApplyReplicaChanges(const mirror::KindChanges& changes) {
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -20,6 +20,7 @@
 #include "mirror/daemon_record.h"
 #include "traffic/replica_directory.h"
 #include "traffic/traffic_view.h"
+#include "traffic/view_proof_limit.h"
 
 namespace clementinerill::gateway {
 
@@ -41,6 +42,18 @@
 
   void Start();
 
+  /// @brief Sets the receiver of proofs of the configuration, before `Start`. A
+  /// proof is passed on after the view that it holds for.
+  void SetOnProof(ConfigurationProof::OnProof on_proof) {
+    follower_.SetOnProof(std::move(on_proof));
+  }
+
+  /// @brief Applies the maximum age of the proof in reloaded settings.
+  void SetMaxViewAge(std::optional<Duration> max_view_age) {
+    max_view_age_ = max_view_age;
+    UpdateProofLimit();
+  }
+
   /// @brief Records the version comparison that this daemon's traffic gives for
   /// a rollout.
   void RecordEvidence(const traffic::VersionComparison& evidence);
@@ -73,11 +86,16 @@
   void WriteOwnRecord(const std::string& method,
                       const std::string& target,
                       std::function<void(const http::ClientResponse&)> handler);
+  void UpdateProofLimit() {
+    follower_.SetMaxProofAge(
+        traffic::RequiredProofAge(max_view_age_, configuration_.get()));
+  }
   void PublishView();
   void Tick();
 
   http::EventLoop& loop_;
   const GatewayOptions& options_;
+  std::optional<Duration> max_view_age_;
   const Publish publish_;
   const PublishShares publish_shares_;
   StoreFollower follower_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -2,7 +2,9 @@
 
 #include <csignal>
 
+#include <functional>
 #include <thread>
+#include <utility>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -35,6 +37,11 @@
     }
   }
 
+  /// Sets a further receiver of reloaded settings.
+  void SetOnReload(std::function<void(const GatewayOptions&)> on_reload) {
+    on_reload_ = std::move(on_reload);
+  }
+
   void Reload() {
     if (!options_.reload_) {
       return;
@@ -50,6 +57,9 @@
       return;
     }
     traffic_.SetSettings(*settings);
+    if (on_reload_) {
+      on_reload_(*settings);
+    }
     Log(LogLevel::kInfo, "gateway", "settings reloaded",
         {{"name", settings->name_},
          {"extra_attempt_ratio", settings->limits_.extra_attempts_.ratio_},
@@ -71,6 +81,7 @@
   TrafficServer& traffic_;
   const GatewayOptions& options_;
   std::string settings_text_;
+  std::function<void(const GatewayOptions&)> on_reload_;
 };
 
 /// Handles signals on the traffic loop: SIGHUP reloads the settings, SIGTERM
@@ -149,6 +160,14 @@
         control_loop.Post(
             [&control, evidence] { control.RecordEvidence(evidence); });
       });
+  control.SetOnProof([&traffic_loop, &traffic](const auto& proof) {
+    traffic_loop.Post([&traffic, proof] { traffic.SetViewProof(proof); });
+  });
+  settings.SetOnReload([&control_loop, &control](const auto& reloaded) {
+    const auto max_view_age = reloaded.limits_.max_view_age_;
+    control_loop.Post(
+        [&control, max_view_age] { control.SetMaxViewAge(max_view_age); });
+  });
   std::thread control_thread([&control_loop, &control] {
     control.Start();
     control_loop.Run();
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 #include "http/client_connection.h"
 #include "http/request_error.h"
 #include "metrics/registry.h"
+#include "mirror/copy_proof.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/forward_outcome.h"
 #include "traffic/part_failure_reason.h"
@@ -102,6 +103,18 @@
         copy_age_(registry_.AddGauge(
             "gateway_store_copy_age_milliseconds",
             "Time since the store last confirmed the oldest copy.")),
+        proofs_(registry_.AddReasonCounters(
+            "gateway_access_proofs_total",
+            "Responses of the store and of relays, by whether they prove that "
+            "the configuration is recent.",
+            mirror::kProofOutcomeNames)),
+        proof_age_(registry_.AddGauge(
+            "gateway_access_proof_age_milliseconds",
+            "Age of the proof that the configuration is recent; -1: there is "
+            "none; 0: none is required.")),
+        proof_expiries_(
+            registry_.AddCounter("gateway_access_proof_expiries_total",
+                                 "Times that a required proof expired.")),
         version_(registry_.AddGauge("gateway_configuration_version",
                                     "Version of the configuration in force.")),
         replicas_(registry_.AddGauge("gateway_replicas", "Known replicas.")),
@@ -136,6 +149,9 @@
   Counter& unusable_found_;
   Gauge& unusable_;
   Gauge& copy_age_;
+  ReasonCounters<mirror::ProofOutcome, 7> proofs_;
+  Gauge& proof_age_;
+  Counter& proof_expiries_;
   Gauge& version_;
   Gauge& replicas_;
   LatencyRecorder& latency_;
--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -17,7 +17,8 @@
 // grows with each failure.
 constexpr Duration kInitialResponseTimeout = milliseconds(600);
 constexpr Duration kMaxResponseTimeout = milliseconds(1500);
-// Long-poll time after a failure: the response shows that the store is back.
+// Long-poll time after a failure, when the response shows that the store is
+// back, and when the proof of the copy has become old, to renew it at once.
 constexpr milliseconds kProbeWait{50};
 // Delay after a failed request. It doubles because the store counts refused
 // requests. With the longest timeout it stays below the time within which
@@ -101,6 +102,9 @@
 }
 
 void KindWatch::List() {
+  if (listed_until_.empty()) {
+    list_sent_at_ = http::EventLoop::BootNow();
+  }
   Call(codec_.list_target_(options_.kind_, listed_until_, false),
        milliseconds(0), &KindWatch::OnPage);
 }
@@ -112,9 +116,13 @@
   request.target_ = std::move(target);
   request.timeout_ = wait + ResponseTimeout(failures_);
   called_at_ = http::EventLoop::Now();
+  sent_at_ = http::EventLoop::BootNow();
   metrics_.store_calls_.Increment();
   client_.Call(std::move(request),
                [this, handler](const http::ClientResponse& response) {
+                 if (response.status_ != 200) {
+                   ReportProof(JudgeProof(response, nullptr, sent_at_));
+                 }
                  (this->*handler)(response);
                });
 }
@@ -152,7 +160,8 @@
     return;
   }
   listed_until_.clear();
-  if (!ApplyChanges(std::exchange(pending_list_, {}))) {
+  if (!ApplyChanges(std::exchange(pending_list_, {}), response,
+                    list_sent_at_)) {
     return;
   }
   needs_list_ = false;
@@ -162,12 +171,20 @@
 }
 
 void KindWatch::Watch() {
-  const milliseconds wait =
-      failures_ > 0 ? std::min(kProbeWait, options_.wait_) : options_.wait_;
+  const milliseconds wait = NextWait();
   Call(codec_.watch_target_(options_.kind_, mirror_.revision_, wait), wait,
        &KindWatch::OnEvents);
 }
 
+milliseconds KindWatch::NextWait() {
+  // Not twice in a row: if responses prove nothing, faster ones do not help.
+  is_renewing_ =
+      renewal_age_ && !is_renewing_ &&
+      mirror::IsProofOlder(mirror_, *renewal_age_, http::EventLoop::BootNow());
+  return failures_ > 0 || is_renewing_ ? std::min(kProbeWait, options_.wait_)
+                                       : options_.wait_;
+}
+
 void KindWatch::OnEvents(const http::ClientResponse& response) {
   if (response.status_ != 200 && response.status_ != 410) {
     ScheduleRetry(http::DescribeFailure(response));
@@ -200,7 +217,7 @@
   history_losses_ = 0;
   const bool changed = !events->upserted_.empty() || !events->removed_.empty();
   events->era_ = EraOf(response);
-  if (!ApplyChanges(*events) || !active_) {
+  if (!ApplyChanges(*events, response, sent_at_) || !active_) {
     return;
   }
   if (changed && options_.batch_delay_ > Duration::zero()) {
@@ -235,15 +252,21 @@
   return era > 0 ? era : mirror_.era_;
 }
 
-bool KindWatch::ApplyChanges(const mirror::KindChanges& changes) {
+bool KindWatch::ApplyChanges(const mirror::KindChanges& changes,
+                             const http::ClientResponse& response,
+                             BootInstant sent) {
   if (changes.era_ < mirror_.era_) {
+    ReportProof(JudgeProof(response, &changes, sent));
     needs_list_ = true;
     ScheduleRetry("response of an earlier era");
     return false;
   }
   RecordSuccess();
   mirror::Confirm(mirror_, http::EventLoop::Now());
-  if (mirror::Apply(mirror_, changes)) {
+  const bool changed = mirror::Apply(mirror_, changes);
+  // Before the changes are passed on: readers receive the proof with them.
+  const mirror::ProofOutcome outcome = JudgeProof(response, &changes, sent);
+  if (changed) {
     on_changes_(changes);
   } else if (changes.revision_ < mirror_.revision_) {
     static RateLimitedLogger lines;
@@ -255,9 +278,35 @@
                {"revision", changes.revision_},
                {"known_revision", mirror_.revision_}});
   }
+  ReportProof(outcome);
   return true;
 }
 
+mirror::ProofOutcome KindWatch::JudgeProof(const http::ClientResponse& response,
+                                           const mirror::KindChanges* changes,
+                                           BootInstant sent) {
+  if (!options_.on_proof_) {
+    return mirror::ProofOutcome::kNotApplied;
+  }
+  mirror::StoreResponse judged;
+  judged.status_ = response.status_;
+  judged.is_applied_ = changes != nullptr;
+  judged.era_ = codec_.decode_era_(response.headers_);
+  judged.revision_ = changes ? changes->revision_ : 0;
+  judged.sent_ = sent;
+  const mirror::ProofOutcome outcome = mirror::JudgeResponse(mirror_, judged);
+  if (outcome == mirror::ProofOutcome::kProven) {
+    mirror::Prove(mirror_, sent);
+  }
+  return outcome;
+}
+
+void KindWatch::ReportProof(mirror::ProofOutcome outcome) const {
+  if (options_.on_proof_) {
+    options_.on_proof_(outcome);
+  }
+}
+
 void KindWatch::ScheduleRetry(const std::string& reason) {
   pending_list_ = {};
   listed_until_.clear();
--- a/src/gateway/kind_watch.h
+++ b/src/gateway/kind_watch.h
@@ -2,12 +2,14 @@
 #define CLEMENTINERILL_GATEWAY_KIND_WATCH_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "gateway/gateway_metrics.h"
 #include "gateway/store_codec.h"
 #include "http/client.h"
+#include "mirror/copy_proof.h"
 #include "mirror/kind_mirror.h"
 #include "settings/endpoint.h"
 
@@ -29,6 +31,9 @@
   /// succession cost one request.
   Duration batch_delay_{};
   JsonBounds object_bounds_{};  ///< Objects beyond them are not usable.
+  /// Called after each response, with whether it proved the copy. The proof is
+  /// kept in the copy. Unset: responses are not judged.
+  std::function<void(mirror::ProofOutcome)> on_proof_ = {};
 };
 
 /// @brief Keeps a local copy of the objects of one kind in sync with the store:
@@ -58,6 +63,10 @@
   /// @brief Sets the long-poll time, from the next watch on.
   void SetWait(std::chrono::milliseconds wait) { options_.wait_ = wait; }
 
+  /// @brief Sets the age of the proof of the copy from which the next watch is
+  /// answered at once, to renew it; unset: none is.
+  void SetRenewalAge(std::optional<Duration> age) { renewal_age_ = age; }
+
  private:
   void Step();
   void List();
@@ -66,8 +75,17 @@
   void OnEvents(const http::ClientResponse& reply);
   void OnHistoryGone();
   void StopWaiting();
-  /// Returns whether the changes are of the current era or a later one.
-  bool ApplyChanges(const mirror::KindChanges& changes);
+  /// Returns whether the changes are of the current era or a later one. They
+  /// are those of `response`, to a call sent at `sent`.
+  bool ApplyChanges(const mirror::KindChanges& changes,
+                    const http::ClientResponse& response,
+                    BootInstant sent);
+  /// Judges a response and records the proof. `changes` is null if it has none.
+  mirror::ProofOutcome JudgeProof(const http::ClientResponse& response,
+                                  const mirror::KindChanges* changes,
+                                  BootInstant sent);
+  void ReportProof(mirror::ProofOutcome outcome) const;
+  [[nodiscard]] std::chrono::milliseconds NextWait();
   /// The era that a response names, by default that of the copy.
   [[nodiscard]] int64_t EraOf(const http::ClientResponse& response) const;
   /// Sends a request that the store holds for up to `wait`.
@@ -94,6 +112,10 @@
   int failures_ = 0;
   int history_losses_ = 0;  ///< Since a watch was last answered with events.
   Instant called_at_{};     ///< When the last request was sent.
+  BootInstant sent_at_{};   ///< The same on the boot clock.
+  BootInstant list_sent_at_{};  ///< Of the first page of `pending_list_`.
+  std::optional<Duration> renewal_age_;
+  bool is_renewing_ = false;  ///< The last watch was to be answered at once.
 };
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/relay_server.cc
+++ b/src/gateway/relay_server.cc
@@ -78,23 +78,24 @@
   if (evidence_.on_request_ && !request.evidence_.empty()) {
     evidence_.on_request_(request);
   }
-  if (TryReply(caller, request, request.wait_ <= milliseconds(0))) {
+  const WaitingReader reader{caller, request, http::EventLoop::BootNow(), {}};
+  if (TryReply(reader, request.wait_ <= milliseconds(0))) {
     return;
   }
-  const auto position =
-      waiting_readers_.insert(waiting_readers_.end(), {caller, request, {}});
+  const auto position = waiting_readers_.insert(waiting_readers_.end(), reader);
   const auto wait = std::min(request.wait_, kMaxRelayWait);
   position->timer_ =
       loop_.Timers().Add(http::EventLoop::Now() + wait, [this, position] {
-        const WaitingReader reader = *position;
+        const WaitingReader waiting = *position;
         waiting_readers_.erase(position);
-        (void)TryReply(reader.caller_, reader.request_, true);
+        (void)TryReply(waiting, true);
       });
 }
 
-bool RelayServer::TryReply(const Caller& caller,
-                           const mirror::RelayRequest& request,
+bool RelayServer::TryReply(const WaitingReader& reader,
                            bool even_if_unchanged) {
+  const mirror::RelayRequest& request = reader.request_;
+  const BootInstant boot_now = http::EventLoop::BootNow();
   const Instant now = http::EventLoop::Now();
   mirror::RelayReply reply;
   bool has_changes = even_if_unchanged;
@@ -113,6 +114,9 @@
     relayed.changes_ = mirror::ChangesSince(followed.mirror_, era, revision);
     relayed.age_ = std::chrono::duration_cast<milliseconds>(
         mirror::Age(followed.mirror_, now));
+    if (sends_proof_) {
+      relayed.proof_age_ = mirror::ProofAge(followed.mirror_, boot_now);
+    }
     // The revision also advances with changes of other kinds.
     has_changes =
         has_changes || followed.mirror_.era_ > era ||
@@ -125,13 +129,17 @@
   if (evidence_.sums_) {
     reply.evidence_ = evidence_.sums_();
   }
-  RespondCbor(caller, mirror::Encode(reply));
+  if (sends_proof_) {
+    reply.held_ =
+        std::chrono::duration_cast<milliseconds>(boot_now - reader.received_);
+  }
+  RespondCbor(reader.caller_, mirror::Encode(reply));
   return true;
 }
 
 void RelayServer::ReplyToWaitingReaders() {
   for (auto it = waiting_readers_.begin(); it != waiting_readers_.end();) {
-    if (!TryReply(it->caller_, it->request_, false)) {
+    if (!TryReply(*it, false)) {
       ++it;
       continue;
     }
--- a/src/gateway/relay_server.h
+++ b/src/gateway/relay_server.h
@@ -51,6 +51,9 @@
 
   void Listen(const Endpoint& endpoint);
 
+  /// @brief Sets whether replies carry the age of the proof of a copy.
+  void SetSendsProof(bool sends_proof) { sends_proof_ = sends_proof; }
+
   /// @brief Replies to the waiting readers for which there are changes.
   void ReplyToWaitingReaders();
 
@@ -63,6 +66,7 @@
   struct WaitingReader {
     Caller caller_;
     mirror::RelayRequest request_;
+    BootInstant received_;
     http::TimerQueue::Id timer_;
   };
 
@@ -70,8 +74,7 @@
   void OnRelayRequest(const Caller& caller,
                       const mirror::RelayRequest& request);
   /// Replies if there are changes for the reader or with `even_if_unchanged`.
-  [[nodiscard]] bool TryReply(const Caller& caller,
-                              const mirror::RelayRequest& request,
+  [[nodiscard]] bool TryReply(const WaitingReader& reader,
                               bool even_if_unchanged);
 
   http::EventLoop& loop_;
@@ -79,6 +82,7 @@
   const EvidenceHandlers& evidence_;
   http::Listener listener_;
   std::list<WaitingReader> waiting_readers_;
+  bool sends_proof_ = false;
 };
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -1,6 +1,7 @@
 #include "gateway/status_page.h"
 
 #include "traffic/replica_eligibility.h"
+#include "traffic/view_proof_limit.h"
 
 namespace clementinerill::gateway {
 namespace {
@@ -92,7 +93,8 @@
 
 json StatusJson(const FleetState& fleet,
                 const std::string& service,
-                Instant now) {
+                Instant now,
+                BootInstant boot_now) {
   const auto& configuration = fleet.view_->configuration_;
   json services = json::object();
   for (const auto& [name, state] : fleet.services_) {
@@ -100,7 +102,7 @@
       services[name] = ServiceStatus(fleet, *state, now);
     }
   }
-  return {
+  json status = {
       {"daemon", fleet.name_},
       {"failure_domain", fleet.failure_domain_},
       {"configuration_version", configuration ? configuration->version_ : 0},
@@ -109,6 +111,11 @@
       {"rollouts", RolloutStatus(fleet)},
       {"unusable_objects", UnusableObjects(fleet)},
       {"services", std::move(services)}};
+  if (traffic::RequiredProofAge(fleet)) {
+    const int64_t age = traffic::ProofAgeMilliseconds(fleet, boot_now);
+    status["proof_age_ms"] = age < 0 ? json(nullptr) : json(age);
+  }
+  return status;
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/status_page.h
+++ b/src/gateway/status_page.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/boot_instant.h"
 #include "base/time.h"
 #include "traffic/fleet_state.h"
 
@@ -17,12 +18,15 @@
 ///
 /// Shape: `{daemon, failure_domain, configuration_version, daemons: {domain:
 /// count}, evacuated: [..], rollouts: [..], unusable_objects: [{kind, name,
-/// reason}], services: {name: {routed, extra_attempts, replicas: [..]}}}`. A
+/// reason}], services: {name: {routed, extra_attempts, replicas: [..]}}}`,
+/// and `proof_age_ms` if a proof of the configuration is required (null: there
+/// is none). A
 /// non-empty `service` restricts `services` to that service; it is empty if the
 /// service is unknown.
 [[nodiscard]] nlohmann::json StatusJson(const traffic::FleetState& fleet,
                                         const std::string& service,
-                                        Instant now);
+                                        Instant now,
+                                        BootInstant boot_now);
 
 }  // namespace clementinerill::gateway
 
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -12,11 +12,8 @@
 
 using std::chrono::milliseconds;
 
-// Shares of the maximum propagation delay: the maximum age of a relay's copy,
-// and the long-poll time of a reader at its relay. They leave a third for
-// switching relays.
+// Share of the maximum propagation delay: the maximum age of a relay's copy.
 constexpr double kMaxAgeShare = 0.5;
-constexpr double kRelayWaitShare = 0.16;
 // Shares for which no relay may be up to date before this daemon follows the
 // store itself. The standby takes over first; readers wait until it has read
 // its copy, so that the loss of a watcher does not send all of them to the
@@ -60,6 +57,8 @@
       options_(options),
       metrics_(metrics),
       on_changes_(std::move(on_changes)),
+      proof_(kinds_[options.store_codec_.kinds_.configuration_].mirror_,
+             metrics),
       relay_server_(loop, kinds_, evidence_) {
   const StoreKinds& kinds = options.store_codec_.kinds_;
   AddKind(kinds.configuration_, {}, true);
@@ -74,14 +73,17 @@
                             bool must_be_fresh) {
   FollowedKind& followed = kinds_[kind];
   followed.must_be_fresh_ = must_be_fresh;
+  const bool is_configuration =
+      kind == options_.store_codec_.kinds_.configuration_;
   followed.watch_ = std::make_unique<KindWatch>(
       loop_, options_.store_, options_.store_codec_, metrics_,
       WatchOptions{
           kind,
           WatchWait(options_.max_propagation_delay_, must_be_fresh, false),
-          batch_delay,
-          kind == options_.store_codec_.kinds_.configuration_ ? JsonBounds{}
-                                                              : kEntryBounds},
+          batch_delay, is_configuration ? JsonBounds{} : kEntryBounds,
+          is_configuration
+              ? [this](mirror::ProofOutcome o) { proof_.RecordOutcome(o); }
+              : std::function<void(mirror::ProofOutcome)>()},
       followed.mirror_,
       [this, kind](const mirror::KindChanges& changes) {
         OnKindChanged(kind, changes);
@@ -113,14 +115,9 @@
 void StoreFollower::SetDaemons(
     const std::vector<mirror::DaemonRecord>& daemons) {
   mirror::RelayPlan plan = mirror::PlanRelays(daemons, options_.name_);
-  const bool relays = daemons.size() >= kMinDaemonsForRelays;
-  if (!relays) {
+  if (daemons.size() < kMinDaemonsForRelays) {
     plan.role_ = mirror::RelayRole::kWatcher;
   }
-  for (auto& [kind, followed] : kinds_) {
-    followed.watch_->SetWait(WatchWait(options_.max_propagation_delay_,
-                                       followed.must_be_fresh_, relays));
-  }
   if (plan.role_ != plan_.role_) {
     Log(LogLevel::kInfo, "relay", "role changed",
         {{"role", NameOf(mirror::kRelayRoleNames, plan.role_)},
@@ -129,6 +126,7 @@
   }
   plan_ = std::move(plan);
   daemons_ = daemons;
+  UpdateWaits();
   if (!knows_daemons_) {
     knows_daemons_ = true;
     last_fresh_ = http::EventLoop::Now();
@@ -140,6 +138,28 @@
   }
 }
 
+void StoreFollower::UpdateWaits() {
+  const bool relays = daemons_.size() >= kMinDaemonsForRelays;
+  const Duration delay = options_.max_propagation_delay_;
+  for (auto& [kind, followed] : kinds_) {
+    followed.watch_->SetWait(
+        kind == options_.store_codec_.kinds_.configuration_
+            ? ConfigurationWatchWait(delay, proof_.MaxAge(), relays)
+            : WatchWait(delay, followed.must_be_fresh_, relays));
+  }
+}
+
+void StoreFollower::SetMaxProofAge(std::optional<Duration> max_age) {
+  if (max_age == proof_.MaxAge()) {
+    return;
+  }
+  proof_.SetMaxAge(max_age);
+  relay_server_.SetSendsProof(max_age.has_value());
+  kinds_[options_.store_codec_.kinds_.configuration_].watch_->SetRenewalAge(
+      max_age ? std::optional(ProofRenewalAge(*max_age)) : std::nullopt);
+  UpdateWaits();
+}
+
 std::vector<mirror::DaemonRecord> StoreFollower::OtherWatchers() const {
   std::vector<mirror::DaemonRecord> watchers;
   if (daemons_.size() < kMinDaemonsForRelays) {
@@ -193,12 +213,16 @@
 void StoreFollower::OnKindChanged(const std::string& kind,
                                   const mirror::KindChanges& changes) {
   on_changes_(kind, changes);
+  if (kind == options_.store_codec_.kinds_.configuration_) {
+    proof_.RecordPublished();
+  }
   relay_server_.ReplyToWaitingReaders();
 }
 
 mirror::RelayRequest StoreFollower::MakeRequest() const {
   mirror::RelayRequest request;
-  request.wait_ = ShareOf(options_.max_propagation_delay_, kRelayWaitShare);
+  request.wait_ = RelayPollWait(options_.max_propagation_delay_,
+                                proof_.MaxAge(), plan_.role_);
   for (const auto& [kind, followed] : kinds_) {
     request.revisions_[kind] = followed.mirror_.revision_;
     request.eras_[kind] = followed.mirror_.era_;
@@ -234,6 +258,7 @@
     http_request.body_ = mirror::Encode(request);
     http_request.content_type_ = "application/cbor";
     http_request.timeout_ = Duration(request.wait_) + kRelayTimeoutMargin;
+    polled_at_ = http::EventLoop::BootNow();
     relay_client_->Call(
         std::move(http_request),
         [this](const http::ClientResponse& r) { OnRelayReply(r); });
@@ -287,9 +312,25 @@
       continue;
     }
     mirror::Confirm(followed.mirror_, now - relayed.age_);
-    if (mirror::Apply(followed.mirror_, relayed.changes_)) {
+    const bool changed = mirror::Apply(followed.mirror_, relayed.changes_);
+    std::optional<mirror::ProofOutcome> outcome;
+    if (kind == options_.store_codec_.kinds_.configuration_) {
+      const mirror::RelayedProof proof{relayed.changes_.era_,
+                                       relayed.changes_.revision_,
+                                       relayed.proof_age_,
+                                       reply.held_.value_or(milliseconds(0)),
+                                       polled_at_,
+                                       http::EventLoop::BootNow()};
+      outcome = mirror::ProveRelayed(followed.mirror_, proof);
+      fresh = fresh &&
+              (!proof_.MaxAge() || mirror::IsRecent(proof, *proof_.MaxAge()));
+    }
+    if (changed) {
       OnKindChanged(kind, relayed.changes_);
     }
+    if (outcome) {
+      proof_.RecordOutcome(*outcome);
+    }
   }
   return fresh;
 }
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/configuration_proof.h"
 #include "gateway/followed_kind.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
@@ -39,6 +40,16 @@
     evidence_ = std::move(handlers);
   }
 
+  /// @brief Sets the receiver of the proof of the configuration. A proof is
+  /// reported after the view that it holds for.
+  void SetOnProof(ConfigurationProof::OnProof on_proof) {
+    proof_.SetOnProof(std::move(on_proof));
+  }
+
+  /// @brief Sets the maximum age of the proof of the configuration; unset: none
+  /// is required.
+  void SetMaxProofAge(std::optional<Duration> max_age);
+
   /// @brief The daemons that follow the store as well, or may do so next.
   [[nodiscard]] std::vector<mirror::DaemonRecord> OtherWatchers() const;
 
@@ -61,6 +72,8 @@
   void AddKind(const std::string& kind,
                Duration batch_delay,
                bool must_be_fresh);
+  /// Sets the long-poll times that depend on the fleet and on the proof.
+  void UpdateWaits();
   void OnKindChanged(const std::string& kind,
                      const mirror::KindChanges& changes);
   void SetFollowsStore(bool follows_store, const std::string& reason);
@@ -81,6 +94,8 @@
   EvidenceHandlers evidence_;
   std::vector<mirror::DaemonRecord> daemons_;
   std::map<std::string, FollowedKind> kinds_;
+  ConfigurationProof proof_;
+  BootInstant polled_at_{};  ///< When the last poll of a relay was sent.
   RelayServer relay_server_;
   mirror::RelayPlan plan_;
   size_t relay_index_ = 0;  ///< The relay in use, modulo their number.
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -7,7 +7,6 @@
 #include "gateway/caller_response.h"
 #include "gateway/status_page.h"
 #include "logging/log.h"
-#include "traffic/start_query.h"
 
 namespace clementinerill::gateway {
 namespace {
@@ -156,11 +155,6 @@
   unread_budget_->limit_bytes_ = settings.memory_bytes_ / kUnreadMemoryPart;
 }
 
-bool TrafficServer::IsReady() const {
-  return !draining_ && fleet_.view_->configuration_ &&
-         !fleet_.view_->replicas_.empty();
-}
-
 void TrafficServer::OnReadyCheck(const Caller& caller,
                                  const http::HttpRequest& request) {
   http::HttpResponse response;
@@ -194,7 +188,8 @@
                                   : target.substr(kServiceStatusPath.size()));
     response.status_ = 200;
     response.headers_.emplace_back("Content-Type", "application/json");
-    const auto status = StatusJson(fleet_, service, http::EventLoop::Now());
+    const auto status = StatusJson(fleet_, service, http::EventLoop::Now(),
+                                   http::EventLoop::BootNow());
     // Text of other writers may contain invalid UTF-8.
     response.body_ =
         status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
@@ -440,6 +435,7 @@
   pool_.Maintain(fleet_, now);
   aggregators_.Maintain(traffic::UsedAggregators(fleet_.aggregation_), now);
   ReportBuffers();
+  proof_report_.Update(fleet_, http::EventLoop::BootNow());
   RemoveExpiredSessions();
   CheckDrain(now);
   ReportRolloutEvidence();
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -14,10 +14,12 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
 #include "gateway/query_session.h"
+#include "gateway/view_proof_report.h"
 #include "http/event_loop.h"
 #include "http/listener.h"
 #include "traffic/fleet_state.h"
 #include "traffic/start_query.h"
+#include "traffic/view_proof_limit.h"
 
 namespace clementinerill::gateway {
 
@@ -35,6 +37,11 @@
   /// @brief Replaces the view of configuration and replicas.
   void SetView(std::shared_ptr<const traffic::TrafficView> view);
 
+  /// @brief Sets the proof of the view that was set before.
+  void SetViewProof(const organisations::ViewProof& proof) {
+    fleet_.view_proof_ = proof;
+  }
+
   /// @brief Applies the limits and the stop grace period of reloaded settings;
   /// addresses stay as they are.
   void SetSettings(const GatewayOptions& settings);
@@ -88,7 +95,9 @@
                     const traffic::QueryOrigin& origin);
   [[nodiscard]] Duration RequestTimeout(const http::HttpRequest& request,
                                         const traffic::RouteRule& route) const;
-  [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] bool IsReady() const {
+    return !draining_ && traffic::CanServe(fleet_, http::EventLoop::BootNow());
+  }
   void Tick();
   void CheckDrain(Instant now);
   /// When a stopping daemon sends its last responses.
@@ -121,6 +130,7 @@
   std::function<void()> stopped_;
   OnEvidence on_evidence_;
   bool was_ready_ = false;
+  ViewProofReport proof_report_{metrics_};
 };
 
 }  // namespace clementinerill::gateway
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -88,6 +88,9 @@
     traffic_.SetOnEvidence([this](const traffic::VersionComparison& seen) {
       control_.RecordEvidence(seen);
     });
+    control_.SetOnProof([this](const organisations::ViewProof& proof) {
+      traffic_.SetViewProof(proof);
+    });
     REQUIRE(traffic_.Listen());
     control_.Start();
   }
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -298,6 +298,32 @@
   CHECK(options->max_propagation_delay_ == milliseconds(2000));
 }
 
+// Guards against a daemon that requires proofs which its deployment does not
+// ask for, or that keeps a revoked key longer than allowed.
+TEST_CASE("the age of the view is limited on strict revocation", "[settings]") {
+  const auto parse = [](const std::string& bounds) {
+    std::string text = kSettings;
+    text.replace(text.find("drain_ms:"), 0, bounds);
+    return ParseNodeSettings(text, "boot.yaml");
+  };
+  const auto max_age = [&](const std::string& bounds) {
+    const auto options = parse(bounds);
+    REQUIRE(options);
+    return options->limits_.max_view_age_;
+  };
+  CHECK_FALSE(max_age(""));
+  CHECK_FALSE(max_age("revoke_ms: 2000, "));
+  CHECK_FALSE(max_age("strict_revoke: false, revoke_ms: 2000, "));
+  CHECK(max_age("strict_revoke: true, ") == milliseconds(4900));
+  CHECK(max_age("strict_revoke: true, revoke_ms: 2000, ") ==
+        milliseconds(1900));
+  for (const char* invalid :
+       {"revoke_ms: 0", "revoke_ms: 199", "revoke_ms: x", "strict_revoke: 5"}) {
+    CAPTURE(invalid);
+    CHECK_FALSE(parse(std::string(invalid) + ", "));
+  }
+}
+
 // Guards against requests to a leaving replica later than the deployment
 // allows.
 TEST_CASE("the drain bound limits the grace period of leaving replicas",
