--- a/tests/gateway/view_proof_test.cc
+++ b/tests/gateway/view_proof_test.cc
@@ -159,6 +159,25 @@
   CHECK(fixture.AllReady());
 }
 
+// Guards against a reader that is not ready for ever behind relays that state
+// no age, as those of the previous version.
+TEST_CASE("a reader behind relays without proofs asks the store", "[proof]") {
+  ViewProofFixture fixture;
+  fixture.PutEverything();
+  fixture.AddRemoteDaemons(30);
+  for (const char* name : {"relay-1", "relay-2"}) {
+    GatewayOptions options = fixture.Options(name);
+    options.capacity_ = 500;
+    fixture.Start(options);
+  }
+  Daemon& reader = fixture.Start(fixture.StrictOptions("vm-1"));
+  REQUIRE(fixture.RunUntil([&] { return fixture.IsReady(reader); }));
+  // The role is known now, and the proof of the first list has expired.
+  fixture.RunFor(seconds(1) + kMaxAge);
+  CHECK(Proofs(reader, ProofOutcome::kNoRelayProof) > 0);
+  CHECK(fixture.IsReady(reader));
+}
+
 // Guards against a proof that is lost for good, or kept from the lost part,
 // when the store returns from an older copy.
 TEST_CASE("a restored store gives a proof again", "[proof]") {
