--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gateway/daemon_record_json.h"
+#include "gateway/listed_aggregators.h"
 #include "logging/log.h"
 
 namespace clementinerill::gateway {
@@ -40,6 +41,7 @@
                          PublishShares publish_shares)
     : loop_(loop),
       options_(options),
+      max_view_age_(options.limits_.max_view_age_),
       publish_(std::move(publish)),
       publish_shares_(std::move(publish_shares)),
       follower_(
@@ -64,6 +66,7 @@
 
 void ControlLoop::Start() {
   follower_.SetEvidenceHandlers(MakeEvidenceHandlers());
+  UpdateProofLimit();
   follower_.Start();
   Register();
   prober_.Start();
@@ -129,6 +132,7 @@
        {"services", decoded->services_.size()}});
   configuration_ = std::make_shared<const traffic::TrafficConfiguration>(
       std::move(*decoded));
+  UpdateProofLimit();
 }
 
 void ControlLoop::ApplyReplicaChanges(const mirror::KindChanges& changes) {
@@ -236,16 +240,8 @@
 }
 
 void ControlLoop::UpdateAggregators() {
-  std::vector<traffic::Aggregator> aggregators;
-  for (const auto& [name, record] : daemons_) {
-    if (!record.forward_address_.empty()) {
-      aggregators.push_back({name, record.failure_domain_, record.region_,
-                             record.forward_address_, record.forward_port_,
-                             record.capacity_});
-    }
-  }
   aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
-      std::move(aggregators));
+      ListedAggregators(daemons_));
 }
 
 void ControlLoop::DeleteDaemonRecord(const mirror::DaemonRecord& daemon) {
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -4,7 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "gateway/rollout_exchange.h"
 #include "gateway/watch_wait.h"
 #include "logging/log.h"
 
@@ -13,21 +12,14 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char* kRelayPath = "/relay";
-
-// Shares of the maximum propagation delay: the maximum age of a relay's copy,
-// and the long-poll time of a reader at its relay. They leave a third for
-// switching relays.
+// Share of the maximum propagation delay: the maximum age of a relay's copy.
 constexpr double kMaxAgeShare = 0.5;
-constexpr double kRelayWaitShare = 0.16;
 // Shares for which no relay may be up to date before this daemon follows the
 // store itself. The standby takes over first; readers wait until it has read
 // its copy, so that the loss of a watcher does not send all of them to the
 // store.
 constexpr double kStandbyFailoverShare = 0.1;
 constexpr double kReaderFailoverShare = 0.25;
-// Upper limit of the long-poll time that a reader may request.
-constexpr milliseconds kMaxRelayWait{8000};
 // A relay answers at the end of the long-poll time at the latest; the margin
 // allows for a busy CPU.
 constexpr Duration kRelayTimeoutMargin = milliseconds(800);
@@ -55,18 +47,6 @@
   return std::chrono::duration_cast<milliseconds>(bound * share);
 }
 
-void RespondCbor(const std::shared_ptr<http::ServerConnection>& caller,
-                 std::string body) {
-  caller->Respond(
-      {200, {{"Content-Type", "application/cbor"}}, std::move(body), true},
-      false);
-}
-
-bool HasChanges(const mirror::KindChanges& changes) {
-  return changes.is_full_list_ || !changes.upserted_.empty() ||
-         !changes.removed_.empty();
-}
-
 }  // namespace
 
 StoreFollower::StoreFollower(http::EventLoop& loop,
@@ -77,11 +57,9 @@
       options_(options),
       metrics_(metrics),
       on_changes_(std::move(on_changes)),
-      relay_listener_(
-          loop,
-          [this](const Caller& caller, const http::HttpRequest& request) {
-            OnRequest(caller, request);
-          }) {
+      proof_(kinds_[options.store_codec_.kinds_.configuration_].mirror_,
+             metrics),
+      relay_server_(loop, kinds_, evidence_) {
   const StoreKinds& kinds = options.store_codec_.kinds_;
   AddKind(kinds.configuration_, {}, true);
   AddKind(kinds.replicas_, kReplicaBatchDelay, true);
@@ -95,14 +73,17 @@
                             bool must_be_fresh) {
   FollowedKind& followed = kinds_[kind];
   followed.must_be_fresh_ = must_be_fresh;
+  const bool is_configuration =
+      kind == options_.store_codec_.kinds_.configuration_;
   followed.watch_ = std::make_unique<KindWatch>(
       loop_, options_.store_, options_.store_codec_, metrics_,
       WatchOptions{
           kind,
           WatchWait(options_.max_propagation_delay_, must_be_fresh, false),
-          batch_delay,
-          kind == options_.store_codec_.kinds_.configuration_ ? JsonBounds{}
-                                                              : kEntryBounds},
+          batch_delay, is_configuration ? JsonBounds{} : kEntryBounds,
+          is_configuration
+              ? [this](mirror::ProofOutcome o) { proof_.RecordOutcome(o); }
+              : std::function<void(mirror::ProofOutcome)>()},
       followed.mirror_,
       [this, kind](const mirror::KindChanges& changes) {
         OnKindChanged(kind, changes);
@@ -116,13 +97,7 @@
 
 void StoreFollower::Start() {
   if (options_.relay_listen_) {
-    const auto port = relay_listener_.Listen(options_.relay_listen_->address_,
-                                             options_.relay_listen_->port_);
-    if (!port) {
-      Log(LogLevel::kError, "relay",
-          "cannot listen, not relaying to other daemons",
-          {{"error", Format(port.error())}});
-    }
+    relay_server_.Listen(*options_.relay_listen_);
   }
   for (const Endpoint& seed : options_.seeds_) {
     if (!options_.relay_listen_ || !(seed == *options_.relay_listen_)) {
@@ -140,14 +115,9 @@
 void StoreFollower::SetDaemons(
     const std::vector<mirror::DaemonRecord>& daemons) {
   mirror::RelayPlan plan = mirror::PlanRelays(daemons, options_.name_);
-  const bool relays = daemons.size() >= kMinDaemonsForRelays;
-  if (!relays) {
+  if (daemons.size() < kMinDaemonsForRelays) {
     plan.role_ = mirror::RelayRole::kWatcher;
   }
-  for (auto& [kind, followed] : kinds_) {
-    followed.watch_->SetWait(WatchWait(options_.max_propagation_delay_,
-                                       followed.must_be_fresh_, relays));
-  }
   if (plan.role_ != plan_.role_) {
     Log(LogLevel::kInfo, "relay", "role changed",
         {{"role", NameOf(mirror::kRelayRoleNames, plan.role_)},
@@ -156,6 +126,7 @@
   }
   plan_ = std::move(plan);
   daemons_ = daemons;
+  UpdateWaits();
   if (!knows_daemons_) {
     knows_daemons_ = true;
     last_fresh_ = http::EventLoop::Now();
@@ -167,6 +138,28 @@
   }
 }
 
+void StoreFollower::UpdateWaits() {
+  const bool relays = daemons_.size() >= kMinDaemonsForRelays;
+  const Duration delay = options_.max_propagation_delay_;
+  for (auto& [kind, followed] : kinds_) {
+    followed.watch_->SetWait(
+        kind == options_.store_codec_.kinds_.configuration_
+            ? ConfigurationWatchWait(delay, proof_.MaxAge(), relays)
+            : WatchWait(delay, followed.must_be_fresh_, relays));
+  }
+}
+
+void StoreFollower::SetMaxProofAge(std::optional<Duration> max_age) {
+  if (max_age == proof_.MaxAge()) {
+    return;
+  }
+  proof_.SetMaxAge(max_age);
+  relay_server_.SetSendsProof(max_age.has_value());
+  kinds_[options_.store_codec_.kinds_.configuration_].watch_->SetRenewalAge(
+      max_age ? std::optional(ProofRenewalAge(*max_age)) : std::nullopt);
+  UpdateWaits();
+}
+
 std::vector<mirror::DaemonRecord> StoreFollower::OtherWatchers() const {
   std::vector<mirror::DaemonRecord> watchers;
   if (daemons_.size() < kMinDaemonsForRelays) {
@@ -220,12 +213,16 @@
 void StoreFollower::OnKindChanged(const std::string& kind,
                                   const mirror::KindChanges& changes) {
   on_changes_(kind, changes);
-  ReplyToWaitingReaders();
+  if (kind == options_.store_codec_.kinds_.configuration_) {
+    proof_.RecordPublished();
+  }
+  relay_server_.ReplyToWaitingReaders();
 }
 
 mirror::RelayRequest StoreFollower::MakeRequest() const {
   mirror::RelayRequest request;
-  request.wait_ = ShareOf(options_.max_propagation_delay_, kRelayWaitShare);
+  request.wait_ = RelayPollWait(options_.max_propagation_delay_,
+                                proof_.MaxAge(), plan_.role_);
   for (const auto& [kind, followed] : kinds_) {
     request.revisions_[kind] = followed.mirror_.revision_;
     request.eras_[kind] = followed.mirror_.era_;
@@ -261,6 +258,7 @@
     http_request.body_ = mirror::Encode(request);
     http_request.content_type_ = "application/cbor";
     http_request.timeout_ = Duration(request.wait_) + kRelayTimeoutMargin;
+    polled_at_ = http::EventLoop::BootNow();
     relay_client_->Call(
         std::move(http_request),
         [this](const http::ClientResponse& r) { OnRelayReply(r); });
@@ -314,9 +312,25 @@
       continue;
     }
     mirror::Confirm(followed.mirror_, now - relayed.age_);
-    if (mirror::Apply(followed.mirror_, relayed.changes_)) {
+    const bool changed = mirror::Apply(followed.mirror_, relayed.changes_);
+    std::optional<mirror::ProofOutcome> outcome;
+    if (kind == options_.store_codec_.kinds_.configuration_) {
+      const mirror::RelayedProof proof{relayed.changes_.era_,
+                                       relayed.changes_.revision_,
+                                       relayed.proof_age_,
+                                       reply.held_.value_or(milliseconds(0)),
+                                       polled_at_,
+                                       http::EventLoop::BootNow()};
+      outcome = mirror::ProveRelayed(followed.mirror_, proof);
+      fresh = fresh &&
+              (!proof_.MaxAge() || mirror::IsRecent(proof, *proof_.MaxAge()));
+    }
+    if (changed) {
       OnKindChanged(kind, relayed.changes_);
     }
+    if (outcome) {
+      proof_.RecordOutcome(*outcome);
+    }
   }
   return fresh;
 }
@@ -348,98 +362,6 @@
   });
 }
 
-void StoreFollower::OnRequest(const Caller& caller,
-                              const http::HttpRequest& request) {
-  int status = 404;
-  if (request.target_ == kLivenessPath) {
-    caller->Respond({200, {}, "", true}, true);
-    return;
-  }
-  if (request.target_ == kRelayPath) {
-    if (const auto decoded = mirror::DecodeRelayRequest(request.body_)) {
-      OnRelayRequest(caller, *decoded);
-      return;
-    }
-    status = 400;
-  } else if (request.target_ == kEvidencePath && evidence_.on_report_) {
-    if (const auto decoded = mirror::DecodeEvidenceReport(request.body_)) {
-      RespondCbor(caller, mirror::Encode(evidence_.on_report_(*decoded)));
-      return;
-    }
-    status = 400;
-  }
-  http::HttpResponse response;
-  response.status_ = status;
-  caller->Respond(response, false);
-}
-
-void StoreFollower::OnRelayRequest(const Caller& caller,
-                                   const mirror::RelayRequest& request) {
-  if (evidence_.on_request_ && !request.evidence_.empty()) {
-    evidence_.on_request_(request);
-  }
-  if (TryReply(caller, request, request.wait_ <= milliseconds(0))) {
-    return;
-  }
-  const auto position =
-      waiting_readers_.insert(waiting_readers_.end(), {caller, request, {}});
-  const auto wait = std::min(request.wait_, kMaxRelayWait);
-  position->timer_ =
-      loop_.Timers().Add(http::EventLoop::Now() + wait, [this, position] {
-        const WaitingReader reader = *position;
-        waiting_readers_.erase(position);
-        (void)TryReply(reader.caller_, reader.request_, true);
-      });
-}
-
-bool StoreFollower::TryReply(const Caller& caller,
-                             const mirror::RelayRequest& request,
-                             bool even_if_unchanged) {
-  const Instant now = http::EventLoop::Now();
-  mirror::RelayReply reply;
-  bool has_changes = even_if_unchanged;
-  for (const auto& [kind, followed] : kinds_) {
-    if (followed.mirror_.revision_ == 0) {
-      continue;
-    }
-    const auto known = request.revisions_.find(kind);
-    const int64_t revision =
-        known == request.revisions_.end() ? 0 : known->second;
-    // Daemons of the previous version name no era.
-    const auto known_era = request.eras_.find(kind);
-    const int64_t era = known_era == request.eras_.end() ? followed.mirror_.era_
-                                                         : known_era->second;
-    mirror::RelayedKind& relayed = reply.kinds_[kind];
-    relayed.changes_ = mirror::ChangesSince(followed.mirror_, era, revision);
-    relayed.age_ = std::chrono::duration_cast<milliseconds>(
-        mirror::Age(followed.mirror_, now));
-    // The revision also advances with changes of other kinds.
-    has_changes =
-        has_changes || followed.mirror_.era_ > era ||
-        (followed.mirror_.era_ == era &&
-         followed.mirror_.revision_ > revision && HasChanges(relayed.changes_));
-  }
-  if (!has_changes) {
-    return false;
-  }
-  if (evidence_.sums_) {
-    reply.evidence_ = evidence_.sums_();
-  }
-  RespondCbor(caller, mirror::Encode(reply));
-  return true;
-}
-
-void StoreFollower::ReplyToWaitingReaders() {
-  for (auto it = waiting_readers_.begin(); it != waiting_readers_.end();) {
-    if (!TryReply(it->caller_, it->request_, false)) {
-      ++it;
-      continue;
-    }
-    loop_.Timers().Cancel(it->timer_);
-    it = waiting_readers_.erase(it);
-  }
-}
-
 void StoreFollower::RecordCopyAge(Instant now) {
   Duration oldest = Duration::zero();
   for (const auto& [kind, followed] : kinds_) {
@@ -452,7 +374,7 @@
 
 void StoreFollower::Tick() {
   const Instant now = http::EventLoop::Now();
-  relay_listener_.CheckTimeouts(false, now);
+  relay_server_.CheckTimeouts(now);
   ActivateWatches();
   RecordCopyAge(now);
   loop_.Timers().Add(now + kTickPeriod, [this] { Tick(); });
