--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/daemon_lists.h"
 #include "gateway/daemon_record_json.h"
 #include "logging/log.h"
 
@@ -197,15 +198,13 @@
     daemons_.erase(name);
   }
   Log(LogLevel::kInfo, "daemons", "counted", {{"count", daemons_.size()}});
-  std::vector<mirror::DaemonRecord> records;
-  for (const auto& [name, record] : daemons_) {
-    records.push_back(record);
-  }
+  const std::vector<mirror::DaemonRecord> records = RecordsOf(daemons_);
   follower_.SetDaemons(records);
   prober_.SetDaemons(records, options_.name_);
   exchange_.SetPeers(follower_.OtherWatchers());
   UpdateDaemonNames();
-  UpdateAggregators();
+  aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
+      AggregatorsOf(daemons_));
   const bool is_listed = daemons_.count(options_.name_) > 0;
   // Another daemon deleted it after failing to reach this one for minutes, or
   // the store has returned from a copy that does not have it. A relay's copy
@@ -225,29 +224,13 @@
 }
 
 void ControlLoop::UpdateDaemonNames() {
-  std::vector<std::string> names;
-  for (const auto& [name, record] : daemons_) {
-    names.push_back(name);
-  }
+  std::vector<std::string> names = NamesOf(daemons_);
   if (!daemon_names_ || *daemon_names_ != names) {
     daemon_names_ =
         std::make_shared<const std::vector<std::string>>(std::move(names));
   }
 }
 
-void ControlLoop::UpdateAggregators() {
-  std::vector<traffic::Aggregator> aggregators;
-  for (const auto& [name, record] : daemons_) {
-    if (!record.forward_address_.empty()) {
-      aggregators.push_back({name, record.failure_domain_, record.region_,
-                             record.forward_address_, record.forward_port_,
-                             record.capacity_});
-    }
-  }
-  aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
-      std::move(aggregators));
-}
-
 void ControlLoop::DeleteDaemonRecord(const mirror::DaemonRecord& daemon) {
   if (deleting_) {
     return;
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -58,7 +58,6 @@
                    const Error& error);
   void ApplyDaemonChanges(const mirror::KindChanges& changes);
   void UpdateDaemonNames();
-  void UpdateAggregators();
   [[nodiscard]] EvidenceHandlers MakeEvidenceHandlers();
   [[nodiscard]] mirror::EvidenceReport OwnReport() const;
   void RecordReport(const std::string& process,
