Gateway: elect one holder of a duty where the settings name one

DutySession sends the reads (stale where that suffices) and conditional writes on which the library decides, on the control loop. Without the settings nothing is started and no call is made.

The fake store gains writes conditional on a revision, returns the written object, and can lose the response to a write.

--- a/src/duty/duty.h
+++ b/src/duty/duty.h
@@ -8,6 +8,7 @@
 #include "duty/forward_declarations.h"
 #include "duty/holding.h"
 #include "duty/next_action.h"
+#include "duty/outcomes.h"
 #include "duty/record.h"
 #include "duty/rules.h"
 #include "duty/state.h"
--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -61,7 +61,11 @@
                 DeleteDaemonRecord(daemon);
               }),
       writer_(loop, options.store_.address_, options.store_.port_),
-      deleter_(loop, options.store_.address_, options.store_.port_) {}
+      deleter_(loop, options.store_.address_, options.store_.port_) {
+  if (options.duty_) {
+    duty_.emplace(loop, options, metrics, [this] { PublishView(); });
+  }
+}
 
 void ControlLoop::Start() {
   follower_.SetEvidenceHandlers(MakeEvidenceHandlers());
@@ -202,9 +206,11 @@
   follower_.SetDaemons(records);
   prober_.SetDaemons(records, options_.name_);
   exchange_.SetPeers(follower_.OtherWatchers());
-  UpdateDaemonNames();
-  aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
-      AggregatorsOf(daemons_));
+  if (duty_) {
+    duty_->SetDaemons(records);
+  }
+  daemon_names_ = UpdatedNames(daemon_names_, daemons_);
+  UpdateAggregators();
   const bool is_listed = daemons_.count(options_.name_) > 0;
   // Another daemon deleted it after failing to reach this one for minutes, or
   // the store has returned from a copy that does not have it. A relay's copy
@@ -223,12 +229,17 @@
   }
 }
 
-void ControlLoop::UpdateDaemonNames() {
-  std::vector<std::string> names = NamesOf(daemons_);
-  if (!daemon_names_ || *daemon_names_ != names) {
-    daemon_names_ =
-        std::make_shared<const std::vector<std::string>>(std::move(names));
+void ControlLoop::UpdateAggregators() {
+  std::vector<traffic::Aggregator> aggregators;
+  for (const auto& [name, record] : daemons_) {
+    if (!record.forward_address_.empty()) {
+      aggregators.push_back({name, record.failure_domain_, record.region_,
+                             record.forward_address_, record.forward_port_,
+                             record.capacity_});
+    }
   }
+  aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
+      std::move(aggregators));
 }
 
 void ControlLoop::DeleteDaemonRecord(const mirror::DaemonRecord& daemon) {
@@ -402,6 +413,9 @@
   view->registered_since_ = registered_since_;
   view->aggregators_ = aggregators_;
   view->unusable_ = unusable_.List();
+  if (duty_) {
+    view->duty_ = duty_->Status();
+  }
   publish_(std::move(view));
 }
 
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gateway/daemon_prober.h"
+#include "gateway/duty_session.h"
 #include "gateway/evacuation_control.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
@@ -57,7 +58,7 @@
                    const StoredObject& object,
                    const Error& error);
   void ApplyDaemonChanges(const mirror::KindChanges& changes);
-  void UpdateDaemonNames();
+  void UpdateAggregators();
   [[nodiscard]] EvidenceHandlers MakeEvidenceHandlers();
   [[nodiscard]] mirror::EvidenceReport OwnReport() const;
   void RecordReport(const std::string& process,
@@ -85,6 +86,7 @@
   RolloutExchange exchange_;
   int judgements_ = 0;  ///< Since the start; every second one sends a report.
   DaemonProber prober_;
+  std::optional<DutySession> duty_;  ///< Unset if the settings name no duty.
   http::Client writer_;
   http::Client deleter_;
   bool deleting_ = false;
--- a/src/gateway/daemon_lists.cc
+++ b/src/gateway/daemon_lists.cc
@@ -1,5 +1,7 @@
 #include "gateway/daemon_lists.h"
 
+#include <utility>
+
 namespace clementinerill::gateway {
 
 std::vector<mirror::DaemonRecord> RecordsOf(const DaemonMap& daemons) {
@@ -10,24 +12,17 @@
   return records;
 }
 
-std::vector<std::string> NamesOf(const DaemonMap& daemons) {
+std::shared_ptr<const std::vector<std::string>> UpdatedNames(
+    std::shared_ptr<const std::vector<std::string>> previous,
+    const DaemonMap& daemons) {
   std::vector<std::string> names;
   for (const auto& [name, record] : daemons) {
     names.push_back(name);
   }
-  return names;
-}
-
-std::vector<traffic::Aggregator> AggregatorsOf(const DaemonMap& daemons) {
-  std::vector<traffic::Aggregator> aggregators;
-  for (const auto& [name, record] : daemons) {
-    if (!record.forward_address_.empty()) {
-      aggregators.push_back({name, record.failure_domain_, record.region_,
-                             record.forward_address_, record.forward_port_,
-                             record.capacity_});
-    }
+  if (previous && *previous == names) {
+    return previous;
   }
-  return aggregators;
+  return std::make_shared<const std::vector<std::string>>(std::move(names));
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/daemon_lists.h
+++ b/src/gateway/daemon_lists.h
@@ -2,11 +2,11 @@
 #define CLEMENTINERILL_GATEWAY_DAEMON_LISTS_H_
 
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "mirror/daemon_record.h"
-#include "traffic/aggregation_plan.h"
 
 namespace clementinerill::gateway {
 
@@ -15,10 +15,9 @@
 [[nodiscard]] std::vector<mirror::DaemonRecord> RecordsOf(
     const DaemonMap& daemons);
 
-[[nodiscard]] std::vector<std::string> NamesOf(const DaemonMap& daemons);
-
-/// @brief Returns the daemons that gather queries for others.
-[[nodiscard]] std::vector<traffic::Aggregator> AggregatorsOf(
+/// @brief Returns the names of the daemons; `previous` itself if it has them.
+[[nodiscard]] std::shared_ptr<const std::vector<std::string>> UpdatedNames(
+    std::shared_ptr<const std::vector<std::string>> previous,
     const DaemonMap& daemons);
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/forward_declarations.h
+++ b/src/gateway/forward_declarations.h
@@ -6,6 +6,7 @@
 class AggregatorPool;
 class ConnectionPool;
 class ControlLoop;
+class DutySession;
 class ForwardSession;
 class KindWatch;
 class QuerySession;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 #ifndef CLEMENTINERILL_GATEWAY_GATEWAY_METRICS_H_
 #define CLEMENTINERILL_GATEWAY_GATEWAY_METRICS_H_
 
+#include "duty/outcomes.h"
 #include "http/client_connection.h"
 #include "http/request_error.h"
 #include "metrics/registry.h"
@@ -93,6 +94,16 @@
             "Lists and watches that were sent to the store.")),
         store_failures_(registry_.AddCounter("gateway_store_failures_total",
                                              "Failed calls of the store.")),
+        duty_writes_(registry_.AddReasonCounters(
+            "gateway_duty_writes_total",
+            "Writes of the object of a duty, by outcome.",
+            duty::kWriteOutcomeNames)),
+        duty_losses_(registry_.AddReasonCounters(
+            "gateway_duty_losses_total",
+            "Times that this daemon stopped to hold a duty, by reason.",
+            duty::kLossReasonNames)),
+        duty_held_(registry_.AddGauge("gateway_duty_held",
+                                      "1 while this daemon holds a duty.")),
         unusable_found_(registry_.AddCounter(
             "gateway_unusable_objects_total",
             "Objects of the store in which an error was found.")),
@@ -133,6 +144,9 @@
   Counter& refused_stopping_;
   Counter& store_calls_;
   Counter& store_failures_;
+  ReasonCounters<duty::WriteOutcome, 3> duty_writes_;
+  ReasonCounters<duty::LossReason, 3> duty_losses_;
+  Gauge& duty_held_;
   Counter& unusable_found_;
   Gauge& unusable_;
   Gauge& copy_age_;
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -9,6 +9,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "gateway/duty_options.h"
 #include "gateway/store_codec.h"
 #include "gateway/wire_names.h"
 #include "settings/endpoint.h"
@@ -40,6 +41,8 @@
   Duration max_propagation_delay_ = std::chrono::seconds(3);
   /// How long leaving replicas may be used if there is no other one.
   Duration leaving_grace_ = traffic::kLeavingGrace;
+  /// The duty for which the daemons elect a holder, if there is one.
+  std::optional<DutyOptions> duty_;
   Duration stop_grace_ = std::chrono::seconds(6);  ///< From SIGTERM to SIGKILL.
   traffic::FleetLimits limits_;
   WireNames names_;
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -88,6 +88,17 @@
   return objects;
 }
 
+void AddDuty(const FleetState& fleet, json& status) {
+  const auto& duty = fleet.view_->duty_;
+  if (duty) {
+    status["duties"] = {{duty->name_,
+                         {{"holder", duty->holder_},
+                          {"token", duty->token_},
+                          {"held", duty->is_held_},
+                          {"candidate", duty->is_candidate_}}}};
+  }
+}
+
 }  // namespace
 
 json StatusJson(const FleetState& fleet,
@@ -100,7 +111,7 @@
       services[name] = ServiceStatus(fleet, *state, now);
     }
   }
-  return {
+  json status = {
       {"daemon", fleet.name_},
       {"failure_domain", fleet.failure_domain_},
       {"configuration_version", configuration ? configuration->version_ : 0},
@@ -109,6 +120,8 @@
       {"rollouts", RolloutStatus(fleet)},
       {"unusable_objects", UnusableObjects(fleet)},
       {"services", std::move(services)}};
+  AddDuty(fleet, status);
+  return status;
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/store_codec.h
+++ b/src/gateway/store_codec.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "codec/json_slices.h"
+#include "duty/record.h"
 #include "http/http_message.h"
 #include "mirror/kind_changes.h"
 #include "mirror/stored_object.h"
@@ -40,6 +42,7 @@
   std::string evacuations_;  ///< Named by failure domain.
   std::string rollouts_;     ///< Named by service.
   std::string daemons_;      ///< Registered by the daemons themselves.
+  std::string duties_;       ///< Named by duty; written by their holders.
 };
 
 /// @brief Encodes requests to a platform's object store and decodes its
@@ -88,6 +91,15 @@
                             traffic::RolloutState,
                             int64_t revision)>
       encode_rollout_status_;
+  /// Body of a write of a duty's object that fails unless the object is at
+  /// `revision`. Unset: it is the body of its creation.
+  std::function<std::string(const std::string& name,
+                            const duty::Record&,
+                            std::optional<int64_t> revision)>
+      encode_duty_;
+  std::function<Result<duty::Record>(const StoredObject&)> decode_duty_;
+  /// Revision of the object in the response to a write; 0 if it names none.
+  std::function<int64_t(const std::string& body)> decode_revision_;
 };
 
 }  // namespace clementinerill::gateway
--- a/src/traffic/traffic_view.h
+++ b/src/traffic/traffic_view.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "traffic/aggregation_plan.h"
+#include "traffic/duty_status.h"
 #include "traffic/replica_directory.h"
 #include "traffic/replica_entry.h"
 #include "traffic/rollout_order.h"
@@ -44,6 +45,8 @@
   std::shared_ptr<const std::vector<Aggregator>> aggregators_;
   /// For the status page; a bounded number of them.
   std::vector<UnusableObject> unusable_;
+  /// Unset if the settings name no duty.
+  std::optional<DutyStatus> duty_;
 };
 
 /// @brief Returns the number of daemons. While it is unknown, assumes a high
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -111,6 +111,7 @@
   size_t page_size_ = 1000;                          ///< Objects in a list.
   bool has_no_history_ = false;                      ///< Every watch gets 410.
   std::map<std::string, nlohmann::json> statuses_;   ///< By kind and name.
+  int lost_write_responses_ = 0;  ///< Next writes that get no response.
   std::set<std::string>
       unanswered_kinds_;  ///< Their requests are not answered.
 
@@ -302,12 +303,24 @@
       Respond(caller, 200, object);
       return;
     }
-    if (request.method_ == "POST" && objects_[kind].count(name) > 0) {
+    const auto known = objects_[kind].find(name);
+    const bool exists = known != objects_[kind].end();
+    const bool is_refused =
+        request.method_ == "POST"
+            ? exists
+            : object["meta"].contains("rev") &&
+                  (!exists || object["meta"]["rev"] != known->second.revision_);
+    if (is_refused) {
       Respond(caller, 409, object);
       return;
     }
     Put(kind, name, object["spec"]);
-    Respond(caller, request.method_ == "POST" ? 201 : 200, object);
+    if (lost_write_responses_ > 0) {
+      --lost_write_responses_;
+      return;
+    }
+    RespondText(caller, request.method_ == "POST" ? 201 : 200,
+                ObjectOf(objects_[kind][name]));
   }
 
   void List(const Caller& caller,
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -346,5 +346,38 @@
         std::string::npos);
 }
 
+TEST_CASE("settings without a duty leave the part off", "[settings]") {
+  const auto options = ParseNodeSettings(kSettings, "boot.yaml");
+  REQUIRE(options);
+  CHECK_FALSE(options->duty_);
+  const auto others = ParseNodeSettings(
+      std::string(kSettings) + "cloud_api: {duties: [another]}\n", "boot.yaml");
+  REQUIRE(others);
+  CHECK_FALSE(others->duty_);
+}
+
+TEST_CASE("a duty in the settings is parsed", "[settings]") {
+  const auto options = ParseNodeSettings(
+      std::string(kSettings) +
+          "cloud_api: {address: \"127.0.0.1:7100\", duties: [usage_report], "
+          "duty_per_s: 4}\n",
+      "boot.yaml");
+  REQUIRE(options);
+  REQUIRE(options->duty_);
+  CHECK(options->duty_->name_ == "usage_report");
+  CHECK(options->duty_->api_.port_ == 7100);
+  CHECK(options->duty_->calls_per_s_ == 4);
+  CHECK(options->duty_->lease_ == milliseconds(3000));
+  CHECK(options->duty_->margin_ == milliseconds(300));
+  CHECK_FALSE(options->duty_->api_checks_tokens_);
+}
+
+// Guards against a duty whose calls have no address.
+TEST_CASE("a duty needs the address of its API", "[settings]") {
+  CHECK_FALSE(ParseNodeSettings(
+      std::string(kSettings) + "cloud_api: {duties: [usage_report]}\n",
+      "boot.yaml"));
+}
+
 }  // namespace
 }  // namespace clementinerill::platform_adapter
