--- a/tests/duty/election_test.cc
+++ b/tests/duty/election_test.cc
@@ -278,6 +278,23 @@
   CHECK(fixture.store_.record_->token_ > 2 * kEra + 10);
 }
 
+// Guards against a takeover without a wait: the write was meant for an object
+// of the earlier era, and says nothing about the one that it has replaced.
+TEST_CASE("After a write that took effect in a later era the daemon waits",
+          "[election]") {
+  HolderFixture fixture;
+  const BootInstant sent = kStart + seconds(20);
+  const Action renewal = fixture.Renewal(sent);
+  ++fixture.store_.era_;
+  ApplyWrite(fixture.holder_, fixture.store_.Write(renewal), sent);
+  RunUntil(fixture.holder_, fixture.store_, sent,
+           sent + kLease + kMargin - milliseconds(10));
+  CHECK(fixture.store_.record_->token_ == renewal.record_.token_);
+  RunUntil(fixture.holder_, fixture.store_, sent + kLease + kMargin,
+           sent + kLease + kMargin + milliseconds(10));
+  CHECK(fixture.store_.record_->token_ > 2 * kEra);
+}
+
 TEST_CASE("A payload is in force once its write is confirmed", "[payload]") {
   HolderFixture fixture;
   REQUIRE(SetPayload(fixture.holder_, "one", kStart));
