--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/daemon_lists.h"
 #include "gateway/daemon_record_json.h"
-#include "gateway/listed_aggregators.h"
 #include "logging/log.h"
 
 namespace clementinerill::gateway {
@@ -62,7 +62,11 @@
                 DeleteDaemonRecord(daemon);
               }),
       writer_(loop, options.store_.address_, options.store_.port_),
-      deleter_(loop, options.store_.address_, options.store_.port_) {}
+      deleter_(loop, options.store_.address_, options.store_.port_) {
+  if (options.duty_) {
+    duty_.emplace(loop, options, metrics, [this] { PublishView(); });
+  }
+}
 
 void ControlLoop::Start() {
   follower_.SetEvidenceHandlers(MakeEvidenceHandlers());
@@ -201,14 +205,14 @@
     daemons_.erase(name);
   }
   Log(LogLevel::kInfo, "daemons", "counted", {{"count", daemons_.size()}});
-  std::vector<mirror::DaemonRecord> records;
-  for (const auto& [name, record] : daemons_) {
-    records.push_back(record);
-  }
+  const std::vector<mirror::DaemonRecord> records = RecordsOf(daemons_);
   follower_.SetDaemons(records);
   prober_.SetDaemons(records, options_.name_);
   exchange_.SetPeers(follower_.OtherWatchers());
-  UpdateDaemonNames();
+  if (duty_) {
+    duty_->SetDaemons(records);
+  }
+  daemon_names_ = UpdatedNames(daemon_names_, daemons_);
   UpdateAggregators();
   const bool is_listed = daemons_.count(options_.name_) > 0;
   // Another daemon deleted it after failing to reach this one for minutes, or
@@ -228,17 +232,6 @@
   }
 }
 
-void ControlLoop::UpdateDaemonNames() {
-  std::vector<std::string> names;
-  for (const auto& [name, record] : daemons_) {
-    names.push_back(name);
-  }
-  if (!daemon_names_ || *daemon_names_ != names) {
-    daemon_names_ =
-        std::make_shared<const std::vector<std::string>>(std::move(names));
-  }
-}
-
 void ControlLoop::UpdateAggregators() {
   aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
       ListedAggregators(daemons_));
@@ -415,6 +408,9 @@
   view->registered_since_ = registered_since_;
   view->aggregators_ = aggregators_;
   view->unusable_ = unusable_.List();
+  if (duty_) {
+    view->duty_ = duty_->Status();
+  }
   publish_(std::move(view));
 }
 
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -89,6 +89,17 @@
   return objects;
 }
 
+void AddDuty(const FleetState& fleet, json& status) {
+  const auto& duty = fleet.view_->duty_;
+  if (duty) {
+    status["duties"] = {{duty->name_,
+                         {{"holder", duty->holder_},
+                          {"token", duty->token_},
+                          {"held", duty->is_held_},
+                          {"candidate", duty->is_candidate_}}}};
+  }
+}
+
 }  // namespace
 
 json StatusJson(const FleetState& fleet,
@@ -115,6 +126,7 @@
     const int64_t age = traffic::ProofAgeMilliseconds(fleet, boot_now);
     status["proof_age_ms"] = age < 0 ? json(nullptr) : json(age);
   }
+  AddDuty(fleet, status);
   return status;
 }
 
