--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "codec/codec.h"
+#include "mirror/usage_codec.h"
 
 namespace clementinerill::mirror {
 namespace {
@@ -182,11 +183,13 @@
 }  // namespace
 
 std::string Encode(const RelayRequest& request) {
-  return ToCbor({{"wait_ms", request.wait_.count()},
-                 {"revisions", request.revisions_},
-                 {"eras", request.eras_},
-                 {"daemon", request.daemon_},
-                 {"evidence", EncodeEvidenceList(request.evidence_)}});
+  json message = {{"wait_ms", request.wait_.count()},
+                  {"revisions", request.revisions_},
+                  {"eras", request.eras_},
+                  {"daemon", request.daemon_},
+                  {"evidence", EncodeEvidenceList(request.evidence_)}};
+  AddUsage(message, request.usage_);
+  return ToCbor(message);
 }
 
 std::string Encode(const RelayReply& reply) {
@@ -194,13 +197,17 @@
   for (const auto& [name, kind] : reply.kinds_) {
     kinds[name] = EncodeKind(kind);
   }
-  return ToCbor({{"kinds", std::move(kinds)},
-                 {"evidence", EncodeEvidenceList(reply.evidence_)}});
+  json message = {{"kinds", std::move(kinds)},
+                  {"evidence", EncodeEvidenceList(reply.evidence_)}};
+  AddUsage(message, reply.usage_);
+  return ToCbor(message);
 }
 
 std::string Encode(const EvidenceReport& report) {
-  return ToCbor({{"process", report.process_},
-                 {"evidence", EncodeEvidenceList(report.evidence_)}});
+  json message = {{"process", report.process_},
+                  {"evidence", EncodeEvidenceList(report.evidence_)}};
+  AddUsage(message, report.usage_);
+  return ToCbor(message);
 }
 
 Result<RelayRequest> DecodeRelayRequest(const std::string& body) {
@@ -214,6 +221,7 @@
     }
     request.daemon_ = message.at("daemon").get<std::string>();
     request.evidence_ = DecodeEvidenceList(message.at("evidence"));
+    request.usage_ = DecodeUsage(message);
     return request;
   });
 }
@@ -227,6 +235,7 @@
     if (message.contains("evidence")) {
       reply.evidence_ = DecodeEvidenceList(message.at("evidence"));
     }
+    reply.usage_ = DecodeUsage(message);
     return reply;
   });
 }
@@ -236,6 +245,7 @@
     EvidenceReport report;
     report.process_ = message.at("process").get<std::string>();
     report.evidence_ = DecodeEvidenceList(message.at("evidence"));
+    report.usage_ = DecodeUsage(message);
     return report;
   });
 }
--- a/src/mirror/relay_message.h
+++ b/src/mirror/relay_message.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "base/time.h"
 #include "mirror/kind_changes.h"
 #include "mirror/rollout_evidence.h"
+#include "usage/message.h"
 
 namespace clementinerill::mirror {
 
@@ -21,6 +23,9 @@
   std::map<std::string, int64_t> eras_;    ///< Of `revisions_`; 0 if missing.
   std::string daemon_;                     ///< The sending process.
   std::vector<RolloutEvidence> evidence_;  ///< On rollouts in progress.
+  /// Counts of requests; like in the other messages, unset if usage is not
+  /// reported.
+  std::optional<usage::Message> usage_ = std::nullopt;
 };
 
 /// @brief Changes of one kind, and the age of the relay's copy.
@@ -35,15 +40,17 @@
   std::map<std::string, RelayedKind> kinds_;
   /// Sums over all daemons, of rollouts in progress.
   std::vector<RolloutEvidence> evidence_;
+  std::optional<usage::Message> usage_ = std::nullopt;
 };
 
-/// @brief Evidence on rollouts in progress that daemons which follow the store
-/// exchange. The response has the same form.
+/// @brief Evidence on rollouts in progress, and counts of requests, that
+/// daemons which follow the store exchange. The response has the same form.
 struct EvidenceReport {
   std::string process_;  ///< The sending process.
   /// Of the sender and the daemons that follow it; empty if it follows another
   /// daemon, which then reports for it.
   std::vector<RolloutEvidence> evidence_;
+  std::optional<usage::Message> usage_ = std::nullopt;
 };
 
 /// @brief Encodes a message between daemons as CBOR.
--- a/tests/usage/report_test.cc
+++ b/tests/usage/report_test.cc
@@ -32,7 +32,8 @@
   return table;
 }
 
-/// A book whose last window is 99, and counts of window 100.
+/// A book whose last window is 99, and counts of window 100, which only one
+/// daemon has marked.
 struct Reports {
   Reports() {
     book_.last_window_ = 99;
@@ -40,6 +41,7 @@
     Merge(table_, {"b#1", 100, "x", 4}, true);
     Mark(table_, "a#1", 99);
     Mark(table_, "b#1", 99);
+    Mark(table_, "a#1", 100);
   }
 
   BookRevision Revise(WallTime now) {
@@ -59,7 +61,6 @@
 // the way.
 TEST_CASE("a window is fixed when all daemons have marked it", "[book]") {
   Reports reports;
-  Mark(reports.table_, "a#1", 100);
   CHECK(reports.Revise(AfterEnd(100, seconds(3))).book_.unsent_.empty());
   Mark(reports.table_, "b#1", 100);
   const auto revision = reports.Revise(AfterEnd(100, seconds(3)));
