Usage: exchange, counting at the entry daemon, sender and settings

The entry daemon counts each query of an organisation once, when it ends, at its first dispatch. Counts travel with the messages to relays and between the daemons that follow the store; the holder of the duty fixes windows in the payload of the duty object and reports them. Off unless the settings name the API and the duty.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -52,6 +52,9 @@
                 [this](const mirror::EvidenceReport& report) {
                   RecordReport(report.process_, report.evidence_, false);
                 }),
+      usage_(options.usage_
+                 ? std::make_unique<UsageControl>(loop, options, metrics)
+                 : nullptr),
       prober_(loop,
               [this](const mirror::DaemonRecord& daemon) {
                 DeleteDaemonRecord(daemon);
@@ -62,6 +65,9 @@
 void ControlLoop::Start() {
   follower_.SetEvidenceHandlers(MakeEvidenceHandlers());
   follower_.Start();
+  if (usage_) {
+    usage_->Start();
+  }
   Register();
   prober_.Start();
   JudgeRollouts();
@@ -126,6 +132,9 @@
        {"services", decoded->services_.size()}});
   configuration_ = std::make_shared<const traffic::TrafficConfiguration>(
       std::move(*decoded));
+  if (usage_) {
+    usage_->SetConfiguration(*configuration_);
+  }
 }
 
 void ControlLoop::ApplyReplicaChanges(const mirror::KindChanges& changes) {
@@ -201,6 +210,10 @@
   follower_.SetDaemons(records);
   prober_.SetDaemons(records, options_.name_);
   exchange_.SetPeers(follower_.OtherWatchers());
+  if (usage_) {
+    usage_->SetDaemons(daemons_, follower_.OtherWatchers(),
+                       follower_.IsWatcher());
+  }
   UpdateDaemonNames();
   UpdateAggregators();
   const bool is_listed = daemons_.count(options_.name_) > 0;
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -16,6 +16,7 @@
 #include "gateway/rollout_exchange.h"
 #include "gateway/store_follower.h"
 #include "gateway/unusable_objects.h"
+#include "gateway/usage_control.h"
 #include "http/client.h"
 #include "mirror/daemon_record.h"
 #include "traffic/replica_directory.h"
@@ -45,6 +46,12 @@
   /// a rollout.
   void RecordEvidence(const traffic::VersionComparison& evidence);
 
+  /// @brief Reports of usage; null if they are off.
+  [[nodiscard]] UsageControl* Usage() { return usage_.get(); }
+
+  /// @brief Records requests of organisations that the traffic thread counted.
+  void RecordUsage(const usage::Batch& batch);
+
  private:
   void OnChanges(const std::string& kind, const mirror::KindChanges& changes);
   void ApplyChanges(const std::string& kind,
@@ -85,6 +92,7 @@
   RolloutControl rollouts_;
   RolloutExchange exchange_;
   int judgements_ = 0;  ///< Since the start; every second one sends a report.
+  std::unique_ptr<UsageControl> usage_;  ///< Null: usage is not reported.
   DaemonProber prober_;
   http::Client writer_;
   http::Client deleter_;
--- a/src/gateway/control_loop_evidence.cc
+++ b/src/gateway/control_loop_evidence.cc
@@ -12,25 +12,51 @@
 }  // namespace
 
 EvidenceHandlers ControlLoop::MakeEvidenceHandlers() {
-  using Evidence = EvidenceHandlers::Evidence;
   EvidenceHandlers handlers;
-  handlers.own_ = [this] {
-    return rollouts_.OwnEvidence(http::EventLoop::Now());
+  handlers.add_to_request_ = [this](mirror::RelayRequest& request) {
+    request.evidence_ = rollouts_.OwnEvidence(http::EventLoop::Now());
+    if (usage_) {
+      usage_->Exchange().AddTo(request);
+    }
+  };
+  handlers.add_to_reply_ = [this](const mirror::RelayRequest& request,
+                                  mirror::RelayReply& reply) {
+    reply.evidence_ = rollouts_.Sums(http::EventLoop::Now());
+    if (usage_) {
+      usage_->Exchange().AddTo(request, reply);
+    }
   };
-  handlers.sums_ = [this] { return rollouts_.Sums(http::EventLoop::Now()); };
   handlers.on_request_ = [this](const mirror::RelayRequest& request) {
-    RecordReport(request.daemon_, request.evidence_, true);
+    if (!request.evidence_.empty()) {
+      RecordReport(request.daemon_, request.evidence_, true);
+    }
+    if (usage_) {
+      usage_->Exchange().OnRequest(request);
+    }
   };
-  handlers.on_sums_ = [this](const Evidence& sums) {
-    rollouts_.RecordSums(sums, http::EventLoop::Now());
+  handlers.on_reply_ = [this](const mirror::RelayReply& reply) {
+    rollouts_.RecordSums(reply.evidence_, http::EventLoop::Now());
+    if (usage_) {
+      usage_->Exchange().OnReply(reply);
+    }
   };
   handlers.on_report_ = [this](const mirror::EvidenceReport& report) {
     RecordReport(report.process_, report.evidence_, false);
-    return OwnReport();
+    mirror::EvidenceReport response = OwnReport();
+    if (usage_) {
+      response.usage_ = usage_->Exchange().OnReport(report.usage_);
+    }
+    return response;
   };
   return handlers;
 }
 
+void ControlLoop::RecordUsage(const usage::Batch& batch) {
+  if (usage_) {
+    usage_->Exchange().Record(batch);
+  }
+}
+
 void ControlLoop::RecordEvidence(const traffic::VersionComparison& evidence) {
   rollouts_.RecordOwn(evidence, http::EventLoop::Now());
 }
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -52,8 +52,8 @@
 }
 
 void ForwardExchange::OnStarted(Instant deadline) {
-  if (is_open_ && !is_started_) {
-    is_started_ = true;
+  if (is_open_ && !started_at_) {
+    started_at_ = http::EventLoop::Now();
     SetTimer(deadline);
   }
 }
@@ -61,7 +61,7 @@
 void ForwardExchange::OnTimer() {
   if (is_open_) {
     lease_.connection_->Close();
-    End(is_started_ ? ForwardOutcome::kTimedOut
+    End(started_at_ ? ForwardOutcome::kTimedOut
                     : ForwardOutcome::kUnacknowledged);
   }
 }
@@ -85,7 +85,7 @@
       return;
     case ExchangeOutcome::kBroken:
     case ExchangeOutcome::kGarbled:
-      End(is_started_ ? ForwardOutcome::kBroken
+      End(started_at_ ? ForwardOutcome::kBroken
                       : ForwardOutcome::kUnacknowledged);
       return;
     case ExchangeOutcome::kResponse:
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -48,6 +48,11 @@
   /// @brief Closes the connection, which cancels the query at the aggregator.
   void Cancel();
 
+  /// @brief When the aggregator confirmed the start; unset if it has not.
+  [[nodiscard]] std::optional<Instant> StartedAt() const noexcept {
+    return started_at_;
+  }
+
   [[nodiscard]] const std::string& Aggregator() const noexcept {
     return lease_.aggregator_;
   }
@@ -66,7 +71,7 @@
   AggregatorPool::Lease lease_;
   Handler handler_;
   std::optional<http::TimerQueue::Id> timer_;
-  bool is_started_ = false;  ///< The aggregator has confirmed the start.
+  std::optional<Instant> started_at_;  ///< See `StartedAt`.
   bool is_open_ = true;
 };
 
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -67,6 +67,7 @@
   }
   is_open_ = false;
   LogEnd(result.outcome_, http::EventLoop::Now());
+  Count(result);
   switch (result.outcome_) {
     case ForwardOutcome::kAnswered:
       Respond(std::move(result.response_));
@@ -93,6 +94,7 @@
     return;
   }
   is_open_ = false;
+  Count({ForwardOutcome::kCancelled, {}});
   exchange_->Cancel();
   context_.metrics_.queries_.Increment(QueryOutcome::kDisconnected);
   LogEnd(ForwardOutcome::kCancelled, http::EventLoop::Now());
@@ -101,12 +103,23 @@
 void ForwardSession::Abort() {
   if (is_open_) {
     is_open_ = false;
+    Count({ForwardOutcome::kTimedOut, {}});
     exchange_->Cancel();
     LogEnd(ForwardOutcome::kTimedOut, http::EventLoop::Now());
     Fail(504);
   }
 }
 
+void ForwardSession::Count(const ForwardResult& result) {
+  const auto started = exchange_->StartedAt();
+  // The aggregator answers 503 if no replica has run the query.
+  const bool is_refused = result.outcome_ == ForwardOutcome::kAnswered &&
+                          result.response_.status_ == 503;
+  if (started && !is_refused) {
+    context_.usage_.Count(query_.organisation_, *started);
+  }
+}
+
 void ForwardSession::Fail(int status) {
   http::HttpResponse response;
   response.status_ = status;
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -22,6 +22,7 @@
   Instant started_{};   ///< When this daemon received the query.
   Instant deadline_{};  ///< The caller's or the route's, whichever is earlier.
   int tries_ = 0;       ///< Aggregators that it was sent to.
+  std::string organisation_ = {};  ///< Of the caller; empty if none.
 };
 
 /// @brief Forwards one query to an aggregator and passes its response on.
@@ -48,6 +49,8 @@
  private:
   void OnResult(ForwardResult result);
   void OnCallerDisconnected();
+  /// Counts the query for its organisation, if the aggregator has started it.
+  void Count(const ForwardResult& result);
   void Fail(int status);
   void Respond(http::HttpResponse response);
   void LogEnd(traffic::ForwardOutcome outcome, Instant now) const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -144,6 +144,14 @@
         traffic_loop.Post(
             [&traffic, shares] { traffic.SetVersionShares(shares); });
       });
+  if (UsageControl* usage = control.Usage()) {
+    traffic.SetOnUsage([&control_loop, &control](const usage::Batch& batch) {
+      control_loop.Post([&control, batch] { control.RecordUsage(batch); });
+    });
+    usage->SetPublish([&traffic_loop, &traffic](const auto& status) {
+      traffic_loop.Post([&traffic, status] { traffic.SetUsageStatus(status); });
+    });
+  }
   traffic.SetOnEvidence(
       [&control_loop, &control](const traffic::VersionComparison& evidence) {
         control_loop.Post(
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -8,6 +8,7 @@
 #include "traffic/forward_outcome.h"
 #include "traffic/part_failure_reason.h"
 #include "traffic/query_outcome.h"
+#include "usage/report_sender.h"
 
 namespace clementinerill::gateway {
 
@@ -105,6 +106,24 @@
         version_(registry_.AddGauge("gateway_configuration_version",
                                     "Version of the configuration in force.")),
         replicas_(registry_.AddGauge("gateway_replicas", "Known replicas.")),
+        usage_reported_(registry_.AddCounter(
+            "gateway_usage_windows_reported_total",
+            "Windows of usage that the usage API has acknowledged.")),
+        usage_late_(registry_.AddCounter(
+            "gateway_usage_windows_late_total",
+            "Windows of usage that were acknowledged after they were due.")),
+        usage_doubtful_(registry_.AddCounter(
+            "gateway_usage_windows_doubtful_total",
+            "Windows of usage that were fixed without the counts of all "
+            "daemons.")),
+        usage_missed_(registry_.AddReasonCounters(
+            "gateway_usage_windows_missed_total",
+            "Windows of usage that are not reported, by reason.",
+            usage::kMissReasonNames)),
+        usage_calls_(
+            registry_.AddReasonCounters("gateway_usage_calls_total",
+                                        "Calls of the usage API, by outcome.",
+                                        usage::kReportOutcomeNames)),
         latency_(registry_.AddLatencyHistogram(
             "gateway_query_seconds",
             "Time from a request to its answer.")) {}
@@ -138,6 +157,11 @@
   Gauge& copy_age_;
   Gauge& version_;
   Gauge& replicas_;
+  Counter& usage_reported_;
+  Counter& usage_late_;
+  Counter& usage_doubtful_;
+  ReasonCounters<usage::MissReason, 5> usage_missed_;
+  ReasonCounters<usage::ReportOutcome, 3> usage_calls_;
   LatencyRecorder& latency_;
 };
 
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -10,6 +10,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "gateway/store_codec.h"
+#include "gateway/usage_options.h"
 #include "gateway/wire_names.h"
 #include "settings/endpoint.h"
 #include "traffic/fleet_state.h"
@@ -42,6 +43,7 @@
   Duration leaving_grace_ = traffic::kLeavingGrace;
   Duration stop_grace_ = std::chrono::seconds(6);  ///< From SIGTERM to SIGKILL.
   traffic::FleetLimits limits_;
+  std::optional<UsageOptions> usage_;  ///< Unset: usage is not reported.
   WireNames names_;
   StoreCodec store_codec_;
   /// Reads the text of the settings, to detect a change.
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -416,7 +416,7 @@
   }
   query_.outcome_ = QueryOutcome::kDisconnected;
   CancelDelegations();
-  LogEnd(0, now);
+  RecordEnd(0, now);
   context_.metrics_.queries_.Increment(QueryOutcome::kDisconnected);
   // A non-idempotent request is not cancelled: that would only leave it unknown
   // whether it took effect.
@@ -443,7 +443,7 @@
   context_.metrics_.queries_.Increment(query_.outcome_);
   CountUnansweredParts();
   context_.metrics_.latency_.Record(now - query_.started_);
-  LogEnd(response.status_, now);
+  RecordEnd(response.status_, now);
   ReleaseResponses();
 }
 
@@ -470,7 +470,8 @@
   }
 }
 
-void QuerySession::LogEnd(int status, Instant now) const {
+void QuerySession::RecordEnd(int status, Instant now) const {
+  CountEndedQuery(context_.usage_, query_);
   LogQueryEnd(query_, status, now);
 }
 
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -10,6 +10,7 @@
 #include "gateway/connection_pool.h"
 #include "gateway/forward_exchange.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/usage_counter.h"
 #include "gateway/wire_names.h"
 #include "http/client_connection.h"
 #include "http/event_loop.h"
@@ -28,6 +29,7 @@
   const WireNames& names_;
   GatewayMetrics& metrics_;
   const bool& draining_;
+  UsageCounter usage_ = {};
 };
 
 /// @brief Serves one request: carries out the decisions of `traffic::Advance`
@@ -92,7 +94,7 @@
                  Instant now) const;
   void ReleaseResponses();
   void CountUnansweredParts();
-  void LogEnd(int status, Instant now) const;
+  void RecordEnd(int status, Instant now) const;
 
   SessionContext& context_;
   std::shared_ptr<http::ServerConnection> caller_;
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -78,6 +78,19 @@
   return rollouts;
 }
 
+json UsageStatusJson(const traffic::UsageStatus& usage) {
+  const auto number = [](const std::optional<int64_t>& value) {
+    return value ? json(*value) : json(nullptr);
+  };
+  return {{"holder", usage.holder_},
+          {"token", usage.token_},
+          {"is_holder", usage.is_holder_},
+          {"last_window_fixed", number(usage.last_fixed_)},
+          {"last_window_sent", number(usage.last_sent_)},
+          {"unsent", usage.unsent_},
+          {"clock_error_ms", number(usage.clock_error_ms_)}};
+}
+
 json UnusableObjects(const FleetState& fleet) {
   json objects = json::array();
   for (const traffic::UnusableObject& object : fleet.view_->unusable_) {
@@ -100,7 +113,7 @@
       services[name] = ServiceStatus(fleet, *state, now);
     }
   }
-  return {
+  json status = {
       {"daemon", fleet.name_},
       {"failure_domain", fleet.failure_domain_},
       {"configuration_version", configuration ? configuration->version_ : 0},
@@ -109,6 +122,10 @@
       {"rollouts", RolloutStatus(fleet)},
       {"unusable_objects", UnusableObjects(fleet)},
       {"services", std::move(services)}};
+  if (fleet.usage_) {
+    status["usage"] = UsageStatusJson(*fleet.usage_);
+  }
+  return status;
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/status_page.h
+++ b/src/gateway/status_page.h
@@ -17,9 +17,9 @@
 ///
 /// Shape: `{daemon, failure_domain, configuration_version, daemons: {domain:
 /// count}, evacuated: [..], rollouts: [..], unusable_objects: [{kind, name,
-/// reason}], services: {name: {routed, extra_attempts, replicas: [..]}}}`. A
-/// non-empty `service` restricts `services` to that service; it is empty if the
-/// service is unknown.
+/// reason}], usage: {..}, services: {name: {routed, extra_attempts, replicas:
+/// [..]}}}`. A non-empty `service` restricts `services` to that service; it is
+/// empty if the service is unknown.
 [[nodiscard]] nlohmann::json StatusJson(const traffic::FleetState& fleet,
                                         const std::string& service,
                                         Instant now);
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -231,8 +231,8 @@
     request.eras_[kind] = followed.mirror_.era_;
   }
   request.daemon_ = options_.name_;
-  if (evidence_.own_) {
-    request.evidence_ = evidence_.own_();
+  if (evidence_.add_to_request_) {
+    evidence_.add_to_request_(request);
   }
   return request;
 }
@@ -277,8 +277,8 @@
     OnRelayFailed(decoded.error().description_);
     return;
   }
-  if (evidence_.on_sums_) {
-    evidence_.on_sums_(decoded->evidence_);
+  if (evidence_.on_reply_) {
+    evidence_.on_reply_(*decoded);
   }
   if (!ApplyRelayReply(*decoded)) {
     OnRelayFailed("copy is out of date");
@@ -375,7 +375,7 @@
 
 void StoreFollower::OnRelayRequest(const Caller& caller,
                                    const mirror::RelayRequest& request) {
-  if (evidence_.on_request_ && !request.evidence_.empty()) {
+  if (evidence_.on_request_) {
     evidence_.on_request_(request);
   }
   if (TryReply(caller, request, request.wait_ <= milliseconds(0))) {
@@ -422,8 +422,8 @@
   if (!has_changes) {
     return false;
   }
-  if (evidence_.sums_) {
-    reply.evidence_ = evidence_.sums_();
+  if (evidence_.add_to_reply_) {
+    evidence_.add_to_reply_(request, reply);
   }
   RespondCbor(caller, mirror::Encode(reply));
   return true;
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -51,6 +51,16 @@
     on_evidence_ = std::move(on_evidence);
   }
 
+  /// @brief Starts to count the requests of organisations.
+  void SetOnUsage(UsageCounter::OnBatch on_batch) {
+    context_.usage_.Start(loop_, std::move(on_batch));
+  }
+
+  /// @brief Sets what the status page shows of the reports of usage.
+  void SetUsageStatus(traffic::UsageStatus status) {
+    fleet_.usage_ = std::move(status);
+  }
+
   /// @brief Starts a graceful shutdown; `stopped` is called when it is
   /// complete.
   ///
--- /dev/null
+++ b/src/gateway/usage_control.cc
@@ -0,0 +1,71 @@
+#include "gateway/usage_control.h"
+
+#include <algorithm>
+
+namespace clementinerill::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Period at which the time is compared, windows are fixed and calls are made.
+constexpr Duration kTickPeriod = milliseconds(100);
+// After the longest request of a window has ended, the time for passing its
+// count from the traffic thread.
+constexpr milliseconds kPassTime{300};
+
+milliseconds KeptFor(const usage::ReportSettings& settings) {
+  return usage::MaxReportAge(settings) + 2 * settings.window_length_;
+}
+
+}  // namespace
+
+UsageControl::UsageControl(http::EventLoop& loop,
+                           const GatewayOptions& options,
+                           GatewayMetrics& metrics)
+    : loop_(loop),
+      exchange_(loop,
+                options.name_,
+                options.usage_->reports_.window_length_,
+                KeptFor(options.usage_->reports_)),
+      reporter_(loop, options.name_, *options.usage_, exchange_, metrics) {
+  exchange_.SetSettleTime(kPassTime);
+}
+
+void UsageControl::SetConfiguration(
+    const traffic::TrafficConfiguration& configuration) {
+  Duration longest = Duration::zero();
+  for (const auto& [host, routes] : configuration.routes_) {
+    for (const traffic::RouteRule& route : routes) {
+      longest = std::max(longest, route.timeout_);
+    }
+  }
+  exchange_.SetSettleTime(std::chrono::duration_cast<milliseconds>(longest) +
+                          kPassTime);
+}
+
+void UsageControl::SetDaemons(
+    const std::map<std::string, mirror::DaemonRecord>& daemons,
+    const std::vector<mirror::DaemonRecord>& other_watchers,
+    bool is_watcher) {
+  std::vector<std::string> names;
+  for (const auto& [name, record] : daemons) {
+    names.push_back(name);
+  }
+  reporter_.SetDaemons(std::move(names));
+  exchange_.SetPeers(other_watchers);
+  is_watcher_ = is_watcher;
+}
+
+void UsageControl::Tick() {
+  exchange_.SetRole({is_watcher_, reporter_.NeedsCounts()});
+  exchange_.Tick();
+  reporter_.Tick();
+  if (const auto status = reporter_.Status();
+      publish_ && !(status == published_)) {
+    published_ = status;
+    publish_(status);
+  }
+  loop_.Timers().Add(http::EventLoop::Now() + kTickPeriod, [this] { Tick(); });
+}
+
+}  // namespace clementinerill::gateway
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -38,6 +38,9 @@
   if (!message.body_.empty()) {
     message.headers_.emplace_back("Content-Type", request.content_type_);
   }
+  for (auto& header : request.headers_) {
+    message.headers_.push_back(std::move(header));
+  }
   ExchangeRequest exchange;
   exchange.bytes_ = ToBytes(message);
   timeout_ = loop_.Timers().Add(EventLoop::Now() + request.timeout_, [this] {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -19,6 +19,7 @@
   std::string target_;
   std::string body_;
   std::string content_type_ = "application/json";  ///< Sent with a body only.
+  Headers headers_;                                ///< Additional ones.
   Duration timeout_{};
 };
 
--- a/src/metrics/reason_counters.h
+++ b/src/metrics/reason_counters.h
@@ -28,6 +28,9 @@
   }
 
   void Increment(Enum reason) noexcept { At(reason).Increment(); }
+  void Increment(Enum reason, uint64_t count) noexcept {
+    At(reason).Increment(count);
+  }
 
   [[nodiscard]] uint64_t Value(Enum reason) const noexcept {
     return At(reason).Value();
--- a/src/mirror/usage_codec.cc
+++ b/src/mirror/usage_codec.cc
@@ -64,7 +64,9 @@
   if (!usage) {
     return;
   }
-  json encoded = {{"process", usage->process_}, {"version", usage->version_}};
+  json encoded = {{"process", usage->process_},
+                  {"since", usage->since_},
+                  {"version", usage->version_}};
   if (!usage->counts_.empty()) {
     encoded["counts"] = EncodeCounts(*usage);
   }
@@ -90,6 +92,7 @@
   const json& encoded = message.at("usage");
   usage::Message usage;
   usage.process_ = encoded.at("process").get<std::string>();
+  usage.since_ = encoded.at("since").get<uint64_t>();
   usage.version_ = encoded.at("version").get<uint64_t>();
   if (encoded.contains("counts")) {
     for (const auto& [process, windows] : encoded.at("counts").items()) {
--- a/src/mirror/usage_codec.h
+++ b/src/mirror/usage_codec.h
@@ -12,7 +12,7 @@
 /// @brief Adds the field `usage` to a message between daemons; without `usage`
 /// the message stays as it is.
 ///
-/// Shape: `{process, version, counts: {process: {window: {organisation:
+/// Shape: `{process, since, version, counts: {process: {window: {organisation:
 /// count}}}, known: [process, version], wall_ms, agreed_ms, held_ms}`. Fields
 /// without content are absent.
 void AddUsage(nlohmann::json& message,
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -17,6 +17,7 @@
 #include "traffic/latency_estimate.h"
 #include "traffic/replica_state.h"
 #include "traffic/traffic_view.h"
+#include "traffic/usage_status.h"
 #include "traffic/version_comparison.h"
 
 namespace clementinerill::traffic {
@@ -82,6 +83,7 @@
   Departures departures_;               ///< Reported in responses.
   AggregationInput aggregation_input_;  ///< Of `aggregation_`.
   AggregationPlan aggregation_;
+  std::optional<UsageStatus> usage_;  ///< Unset if usage is not reported.
   uint64_t rotation_ = 0;  ///< Rotates the choice among equal replicas.
 };
 
--- a/src/traffic/query.cc
+++ b/src/traffic/query.cc
@@ -41,6 +41,19 @@
              });
 }
 
+Instant FirstRun(const Query& query) {
+  std::optional<Instant> first;
+  for (const QueryPart& part : query.parts_) {
+    for (const Attempt& attempt : part.attempts_) {
+      if (MayHaveRun(attempt) && (!first || attempt.sent_ < *first)) {
+        first = attempt.sent_;
+      }
+    }
+  }
+  // Otherwise another daemon has run its parts, from the start.
+  return first.value_or(query.started_);
+}
+
 size_t CountParts(const Query& query, PartState state) {
   return static_cast<size_t>(
       std::count_if(query.parts_.begin(), query.parts_.end(),
--- a/src/traffic/query.h
+++ b/src/traffic/query.h
@@ -70,6 +70,7 @@
   std::optional<PartSubset> subset_;
   bool is_forwarded_ = false;  ///< Received from another daemon.
   bool is_started_ = false;    ///< First attempts were chosen.
+  std::string organisation_;   ///< Of the caller; empty if none.
   QueryOutcome outcome_ = QueryOutcome::kOpen;
   Instant wake_at_{};  ///< Latest time of the next call of `Advance`.
 };
@@ -87,6 +88,10 @@
 /// @brief Whether any replica may have run or may still run the request.
 [[nodiscard]] bool MayHaveRun(const Query& query);
 
+/// @brief When a replica may first have begun to run the request: the first
+/// dispatch to one that has not refused it. Only for queries that may have run.
+[[nodiscard]] Instant FirstRun(const Query& query);
+
 [[nodiscard]] size_t CountParts(const Query& query, PartState state);
 
 }  // namespace clementinerill::traffic
--- a/src/usage/message.h
+++ b/src/usage/message.h
@@ -6,7 +6,6 @@
 #include <string>
 #include <vector>
 
-#include "base/boot_instant.h"
 #include "usage/window.h"
 
 namespace clementinerill::usage {
@@ -32,17 +31,18 @@
 struct Message {
   std::string process_;        ///< The sending process.
   std::vector<Count> counts_;  ///< Changes that the receiver may not know.
-  /// Version of the sender's table up to which `counts_` has its changes.
+  /// `counts_` has the changes of the sender's table after version `since_` up
+  /// to `version_`.
+  uint64_t since_ = 0;
   uint64_t version_ = 0;
-  /// What the sender knows of the receiver's table; unset if it wants no
-  /// counts.
+  /// What the sender knows of the receiver's table, which makes lost messages
+  /// be repeated; unset if it wants no counts.
   std::optional<TablePosition> known_;
   /// The sender's wall clock and agreed time when it sent the message.
   std::optional<WallTime> wall_;
   std::optional<WallTime> agreed_;
   /// In a response: the time since the request was received.
   std::chrono::milliseconds held_{};
-  BootInstant received_;  ///< Set by the receiver, not sent.
 };
 
 }  // namespace clementinerill::usage
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -88,6 +88,12 @@
     traffic_.SetOnEvidence([this](const traffic::VersionComparison& seen) {
       control_.RecordEvidence(seen);
     });
+    if (UsageControl* usage = control_.Usage()) {
+      traffic_.SetOnUsage(
+          [this](const usage::Batch& batch) { control_.RecordUsage(batch); });
+      usage->SetPublish(
+          [this](const auto& status) { traffic_.SetUsageStatus(status); });
+    }
     REQUIRE(traffic_.Listen());
     control_.Start();
   }
--- a/tests/mirror/usage_codec_test.cc
+++ b/tests/mirror/usage_codec_test.cc
@@ -18,6 +18,7 @@
   usage.counts_ = {{"a#1", 353445120, "", 2},
                    {"a#1", 353445120, "kami770", 3},
                    {"b#7", 353445121, "golo131", 412}};
+  usage.since_ = 9;
   usage.version_ = 17;
   usage.known_ = usage::TablePosition{"r#5", 12};
   usage.wall_ = milliseconds(1'764'633'600'123);
@@ -35,6 +36,7 @@
   const usage::Message usage = MakeUsage();
   REQUIRE(decoded);
   CHECK(decoded->process_ == usage.process_);
+  CHECK(decoded->since_ == 9);
   CHECK(decoded->version_ == usage.version_);
   REQUIRE(decoded->known_);
   CHECK(decoded->known_->process_ == "r#5");
