--- a/tests/gateway/fake_duty.h
+++ b/tests/gateway/fake_duty.h
@@ -42,7 +42,13 @@
 
   [[nodiscard]] duty::State& State() { return state_; }
 
+  /// Ends the connection of this daemon to the store.
+  void CutOff() { is_cut_off_ = true; }
+
   void Run() {
+    if (is_cut_off_) {
+      return;
+    }
     const BootInstant now = http::EventLoop::BootNow();
     const duty::Action action = duty::NextAction(state_, now);
     if (action.kind_ == duty::ActionKind::kRead) {
@@ -80,6 +86,7 @@
   FakeDutyObject& object_;
   duty::State state_;
   http::TimerQueue::Id timer_{};
+  bool is_cut_off_ = false;
 };
 
 }  // namespace clementinerill::gateway
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -7,6 +7,7 @@
 #include "platform/node_settings.h"
 #include "platform/replica_decoder.h"
 #include "platform/store_codec.h"
+#include "platform/usage_codec.h"
 #include "property.h"
 
 namespace clementinerill::platform_adapter {
@@ -288,6 +289,53 @@
   CHECK(options->limits_.extra_attempts_.slack_ == 58);
 }
 
+// Guards against reports of usage where the settings do not ask for them.
+TEST_CASE("usage is reported if the settings name the API and the duty",
+          "[settings]") {
+  const auto usage = [](const std::string& cloud_api) {
+    const auto options = ParseNodeSettings(kSettings + cloud_api, "boot.yaml");
+    REQUIRE(options);
+    return options->usage_;
+  };
+  CHECK_FALSE(usage(""));
+  CHECK_FALSE(usage("cloud_api: {duties: [usage_report]}\n"));
+  CHECK_FALSE(usage("cloud_api: {address: \"10.0.0.1:80\"}\n"));
+  CHECK_FALSE(
+      usage("cloud_api: {address: \"10.0.0.1:80\", duties: [other]}\n"));
+  const auto known = usage(
+      "cloud_api: {address: \"10.0.0.1:80\", duties: [usage_report], "
+      "duty_per_s: 2}\n");
+  REQUIRE(known);
+  CHECK(known->api_.port_ == 80);
+  CHECK(known->calls_per_s_ == 2);
+  CHECK(known->reports_.window_length_ == seconds(5));
+  CHECK(known->reports_.delay_ == seconds(10));
+}
+
+// Guards against a window of no length, by which times are divided.
+TEST_CASE("windows of usage have a shortest length", "[settings]") {
+  std::string text = kSettings;
+  text.replace(text.find("drain_ms:"), 0, "report_window_s: 0, ");
+  text += "cloud_api: {address: \"10.0.0.1:80\", duties: [usage_report]}\n";
+  const auto options = ParseNodeSettings(text, "boot.yaml");
+  REQUIRE_FALSE(options);
+  CHECK(Format(options.error()).find("report_window_s") != std::string::npos);
+}
+
+TEST_CASE("a usage report is encoded as the API expects", "[encoder]") {
+  const auto request = EncodeUsageReport(
+      "frontend-1", 12, {353445120, {{"kami770", 412}, {"golo131", 3}}});
+  CHECK(request.method_ == "POST");
+  CHECK(request.target_ == "/usage");
+  CHECK(request.content_type_ == "application/json");
+  CHECK(http::FindHeader(request.headers_, "X-Duty-Holder") == "frontend-1");
+  CHECK(http::FindHeader(request.headers_, "X-Fencing-Token") == "12");
+  CHECK(request.body_ ==
+        R"({"window":353445120,"counts":{"golo131":3,"kami770":412}})");
+  CHECK(EncodeUsageReport("a", 1, {7, {}}).body_ ==
+        R"({"window":7,"counts":{}})");
+}
+
 // Guards against a copy of the store that is still out of date when the daemon
 // counts as reachable again after an outage.
 TEST_CASE("the contact bound limits the propagation delay", "[settings]") {
