Usage: windows follow a corrected time, marks are in time on long routes

A daemon whose clock was ahead before the daemons had agreed would have dropped counts until that time. A mark later than the close of its window is useless, so the settle time is limited.

--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -15,6 +15,7 @@
 /// @brief A query to forward to an aggregator.
 struct ForwardedQuery {
   std::string id_;
+  std::string organisation_;  ///< See `traffic::Query`.
   std::shared_ptr<http::ServerConnection> caller_;
   http::HttpRequest request_;
   std::shared_ptr<const traffic::TrafficView> view_;  ///< Keeps `route_` alive.
@@ -22,7 +23,6 @@
   Instant started_{};   ///< When this daemon received the query.
   Instant deadline_{};  ///< The caller's or the route's, whichever is earlier.
   int tries_ = 0;       ///< Aggregators that it was sent to.
-  std::string organisation_ = {};  ///< Of the caller; empty if none.
 };
 
 /// @brief Forwards one query to an aggregator and passes its response on.
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "base/parse_number.h"
 #include "base/release_memory.h"
 #include "gateway/caller_response.h"
-#include "gateway/keep_alive.h"
 #include "gateway/query_log.h"
 #include "gateway/replica_report_decoder.h"
 #include "http/http_message.h"
@@ -34,6 +34,27 @@
 // not refuse it.
 constexpr int kMaxDelegationTries = 2;
 
+// Cap of the idle timeout that a replica names; longer ones would overflow when
+// added to a time.
+constexpr std::chrono::seconds kMaxKeepAlive = std::chrono::hours(1);
+
+// Parses the idle timeout of a `Keep-Alive` header such as
+// `timeout=5, max=100`.
+std::optional<Duration> ParseKeepAlive(std::string_view text) {
+  constexpr std::string_view kKey = "timeout=";
+  const size_t at = text.find(kKey);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  text.remove_prefix(at + kKey.size());
+  const auto seconds = ParseNumberUpTo(
+      text.substr(0, text.find_first_of(", ;")), kMaxKeepAlive.count());
+  if (!seconds) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(*seconds);
+}
+
 }  // namespace
 
 QuerySession::QuerySession(SessionContext& context,
--- a/src/gateway/usage_control.cc
+++ b/src/gateway/usage_control.cc
@@ -23,6 +23,7 @@
                            const GatewayOptions& options,
                            GatewayMetrics& metrics)
     : loop_(loop),
+      max_settle_(usage::CloseDelay(options.usage_->reports_) / 2),
       exchange_(loop,
                 options.name_,
                 options.usage_->reports_.window_length_,
@@ -39,8 +40,10 @@
       longest = std::max(longest, route.timeout_);
     }
   }
-  exchange_.SetSettleTime(std::chrono::duration_cast<milliseconds>(longest) +
-                          kPassTime);
+  // A later mark would come when the window is fixed already.
+  exchange_.SetSettleTime(
+      std::min(std::chrono::duration_cast<milliseconds>(longest) + kPassTime,
+               max_settle_));
 }
 
 void UsageControl::SetDaemons(
--- a/src/gateway/usage_control.h
+++ b/src/gateway/usage_control.h
@@ -39,6 +39,7 @@
   void Tick();
 
   http::EventLoop& loop_;
+  const std::chrono::milliseconds max_settle_;
   UsageExchange exchange_;
   UsageReporter reporter_;
   Publish publish_;
--- a/src/traffic/query.h
+++ b/src/traffic/query.h
@@ -57,6 +57,8 @@
 /// @brief One request of a caller in progress.
 struct Query {
   std::string id_;
+  /// Name of the organisation on whose behalf the query runs; empty if none.
+  std::string organisation_;
   std::shared_ptr<const TrafficView> view_;  ///< Keeps `route_` alive.
   const RouteRule* route_ = nullptr;
   Instant started_{};
@@ -70,7 +72,6 @@
   std::optional<PartSubset> subset_;
   bool is_forwarded_ = false;  ///< Received from another daemon.
   bool is_started_ = false;    ///< First attempts were chosen.
-  std::string organisation_;   ///< Of the caller; empty if none.
   QueryOutcome outcome_ = QueryOutcome::kOpen;
   Instant wake_at_{};  ///< Latest time of the next call of `Advance`.
 };
--- a/src/usage/count_table.cc
+++ b/src/usage/count_table.cc
@@ -65,12 +65,15 @@
 }  // namespace
 
 void KeepWindows(CountTable& table, int64_t first, int64_t last) {
-  table.first_window_ = std::max(table.first_window_, first);
+  table.first_window_ = first;
   table.last_window_ = last;
-  while (!table.windows_.empty() &&
-         table.windows_.begin()->first < table.first_window_) {
-    table.entries_ -= CountEntries(table.windows_.begin()->second);
-    table.windows_.erase(table.windows_.begin());
+  for (auto it = table.windows_.begin(); it != table.windows_.end();) {
+    if (IsKept(table, it->first)) {
+      ++it;
+    } else {
+      table.entries_ -= CountEntries(it->second);
+      it = table.windows_.erase(it);
+    }
   }
 }
 
--- a/src/usage/count_table.h
+++ b/src/usage/count_table.h
@@ -51,7 +51,8 @@
   uint64_t dropped_ = 0;  ///< Counts dropped because the table was full.
 };
 
-/// @brief Sets the windows that are kept and forgets those before.
+/// @brief Sets the windows that are kept and forgets all others, also later
+/// ones: the time may have been corrected.
 void KeepWindows(CountTable& table, int64_t first, int64_t last);
 
 /// @brief Adds requests of an organisation that `process` counted itself.
--- a/src/usage/own_counter.cc
+++ b/src/usage/own_counter.cc
@@ -66,6 +66,10 @@
   const WallTime started = ToWallTime(*clock.offset_, counter.started_);
   const int64_t first = WindowAt(started, window_length);
   const int64_t last = WindowAt(*time - settle, window_length) - 1;
+  if (counter.last_mark_ && *counter.last_mark_ > last) {
+    // The time was corrected.
+    counter.last_mark_ = last;
+  }
   int64_t window = std::max(counter.last_mark_.value_or(first - 1) + 1,
                             std::max(first, table.first_window_));
   for (; window <= last; ++window) {
--- a/tests/usage/count_table_test.cc
+++ b/tests/usage/count_table_test.cc
@@ -155,6 +155,17 @@
   CHECK(table.windows_.size() == 1);
 }
 
+// Guards against a daemon that drops all counts for hours because its clock was
+// ahead before the daemons had agreed.
+TEST_CASE("the kept windows follow a corrected time", "[table]") {
+  CountTable table = MakeTable(700, 710);
+  Merge(table, {"a#1", 705, "x", 1}, true);
+  KeepWindows(table, 5, 10);
+  CHECK(table.entries_ == 0);
+  Merge(table, {"a#1", 7, "x", 1}, true);
+  CHECK(SumOf(table, 7) == Sum{{"x", 1}});
+}
+
 TEST_CASE("a full table drops new counts and keeps the known ones", "[table]") {
   CountTable table = MakeTable();
   for (int i = 0; i < 200'001; ++i) {
@@ -236,6 +247,22 @@
   CHECK(SumOf(counting.table_, 401).empty());
 }
 
+TEST_CASE("windows are marked again after a correction", "[counter]") {
+  Counting counting;
+  const auto mark = [&counting](BootInstant now) {
+    KeepWindows(counting.table_, 0, 2000);
+    MarkWindows(counting.counter_, counting.table_, counting.clock_, kLength,
+                seconds(2), now);
+  };
+  const BootInstant now = Counting::kStart + seconds(20);
+  const auto offset = *counting.clock_.offset_;
+  counting.clock_.offset_ = offset + hours(1);
+  mark(now);
+  counting.clock_.offset_ = offset;
+  mark(now + seconds(10));
+  CHECK(HasMarks(counting.table_, 404));
+}
+
 TEST_CASE("a batch is bounded", "[counter]") {
   Batch batch;
   int added = 0;
