Usage: fewer bytes for a count

Process names are short keys, windows are relative, and daemons that follow the store exchange counts once a second.

--- a/src/gateway/usage_exchange.cc
+++ b/src/gateway/usage_exchange.cc
@@ -20,7 +20,7 @@
 constexpr seconds kClockPeriod{3};
 // Shortest time between two messages to one peer, so that several counts share
 // one message.
-constexpr milliseconds kMinSendPeriod{500};
+constexpr milliseconds kMinSendPeriod{1000};
 // Time without a reply of a relay from which a daemon sends its counts to the
 // daemons that follow the store.
 constexpr seconds kMaxRelaySilence{2};
--- a/src/mirror/usage_codec.h
+++ b/src/mirror/usage_codec.h
@@ -12,9 +12,10 @@
 /// @brief Adds the field `usage` to a message between daemons; without `usage`
 /// the message stays as it is.
 ///
-/// Shape: `{process, since, version, counts: {process: {window: {organisation:
-/// count}}}, known: [process, version], wall_ms, agreed_ms, held_ms}`. Fields
-/// without content are absent.
+/// Shape: `{process, since, version, first, counts: {process: {window:
+/// {organisation: count}}}, known: [process, version], wall_ms, agreed_ms,
+/// held_ms}`. Windows in `counts` are relative to `first`. Fields without
+/// content are absent.
 void AddUsage(nlohmann::json& message,
               const std::optional<usage::Message>& usage);
 
--- a/src/usage/count_table.cc
+++ b/src/usage/count_table.cc
@@ -1,8 +1,11 @@
 #include "usage/count_table.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace clementinerill::usage {
 namespace {
 
@@ -11,9 +14,23 @@
 constexpr size_t kMaxEntries = 200'000;
 // Largest count of an entry, so that sums stay in range.
 constexpr int64_t kMaxCount = 1'000'000'000'000;
-// Separates the daemon and the process in a process name. Names of daemons
-// may contain it; the last one counts.
+// Separates the daemon and the process in a process name.
 constexpr char kSeparator = '#';
+// Base-36 digits of the parts of a process name. 1,000 daemons share a key with
+// a probability of 6 in a million; a process shares its name with an earlier
+// one of its daemon with one of 1 in 60 million.
+constexpr int kDaemonDigits = 7;
+constexpr int kProcessDigits = 5;
+
+std::string Digits(uint64_t number, int digits) {
+  constexpr std::string_view kDigits = "0123456789abcdefghijklmnopqrstuvwxyz";
+  std::string text;
+  for (int i = 0; i < digits; ++i) {
+    text += kDigits[number % kDigits.size()];
+    number /= kDigits.size();
+  }
+  return text;
+}
 
 bool IsKept(const CountTable& table, int64_t window) {
   return window >= table.first_window_ && window <= table.last_window_;
@@ -176,19 +193,22 @@
   for (const auto& [window, processes] : table.windows_) {
     for (const auto& [process, counts] : processes) {
       if (counts.organisations_.count("") > 0) {
-        marks[DaemonOf(process)] = window;
+        marks[KeyOfProcess(process)] = window;
       }
     }
   }
   return marks;
 }
 
+std::string DaemonKey(const std::string& daemon) {
+  return Digits(Hash64(daemon), kDaemonDigits);
+}
+
 std::string ProcessName(const std::string& daemon, uint64_t random) {
-  constexpr uint64_t kValues = 1'000'000'000;
-  return daemon + kSeparator + std::to_string(random % kValues);
+  return DaemonKey(daemon) + kSeparator + Digits(random, kProcessDigits);
 }
 
-std::string DaemonOf(const std::string& process) {
+std::string KeyOfProcess(const std::string& process) {
   return process.substr(0, process.rfind(kSeparator));
 }
 
--- a/src/usage/count_table.h
+++ b/src/usage/count_table.h
@@ -90,16 +90,20 @@
 /// @brief Whether any process has marked the window.
 [[nodiscard]] bool HasMarks(const CountTable& table, int64_t window);
 
-/// @brief Returns the last window that each daemon has marked, by name.
+/// @brief Returns the last window that each daemon has marked, by key.
 [[nodiscard]] std::map<std::string, int64_t> LastMarks(const CountTable& table);
 
+/// @brief Short form of a daemon's name: names take most of the bytes of a
+/// message otherwise.
+[[nodiscard]] std::string DaemonKey(const std::string& daemon);
+
 /// @brief Name of a process of a daemon: differs between processes of one
 /// daemon, as their counts add up.
 [[nodiscard]] std::string ProcessName(const std::string& daemon,
                                       uint64_t random);
 
-/// @brief Returns the daemon's name in the name of its process.
-[[nodiscard]] std::string DaemonOf(const std::string& process);
+/// @brief Returns the daemon's key in the name of its process.
+[[nodiscard]] std::string KeyOfProcess(const std::string& process);
 
 }  // namespace clementinerill::usage
 
--- a/src/usage/own_counter.cc
+++ b/src/usage/own_counter.cc
@@ -68,7 +68,7 @@
   const int64_t last = WindowAt(*time - settle, window_length) - 1;
   if (counter.last_mark_ && *counter.last_mark_ > last) {
     // The time was corrected.
-    counter.last_mark_ = last;
+    counter.last_mark_.reset();
   }
   int64_t window = std::max(counter.last_mark_.value_or(first - 1) + 1,
                             std::max(first, table.first_window_));
--- a/src/usage/revise_book.cc
+++ b/src/usage/revise_book.cc
@@ -26,7 +26,7 @@
     int64_t window) {
   std::vector<std::string> missing;
   for (const std::string& daemon : daemons) {
-    const auto mark = last_marks.find(daemon);
+    const auto mark = last_marks.find(DaemonKey(daemon));
     if (mark == last_marks.end() ||
         (mark->second < window && mark->second >= window - kMaxSilentWindows)) {
       missing.push_back(daemon);
