--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/daemon_lists.h"
 #include "gateway/daemon_record_json.h"
+#include "gateway/listed_aggregators.h"
 #include "logging/log.h"
 
 namespace clementinerill::gateway {
@@ -22,9 +23,6 @@
 // Delay between the first registration and reading the list of daemons. All VMs
 // of a fleet start within 0.3 s, so the list then has all daemons.
 constexpr Duration kFleetStartDelay = milliseconds(500);
-// Period of the judgement of rollouts. Daemons report their evidence half as
-// often.
-constexpr Duration kJudgementPeriod = milliseconds(250);
 // Period of the check for departed replicas to evict.
 constexpr Duration kEvictionPeriod = seconds(1);
 
@@ -57,6 +55,9 @@
                 [this](const mirror::EvidenceReport& report) {
                   RecordReport(report.process_, report.evidence_, false);
                 }),
+      usage_(options.usage_
+                 ? std::make_unique<UsageControl>(loop, options, metrics)
+                 : nullptr),
       prober_(loop,
               [this](const mirror::DaemonRecord& daemon) {
                 DeleteDaemonRecord(daemon);
@@ -66,12 +67,20 @@
   if (options.duty_) {
     duty_.emplace(loop, options, metrics, [this] { PublishView(); });
   }
+  if (duty_ && usage_) {
+    usage_->Reporter().SetDuty(duty_->State(), [this](std::string payload) {
+      return duty_->SetPayload(std::move(payload));
+    });
+  }
 }
 
 void ControlLoop::Start() {
   follower_.SetEvidenceHandlers(MakeEvidenceHandlers());
   UpdateProofLimit();
   follower_.Start();
+  if (usage_) {
+    usage_->Start();
+  }
   Register();
   prober_.Start();
   JudgeRollouts();
@@ -137,6 +146,9 @@
   configuration_ = std::make_shared<const traffic::TrafficConfiguration>(
       std::move(*decoded));
   UpdateProofLimit();
+  if (usage_) {
+    usage_->SetConfiguration(*configuration_);
+  }
 }
 
 void ControlLoop::ApplyReplicaChanges(const mirror::KindChanges& changes) {
@@ -213,7 +225,12 @@
     duty_->SetDaemons(records);
   }
   daemon_names_ = UpdatedNames(daemon_names_, daemons_);
-  UpdateAggregators();
+  if (usage_) {
+    usage_->SetDaemons(daemons_, follower_.OtherWatchers(),
+                       follower_.IsWatcher());
+  }
+  aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
+      ListedAggregators(daemons_));
   const bool is_listed = daemons_.count(options_.name_) > 0;
   // Another daemon deleted it after failing to reach this one for minutes, or
   // the store has returned from a copy that does not have it. A relay's copy
@@ -232,11 +249,6 @@
   }
 }
 
-void ControlLoop::UpdateAggregators() {
-  aggregators_ = std::make_shared<const std::vector<traffic::Aggregator>>(
-      ListedAggregators(daemons_));
-}
-
 void ControlLoop::DeleteDaemonRecord(const mirror::DaemonRecord& daemon) {
   if (deleting_) {
     return;
@@ -260,63 +272,6 @@
                 });
 }
 
-EvidenceHandlers ControlLoop::MakeEvidenceHandlers() {
-  using Evidence = EvidenceHandlers::Evidence;
-  EvidenceHandlers handlers;
-  handlers.own_ = [this] {
-    return rollouts_.OwnEvidence(http::EventLoop::Now());
-  };
-  handlers.sums_ = [this] { return rollouts_.Sums(http::EventLoop::Now()); };
-  handlers.on_request_ = [this](const mirror::RelayRequest& request) {
-    RecordReport(request.daemon_, request.evidence_, true);
-  };
-  handlers.on_sums_ = [this](const Evidence& sums) {
-    rollouts_.RecordSums(sums, http::EventLoop::Now());
-  };
-  handlers.on_report_ = [this](const mirror::EvidenceReport& report) {
-    RecordReport(report.process_, report.evidence_, false);
-    return OwnReport();
-  };
-  return handlers;
-}
-
-void ControlLoop::RecordEvidence(const traffic::VersionComparison& evidence) {
-  rollouts_.RecordOwn(evidence, http::EventLoop::Now());
-}
-
-void ControlLoop::RecordReport(
-    const std::string& process,
-    const std::vector<mirror::RolloutEvidence>& evidence,
-    bool is_direct) {
-  if (rollouts_.RecordReport(process, evidence, is_direct,
-                             http::EventLoop::Now())) {
-    PublishView();
-  }
-}
-
-// The evidence of a daemon that follows another one is part of the report of
-// that one.
-mirror::EvidenceReport ControlLoop::OwnReport() const {
-  if (!follower_.IsWatcher()) {
-    return {};
-  }
-  return {rollouts_.Process(),
-          rollouts_.DirectEvidence(http::EventLoop::Now())};
-}
-
-void ControlLoop::JudgeRollouts() {
-  const Instant now = http::EventLoop::Now();
-  if (rollouts_.HasOpenOrder()) {
-    const bool is_judge = follower_.IsWatcher();
-    publish_shares_(
-        rollouts_.Decide({static_cast<int>(daemons_.size()), is_judge}, now));
-    if (is_judge && ++judgements_ % 2 == 0) {
-      exchange_.Send(OwnReport());
-    }
-  }
-  loop_.Timers().Add(now + kJudgementPeriod, [this] { JudgeRollouts(); });
-}
-
 void ControlLoop::Register() {
   if (registering_) {
     return;
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -17,6 +17,7 @@
 #include "gateway/rollout_exchange.h"
 #include "gateway/store_follower.h"
 #include "gateway/unusable_objects.h"
+#include "gateway/usage_control.h"
 #include "http/client.h"
 #include "mirror/daemon_record.h"
 #include "traffic/replica_directory.h"
@@ -59,6 +60,12 @@
   /// a rollout.
   void RecordEvidence(const traffic::VersionComparison& evidence);
 
+  /// @brief Reports of usage; null if they are off.
+  [[nodiscard]] UsageControl* Usage() { return usage_.get(); }
+
+  /// @brief Records requests of organisations that the traffic thread counted.
+  void RecordUsage(const usage::Batch& batch);
+
  private:
   void OnChanges(const std::string& kind, const mirror::KindChanges& changes);
   void ApplyChanges(const std::string& kind,
@@ -71,7 +78,6 @@
                    const StoredObject& object,
                    const Error& error);
   void ApplyDaemonChanges(const mirror::KindChanges& changes);
-  void UpdateAggregators();
   [[nodiscard]] EvidenceHandlers MakeEvidenceHandlers();
   [[nodiscard]] mirror::EvidenceReport OwnReport() const;
   void RecordReport(const std::string& process,
@@ -103,6 +109,7 @@
   RolloutControl rollouts_;
   RolloutExchange exchange_;
   int judgements_ = 0;  ///< Since the start; every second one sends a report.
+  std::unique_ptr<UsageControl> usage_;  ///< Null: usage is not reported.
   DaemonProber prober_;
   std::optional<DutySession> duty_;  ///< Unset if the settings name no duty.
   http::Client writer_;
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -15,6 +15,7 @@
 /// @brief A query to forward to an aggregator.
 struct ForwardedQuery {
   std::string id_;
+  std::string organisation_;  ///< See `traffic::Query`.
   std::shared_ptr<http::ServerConnection> caller_;
   http::HttpRequest request_;
   std::shared_ptr<const traffic::TrafficView> view_;  ///< Keeps `route_` alive.
@@ -48,6 +49,8 @@
  private:
   void OnResult(ForwardResult result);
   void OnCallerDisconnected();
+  /// Counts the query for its organisation, if the aggregator has started it.
+  void Count(const ForwardResult& result);
   void Fail(int status);
   void Respond(http::HttpResponse response);
   void LogEnd(traffic::ForwardOutcome outcome, Instant now) const;
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -79,6 +79,19 @@
   return rollouts;
 }
 
+json UsageStatusJson(const traffic::UsageStatus& usage) {
+  const auto number = [](const std::optional<int64_t>& value) {
+    return value ? json(*value) : json(nullptr);
+  };
+  return {{"holder", usage.holder_},
+          {"token", usage.token_},
+          {"is_holder", usage.is_holder_},
+          {"last_window_fixed", number(usage.last_fixed_)},
+          {"last_window_sent", number(usage.last_sent_)},
+          {"unsent", usage.unsent_},
+          {"clock_error_ms", number(usage.clock_error_ms_)}};
+}
+
 json UnusableObjects(const FleetState& fleet) {
   json objects = json::array();
   for (const traffic::UnusableObject& object : fleet.view_->unusable_) {
@@ -127,6 +140,9 @@
     status["proof_age_ms"] = age < 0 ? json(nullptr) : json(age);
   }
   AddDuty(fleet, status);
+  if (fleet.usage_) {
+    status["usage"] = UsageStatusJson(*fleet.usage_);
+  }
   return status;
 }
 
--- a/src/gateway/status_page.h
+++ b/src/gateway/status_page.h
@@ -20,8 +20,9 @@
 /// count}, evacuated: [..], rollouts: [..], unusable_objects: [{kind, name,
 /// reason}], services: {name: {routed, extra_attempts, replicas: [..]}}}`,
 /// `proof_age_ms` if a proof of the configuration is required (null: there is
-/// none), and `duties: {name: {holder, token, held, candidate}}` if the settings
-/// name one. A non-empty `service` restricts `services` to that service; it is
+/// none), and `duties: {name: {holder, token, held, candidate}}` and `usage:
+/// {..}` if the settings name the duty. A non-empty `service` restricts
+/// `services` to that service; it is
 /// empty if the service is unknown.
 [[nodiscard]] nlohmann::json StatusJson(const traffic::FleetState& fleet,
                                         const std::string& service,
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -228,8 +228,8 @@
     request.eras_[kind] = followed.mirror_.era_;
   }
   request.daemon_ = options_.name_;
-  if (evidence_.own_) {
-    request.evidence_ = evidence_.own_();
+  if (evidence_.add_to_request_) {
+    evidence_.add_to_request_(request);
   }
   return request;
 }
@@ -275,8 +275,8 @@
     OnRelayFailed(decoded.error().description_);
     return;
   }
-  if (evidence_.on_sums_) {
-    evidence_.on_sums_(decoded->evidence_);
+  if (evidence_.on_reply_) {
+    evidence_.on_reply_(*decoded);
   }
   if (!ApplyRelayReply(*decoded)) {
     OnRelayFailed("copy is out of date");
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "codec/codec.h"
+#include "mirror/usage_codec.h"
 
 namespace clementinerill::mirror {
 namespace {
@@ -197,11 +198,13 @@
 }  // namespace
 
 std::string Encode(const RelayRequest& request) {
-  return ToCbor({{"wait_ms", request.wait_.count()},
-                 {"revisions", request.revisions_},
-                 {"eras", request.eras_},
-                 {"daemon", request.daemon_},
-                 {"evidence", EncodeEvidenceList(request.evidence_)}});
+  json message = {{"wait_ms", request.wait_.count()},
+                  {"revisions", request.revisions_},
+                  {"eras", request.eras_},
+                  {"daemon", request.daemon_},
+                  {"evidence", EncodeEvidenceList(request.evidence_)}};
+  AddUsage(message, request.usage_);
+  return ToCbor(message);
 }
 
 std::string Encode(const RelayReply& reply) {
@@ -214,12 +217,15 @@
   if (reply.held_) {
     message["held_ms"] = reply.held_->count();
   }
+  AddUsage(message, reply.usage_);
   return ToCbor(message);
 }
 
 std::string Encode(const EvidenceReport& report) {
-  return ToCbor({{"process", report.process_},
-                 {"evidence", EncodeEvidenceList(report.evidence_)}});
+  json message = {{"process", report.process_},
+                  {"evidence", EncodeEvidenceList(report.evidence_)}};
+  AddUsage(message, report.usage_);
+  return ToCbor(message);
 }
 
 Result<RelayRequest> DecodeRelayRequest(const std::string& body) {
@@ -233,6 +239,7 @@
     }
     request.daemon_ = message.at("daemon").get<std::string>();
     request.evidence_ = DecodeEvidenceList(message.at("evidence"));
+    request.usage_ = DecodeUsage(message);
     return request;
   });
 }
@@ -247,6 +254,7 @@
       reply.evidence_ = DecodeEvidenceList(message.at("evidence"));
     }
     reply.held_ = DecodeOptionalTime(message, "held_ms");
+    reply.usage_ = DecodeUsage(message);
     return reply;
   });
 }
@@ -256,6 +264,7 @@
     EvidenceReport report;
     report.process_ = message.at("process").get<std::string>();
     report.evidence_ = DecodeEvidenceList(message.at("evidence"));
+    report.usage_ = DecodeUsage(message);
     return report;
   });
 }
--- a/src/traffic/query.h
+++ b/src/traffic/query.h
@@ -57,6 +57,8 @@
 /// @brief One request of a caller in progress.
 struct Query {
   std::string id_;
+  /// Name of the organisation on whose behalf the query runs; empty if none.
+  std::string organisation_;
   std::shared_ptr<const TrafficView> view_;  ///< Keeps `route_` alive.
   const RouteRule* route_ = nullptr;
   Instant started_{};
@@ -87,6 +89,10 @@
 /// @brief Whether any replica may have run or may still run the request.
 [[nodiscard]] bool MayHaveRun(const Query& query);
 
+/// @brief When a replica may first have begun to run the request: the first
+/// dispatch to one that has not refused it. Only for queries that may have run.
+[[nodiscard]] Instant FirstRun(const Query& query);
+
 [[nodiscard]] size_t CountParts(const Query& query, PartState state);
 
 }  // namespace clementinerill::traffic
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -91,6 +91,12 @@
     control_.SetOnProof([this](const organisations::ViewProof& proof) {
       traffic_.SetViewProof(proof);
     });
+    if (UsageControl* usage = control_.Usage()) {
+      traffic_.SetOnUsage(
+          [this](const usage::Batch& batch) { control_.RecordUsage(batch); });
+      usage->SetPublish(
+          [this](const auto& status) { traffic_.SetUsageStatus(status); });
+    }
     REQUIRE(traffic_.Listen());
     control_.Start();
   }
