Organisations: directory of key digests, and the decision about a request

Cause: requests are to be accepted only with the API key of an organisation. The decoder reads the organisations and public routes; errors name places, never keys. Nothing uses the directory yet.

--- a/src/organisations/forward_declarations.h
+++ b/src/organisations/forward_declarations.h
@@ -3,6 +3,13 @@
 
 namespace clementinerill::organisations {
 
+struct Access;
+struct Credential;
+struct Directory;
+struct KeyDigest;
+struct Organisation;
+struct PresentedKeys;
+struct ViewAge;
 struct ViewProof;
 
 }  // namespace clementinerill::organisations
--- a/src/traffic/route_rule.h
+++ b/src/traffic/route_rule.h
@@ -37,10 +37,11 @@
   std::string host_;         ///< Lower case, without a port.
   std::string path_prefix_;  ///< Begins and ends with a slash.
   RequestKind kind_ = RequestKind::kNonIdempotent;
-  Duration timeout_{};    ///< Maximum time to the response.
-  Duration objective_{};  ///< Latency objective of a response.
-  int max_attempts_ = 1;  ///< Replicas that may run the request, per service.
-  int priority_ = 0;      ///< 0 is the highest priority.
+  Duration timeout_{};      ///< Maximum time to the response.
+  Duration objective_{};    ///< Latency objective of a response.
+  int max_attempts_ = 1;    ///< Replicas that may run the request, per service.
+  int priority_ = 0;        ///< 0 is the highest priority.
+  bool is_public_ = false;  ///< Needs no API key.
   std::vector<WeightedService> destinations_;
   std::vector<std::string> shards_;
   int record_limit_ = 0;       ///< Records in a response merged from shards.
--- a/src/traffic/traffic_configuration.h
+++ b/src/traffic/traffic_configuration.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/caller_limits.h"
+#include "organisations/directory.h"
 #include "traffic/route_rule.h"
 #include "traffic/service_rule.h"
 
@@ -20,6 +22,8 @@
   std::map<std::string, std::vector<RouteRule>, std::less<>> routes_;
   std::map<std::string, ServiceRule, std::less<>> services_;
   CallerLimits limits_;
+  /// Organisations whose requests are accepted; null if every request is.
+  std::shared_ptr<const organisations::Directory> organisations_;
 };
 
 /// @brief Adds a route; keeps the routes of a host ordered by prefix length.
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -70,6 +70,85 @@
   CHECK_FALSE(DecodeConfiguration(json("text")));
 }
 
+json ConfigurationWithOrganisations() {
+  json spec = json::parse(kConfiguration);
+  spec["routes"][1]["public"] = true;
+  spec["tenants"] = json::parse(R"([
+    {"name": "kami770", "api_keys": ["key-a", "key-b"], "priority": 2},
+    {"name": "golo131", "api_keys": []},
+    {"name": "leda 4", "api_keys": ["key-c"]}])");
+  return spec;
+}
+
+// Guards against keys that are not accepted, and against a configuration
+// without organisations that begins to require keys.
+TEST_CASE("organisations and public routes are decoded", "[decoder]") {
+  const auto decoded = DecodeConfiguration(ConfigurationWithOrganisations());
+  REQUIRE(decoded);
+  REQUIRE(decoded->organisations_);
+  const auto& directory = *decoded->organisations_;
+  CHECK(directory.organisations_.size() == 3);
+  const auto* owner = organisations::FindByKey(
+      directory, organisations::DigestOf("key-b", directory.secret_));
+  REQUIRE(owner);
+  CHECK(owner->name_ == "kami770");
+  CHECK(owner->priority_ == 2);
+  CHECK(organisations::FindByName(directory, "leda 4")->priority_ == 0);
+  CHECK_FALSE(decoded->routes_.at("leno.example").front().is_public_);
+  CHECK(decoded->routes_.at("hufi.example").front().is_public_);
+  json spec = json::parse(kConfiguration);
+  CHECK_FALSE(DecodeConfiguration(spec)->organisations_);
+  spec["tenants"] = json::array();
+  CHECK_FALSE(DecodeConfiguration(spec)->organisations_);
+}
+
+// Guards against digests that are comparable with those of another process, and
+// against a request that is cut off by a new version with the same keys.
+TEST_CASE("digests are comparable between versions", "[decoder]") {
+  const json spec = ConfigurationWithOrganisations();
+  const auto first = DecodeConfiguration(spec);
+  const auto second = DecodeConfiguration(spec);
+  CHECK(first->organisations_->secret_ == second->organisations_->secret_);
+  CHECK(first->organisations_->secret_ != organisations::DigestSecret{});
+}
+
+// Guards against an unusable directory in force, and against keys in error
+// texts, which are logged and shown.
+TEST_CASE("an invalid organisation rejects the whole configuration",
+          "[decoder]") {
+  const std::vector<std::pair<const char*, json>> cases = {
+      {"/tenants/1/api_keys/0", "key-a"},
+      {"/tenants/0/api_keys/1", "key-a"},
+      {"/tenants/0/api_keys/1", ""},
+      {"/tenants/0/api_keys/1", "key b"},
+      {"/tenants/0/api_keys/1", 17},
+      {"/tenants/0/api_keys", "key-a"},
+      {"/tenants/0/priority", "high"},
+      {"/tenants/0/name", ""},
+      {"/tenants/0/name", "golo131"},
+      {"/tenants/0/name", "two\r\nlines"},
+      {"/tenants/0/name", 5},
+      {"/tenants/0", "key-a"},
+      {"/tenants", json::object()},
+      {"/routes/0/public", "yes"}};
+  for (const auto& [path, value] : cases) {
+    json spec = ConfigurationWithOrganisations();
+    spec[json::json_pointer(path)] = value;
+    const auto decoded = DecodeConfiguration(spec);
+    INFO(path << " " << value);
+    REQUIRE_FALSE(decoded);
+    const std::string& description = decoded.error().description_;
+    CAPTURE(description);
+    for (const char* key : {"key-a", "key-b", "key b", "key-c", "17"}) {
+      CHECK(description.find(key) == std::string::npos);
+    }
+  }
+  json spec = ConfigurationWithOrganisations();
+  spec["tenants"][2]["api_keys"][0] = "key-b";
+  CHECK(DecodeConfiguration(spec).error().description_ ==
+        "organisation 2: key 0 is a key of organisation 0 too");
+}
+
 json ReplicaSpec() {
   return json::parse(R"({"service": "s1", "address": "10.1.2.3:8080",
     "zone": "z1", "version": "v1", "slots": 3, "state": "ready",
