Gateway: move replica exchanges, reports and rejections out of the sessions

Change: free functions in replica_exchange, replica_reports, caller_rejection and gather_permission; SessionContext in a header of its own. No change of behaviour.

--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -9,11 +9,11 @@
 #include "base/release_memory.h"
 #include "gateway/caller_response.h"
 #include "gateway/query_log.h"
-#include "gateway/replica_report_decoder.h"
+#include "gateway/replica_exchange.h"
+#include "gateway/replica_reports.h"
 #include "http/http_message.h"
 #include "logging/log.h"
 #include "traffic/aggregator_health.h"
-#include "traffic/record_report.h"
 
 namespace clementinerill::gateway {
 namespace {
@@ -34,27 +34,6 @@
 // not refuse it.
 constexpr int kMaxDelegationTries = 2;
 
-// Cap of the idle timeout that a replica names; longer ones would overflow when
-// added to a time.
-constexpr std::chrono::seconds kMaxKeepAlive = std::chrono::hours(1);
-
-// Parses the idle timeout of a `Keep-Alive` header such as
-// `timeout=5, max=100`.
-std::optional<Duration> ParseKeepAlive(std::string_view text) {
-  constexpr std::string_view kKey = "timeout=";
-  const size_t at = text.find(kKey);
-  if (at == std::string_view::npos) {
-    return std::nullopt;
-  }
-  text.remove_prefix(at + kKey.size());
-  const auto seconds = ParseNumberUpTo(
-      text.substr(0, text.find_first_of(", ;")), kMaxKeepAlive.count());
-  if (!seconds) {
-    return std::nullopt;
-  }
-  return std::chrono::seconds(*seconds);
-}
-
 }  // namespace
 
 QuerySession::QuerySession(SessionContext& context,
@@ -218,35 +197,6 @@
   });
 }
 
-http::ExchangeRequest QuerySession::MakeExchange(
-    const traffic::ReplicaState& replica,
-    Instant now) const {
-  const WireNames& names = context_.names_;
-  http::HttpRequest request;
-  request.method_ = request_.method_;
-  request.target_ = request_.target_;
-  request.body_ = request_.body_;
-  for (const auto& header : request_.headers_) {
-    if (!http::IsSameHeaderName(header.first, names.timeout_) &&
-        !http::IsSameHeaderName(header.first, names.expected_replica_)) {
-      request.headers_.push_back(header);
-    }
-  }
-  const auto left =
-      std::max<int64_t>(1, ToMilliseconds(traffic::RemainingTime(query_, now)));
-  request.headers_.emplace_back(names.timeout_, std::to_string(left));
-  request.headers_.emplace_back(names.expected_replica_, replica.entry_.id_);
-  http::ExchangeRequest exchange;
-  exchange.bytes_ = http::ToBytes(request);
-  exchange.is_head_ = request_.method_ == "HEAD";
-  exchange.is_matching_response_ =
-      [id = query_.id_, name = names.request_id_](const http::HttpResponse& a) {
-        const auto echoed = http::FindHeader(a.headers_, name);
-        return echoed.empty() || echoed == id;
-      };
-  return exchange;
-}
-
 void QuerySession::Send(traffic::SendAction action, Instant now) {
   const traffic::QueryPart& part = query_.parts_[action.part_];
   const traffic::Attempt& attempt = part.attempts_[action.attempt_];
@@ -263,12 +213,14 @@
       now);
   running_.push_back({action, connection});
   const auto self = shared_from_this();
-  http::ExchangeRequest exchange = MakeExchange(*attempt.replica_, now);
+  http::ExchangeRequest exchange = MakeReplicaExchange(
+      request_, query_, attempt.replica_->entry_, context_.names_, now);
   const std::weak_ptr<QuerySession> weak = self;
   exchange.on_other_response_ =
       [weak, replica = attempt.replica_](const http::HttpResponse& response) {
         if (const auto session = weak.lock()) {
-          session->RecordDeparture(*replica, response, http::EventLoop::Now());
+          RecordReportedDeparture(session->context_, *replica, response,
+                                  http::EventLoop::Now());
         }
       };
   connection->Start(std::move(exchange),
@@ -277,109 +229,6 @@
                     });
 }
 
-AttemptOutcome QuerySession::Classify(
-    const http::ExchangeResult& result) const {
-  switch (result.outcome_) {
-    case ExchangeOutcome::kNotSent:
-      return AttemptOutcome::kNotSent;
-    case ExchangeOutcome::kBroken:
-      return AttemptOutcome::kBroken;
-    case ExchangeOutcome::kGarbled:
-      return AttemptOutcome::kGarbled;
-    case ExchangeOutcome::kResponse:
-      break;
-  }
-  const http::HttpResponse& response = result.response_;
-  const WireNames& names = context_.names_;
-  if (response.status_ == 421) {
-    return AttemptOutcome::kMisdirected;
-  }
-  if (!http::FindHeader(response.headers_, names.not_executed_).empty()) {
-    return AttemptOutcome::kShed;
-  }
-  const bool success = response.status_ < 300;
-  if (success &&
-      http::FindHeader(response.headers_, names.signature_).empty()) {
-    return AttemptOutcome::kGarbled;
-  }
-  // Without the header, such a status would be an untrue guarantee.
-  if (response.status_ >= 500 || ImpliesNotExecuted(response.status_) ||
-      (IsFanOut(*query_.route_) && !success)) {
-    return AttemptOutcome::kFailed;
-  }
-  return AttemptOutcome::kAnswered;
-}
-
-void QuerySession::RecordReport(traffic::ReplicaState& replica,
-                                const http::HttpResponse& response,
-                                Instant now) const {
-  RecordDeparture(replica, response, now);
-  const std::optional<double> previous = replica.rate_limit_;
-  const Instant paused_until = replica.paused_until_;
-  traffic::RecordReport(context_.fleet_, replica,
-                        DecodeReplicaReport(response, context_.names_), now);
-  LogPause(replica, paused_until, now);
-  if (replica.rate_limit_ == previous) {
-    return;
-  }
-  static RateLimitedLogger lines;
-  lines.Log(now, LogLevel::kInfo, "replicas",
-            replica.rate_limit_ ? "rate limit named" : "rate limit ended",
-            {{"replica", replica.entry_.id_},
-             {"service", replica.entry_.service_},
-             {"requests_per_s", replica.rate_limit_.value_or(0)},
-             {"previous", previous.value_or(0)}});
-}
-
-void QuerySession::LogPause(const traffic::ReplicaState& replica,
-                            Instant previous,
-                            Instant now) const {
-  if (replica.paused_until_ == previous) {
-    return;
-  }
-  context_.metrics_.pauses_.Increment();
-  static RateLimitedLogger lines;
-  lines.Log(now, LogLevel::kInfo, "replicas", "pause requested",
-            {{"replica", replica.entry_.id_},
-             {"service", replica.entry_.service_},
-             {"pause_ms", Duration(replica.paused_until_ - now)}});
-}
-
-// Also of responses that are not used otherwise: a departure is true whatever
-// becomes of the response that reports it.
-void QuerySession::RecordDeparture(traffic::ReplicaState& replica,
-                                   const http::HttpResponse& response,
-                                   Instant now) const {
-  // Another process at the address says nothing about this replica.
-  if (response.status_ == 421 ||
-      !ReportsDeparture(response.headers_, context_.names_) ||
-      !traffic::RecordReportedDeparture(context_.fleet_, replica, now)) {
-    return;
-  }
-  context_.metrics_.departures_.Increment();
-  static RateLimitedLogger lines;
-  lines.Log(now, LogLevel::kInfo, "replicas", "departure reported",
-            {{"replica", replica.entry_.id_},
-             {"service", replica.entry_.service_},
-             {"listed_as_leaving", replica.entry_.leaving_since_.has_value()},
-             {"status", response.status_}});
-}
-
-void QuerySession::LogCutOff(const traffic::ReplicaState& replica,
-                             const http::ExchangeResult& result,
-                             Instant now) const {
-  if (result.cut_off_by_ == http::ResponseLimit::kNone) {
-    return;
-  }
-  context_.metrics_.responses_cut_off_.Increment(result.cut_off_by_);
-  static RateLimitedLogger lines;
-  lines.Log(now, LogLevel::kWarning, "replicas", "response cut off",
-            {{"replica", replica.entry_.id_},
-             {"service", replica.entry_.service_},
-             {"limit", NameOf(http::kResponseLimitNames, result.cut_off_by_)},
-             {"buffered_bytes", replica.response_buffers_->held_bytes_}});
-}
-
 void QuerySession::OnExchange(traffic::SendAction action,
                               http::ExchangeResult result) {
   const Instant now = http::EventLoop::Now();
@@ -396,14 +245,15 @@
   running_.erase(running);
   const auto replica =
       query_.parts_[action.part_].attempts_[action.attempt_].replica_;
-  const AttemptOutcome outcome = Classify(result);
+  const AttemptOutcome outcome =
+      ClassifyExchange(result, *query_.route_, context_.names_);
   context_.metrics_.attempts_.Increment(outcome);
   if (result.outcome_ != ExchangeOutcome::kResponse) {
-    RecordDeparture(*replica, result.response_, now);
+    RecordReportedDeparture(context_, *replica, result.response_, now);
   } else if (outcome != AttemptOutcome::kMisdirected) {
-    RecordReport(*replica, result.response_, now);
+    RecordReplicaReport(context_, *replica, result.response_, now);
   }
-  LogCutOff(*replica, result, now);
+  RecordCutOff(context_, *replica, result, now);
   const auto keep_alive =
       ParseKeepAlive(http::FindHeader(result.response_.headers_, "Keep-Alive"));
   traffic::ReplicaResponse response;
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -7,10 +7,8 @@
 #include <utility>
 #include <vector>
 
-#include "gateway/connection_pool.h"
 #include "gateway/forward_exchange.h"
-#include "gateway/gateway_metrics.h"
-#include "gateway/wire_names.h"
+#include "gateway/session_context.h"
 #include "http/client_connection.h"
 #include "http/event_loop.h"
 #include "http/server_connection.h"
@@ -19,17 +17,6 @@
 
 namespace clementinerill::gateway {
 
-/// @brief The state shared by all sessions of a traffic thread.
-struct SessionContext {
-  http::EventLoop& loop_;
-  traffic::FleetState& fleet_;
-  ConnectionPool& pool_;
-  AggregatorPool& aggregators_;
-  const WireNames& names_;
-  GatewayMetrics& metrics_;
-  const bool& draining_;
-};
-
 /// @brief Serves one request: carries out the decisions of `traffic::Advance`
 /// with sockets and timers until the caller has its response.
 ///
@@ -68,28 +55,11 @@
   void OnDelegation(size_t index, int tries_left, ForwardResult result);
   void RecordDelegation(size_t index, ForwardResult result);
   void CancelDelegations();
-  [[nodiscard]] http::ExchangeRequest MakeExchange(
-      const traffic::ReplicaState& replica,
-      Instant now) const;
   void OnExchange(traffic::SendAction action, http::ExchangeResult result);
-  [[nodiscard]] traffic::AttemptOutcome Classify(
-      const http::ExchangeResult& result) const;
-  void RecordReport(traffic::ReplicaState& replica,
-                    const http::HttpResponse& response,
-                    Instant now) const;
-  void LogPause(const traffic::ReplicaState& replica,
-                Instant previous,
-                Instant now) const;
-  void RecordDeparture(traffic::ReplicaState& replica,
-                       const http::HttpResponse& response,
-                       Instant now) const;
   void ArmTimer();
   void OnCallerDisconnected();
   void Respond(Instant now);
   void CloseRunningAttempts(traffic::AttemptOutcome outcome, Instant now);
-  void LogCutOff(const traffic::ReplicaState& replica,
-                 const http::ExchangeResult& result,
-                 Instant now) const;
   void ReleaseResponses();
   void CountUnansweredParts();
   void LogEnd(int status, Instant now) const;
--- /dev/null
+++ b/src/gateway/replica_exchange.h
@@ -0,0 +1,34 @@
+#ifndef CLEMENTINERILL_GATEWAY_REPLICA_EXCHANGE_H_
+#define CLEMENTINERILL_GATEWAY_REPLICA_EXCHANGE_H_
+
+#include <optional>
+#include <string_view>
+
+#include "gateway/wire_names.h"
+#include "http/client_connection.h"
+#include "http/http_message.h"
+#include "traffic/advance_query.h"
+
+namespace clementinerill::gateway {
+
+/// @brief Returns the exchange that sends the request of a caller to a replica.
+[[nodiscard]] http::ExchangeRequest MakeReplicaExchange(
+    const http::HttpRequest& caller_request,
+    const traffic::Query& query,
+    const traffic::ReplicaEntry& replica,
+    const WireNames& names,
+    Instant now);
+
+/// @brief Returns the outcome of an attempt from the result of its exchange.
+[[nodiscard]] traffic::AttemptOutcome ClassifyExchange(
+    const http::ExchangeResult& result,
+    const traffic::RouteRule& route,
+    const WireNames& names);
+
+/// @brief Parses the idle timeout of a `Keep-Alive` header such as
+/// `timeout=5, max=100`.
+[[nodiscard]] std::optional<Duration> ParseKeepAlive(std::string_view text);
+
+}  // namespace clementinerill::gateway
+
+#endif  // CLEMENTINERILL_GATEWAY_REPLICA_EXCHANGE_H_
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -4,7 +4,8 @@
 #include <utility>
 
 #include "base/parse_number.h"
-#include "gateway/caller_response.h"
+#include "gateway/caller_rejection.h"
+#include "gateway/gather_permission.h"
 #include "gateway/status_page.h"
 #include "logging/log.h"
 #include "traffic/start_query.h"
@@ -24,10 +25,6 @@
 // The last responses are sent this long before the process is killed.
 constexpr Duration kKillMargin = milliseconds(700);
 
-// `Retry-After` if only this daemon cannot serve the request, because it has no
-// configuration yet or is stopping. Short, as others can.
-constexpr double kOtherDaemonRetryAfterS = 0.1;
-
 // A stopping daemon takes a request only if this multiple of the 90th
 // percentile of its route is left until the last responses are sent; it covers
 // a retry.
@@ -203,56 +200,16 @@
   caller->Respond(response, false);
 }
 
-void TrafficServer::RejectUnconfigured(const Caller& caller,
-                                       const http::HttpRequest& request) {
-  static RateLimitedLogger lines;
-  metrics_.unconfigured_.Increment();
-  lines.Log(
-      http::EventLoop::Now(), LogLevel::kWarning, "query",
-      "refused without a configuration",
-      {{"id", http::FindHeader(request.headers_, options_.names_.request_id_)},
-       {"status", 503}});
-  caller->Respond(RefusalResponse(kOtherDaemonRetryAfterS), draining_);
-}
-
-void TrafficServer::RejectUnrouted(const Caller& caller,
-                                   const http::HttpRequest& request) {
-  static RateLimitedLogger lines;
-  metrics_.unrouted_.Increment();
-  lines.Log(
-      http::EventLoop::Now(), LogLevel::kWarning, "query", "no route",
-      {{"id", http::FindHeader(request.headers_, options_.names_.request_id_)},
-       {"host", http::FindHeader(request.headers_, "Host")},
-       {"target", request.target_},
-       {"status", 404},
-       {"version", fleet_.view_->configuration_->version_}});
-  http::HttpResponse response;
-  response.status_ = 404;
-  caller->Respond(response, draining_);
-}
-
-void TrafficServer::RejectStopping(const Caller& caller,
-                                   const http::HttpRequest& request) {
-  static RateLimitedLogger lines;
-  metrics_.refused_stopping_.Increment();
-  lines.Log(
-      http::EventLoop::Now(), LogLevel::kWarning, "query",
-      "refused while stopping",
-      {{"id", http::FindHeader(request.headers_, options_.names_.request_id_)},
-       {"status", 503}});
-  caller->Respond(RefusalResponse(kOtherDaemonRetryAfterS), true);
-}
-
 void TrafficServer::OnRequest(const Caller& caller, http::HttpRequest request) {
   if (!fleet_.view_->configuration_) {
-    RejectUnconfigured(caller, request);
+    RejectUnconfigured(context_, caller, request);
     return;
   }
   const traffic::RouteRule* route = traffic::FindRoute(
       *fleet_.view_->configuration_, http::FindHeader(request.headers_, "Host"),
       request.target_);
   if (!route) {
-    RejectUnrouted(caller, request);
+    RejectUnrouted(context_, caller, request);
     return;
   }
   Serve(caller, std::move(request), *route);
@@ -275,7 +232,7 @@
   if (drain_started_) {
     const Duration left = ServeEnd() - now;
     if (left < ServeTime(traffic::RouteLatency(fleet_, route).P90())) {
-      RejectStopping(caller, request);
+      RejectStopping(context_, caller, request);
       return;
     }
     timeout = std::min(timeout, left);
@@ -347,7 +304,7 @@
                          http::FindHeader(query.request_.headers_, "Host"),
                          query.request_.target_);
   if (!route) {
-    RejectUnrouted(query.caller_, query.request_);
+    RejectUnrouted(context_, query.caller_, query.request_);
     return;
   }
   traffic::QueryOrigin origin;
@@ -366,23 +323,6 @@
   return parts;
 }
 
-bool TrafficServer::MayGatherForOthers(const traffic::RouteRule& route,
-                                       const ForwardHeader& header) const {
-  if (!traffic::IsAggregated(route) || draining_ ||
-      header.configuration_version_ != fleet_.view_->configuration_->version_) {
-    return false;
-  }
-  size_t parts = route.shards_.size();
-  if (header.subset_) {
-    if (header.subset_->parts_.back() >= route.shards_.size()) {
-      return false;
-    }
-    parts = header.subset_->parts_.size();
-  }
-  return CountPartsInProgress() + parts <=
-         traffic::MaxPartsInProgress(options_.capacity_);
-}
-
 void TrafficServer::OnForwardedRequest(const Caller& caller,
                                        http::HttpRequest request) {
   const auto header =
@@ -399,7 +339,9 @@
     caller->Close();
     return;
   }
-  if (!header || !route || !MayGatherForOthers(*route, *header)) {
+  if (!header || !route || draining_ ||
+      !MayGatherForOthers(fleet_, *route, *header, options_.capacity_,
+                          CountPartsInProgress())) {
     metrics_.forwards_refused_.Increment();
     http::HttpResponse response;
     response.status_ = kForwardRefused;
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -65,13 +65,7 @@
   void OnReadyCheck(const Caller& caller, const http::HttpRequest& request);
   void OnOperatorRequest(const Caller& caller,
                          const http::HttpRequest& request);
-  void RejectUnconfigured(const Caller& caller,
-                          const http::HttpRequest& request);
-  void RejectStopping(const Caller& caller, const http::HttpRequest& request);
-  void RejectUnrouted(const Caller& caller, const http::HttpRequest& request);
   void OnForwardedRequest(const Caller& caller, http::HttpRequest request);
-  [[nodiscard]] bool MayGatherForOthers(const traffic::RouteRule& route,
-                                        const ForwardHeader& header) const;
   void Serve(const Caller& caller,
              http::HttpRequest request,
              const traffic::RouteRule& route);
