HTTP server: check the head of a request before its body is read

Cause: requests without a valid API key are to be refused before their body. Change: a hook that is called once, when the head is complete. A refused request whose body is still on the way ends the connection after the response; the rest is discarded for 1 s, so that the client is not reset before it reads. Result: the new cases of http_test cover it; they cannot compile before the change.

--- a/src/http/http.h
+++ b/src/http/http.h
@@ -12,6 +12,7 @@
 #include "http/listener.h"
 #include "http/parsed_headers.h"
 #include "http/request_error.h"
+#include "http/request_head.h"
 #include "http/server_connection.h"
 #include "http/socket_options.h"
 #include "http/timer_queue.h"
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -77,6 +77,7 @@
         connection->SetResponseBudget(
             response_budget_, [this] { return DropLeastRecentlyRead(); });
         connection->SetOnReject(on_reject_);
+        connection->SetHeadCheck(head_check_);
         connection->Start();
         Accept();
       });
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -51,6 +51,12 @@
     on_reject_ = std::move(callback);
   }
 
+  /// @brief Sets the check of heads, on connections that are accepted from now
+  /// on.
+  void SetHeadCheck(ServerConnection::HeadCheck check) {
+    head_check_ = std::move(check);
+  }
+
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
   /// @brief The number of connections with a request in progress.
@@ -68,6 +74,7 @@
   std::shared_ptr<BufferBudget> request_budget_;
   std::shared_ptr<BufferBudget> response_budget_;
   std::function<void(RequestError)> on_reject_;
+  ServerConnection::HeadCheck head_check_;
   std::list<std::shared_ptr<ServerConnection>> connections_;
 };
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -34,6 +34,11 @@
 // callers wait for a response.
 constexpr Duration kMaxUnreadTime = std::chrono::seconds(15);
 
+// How long the body of a request that was refused by its head is read and
+// discarded. Closing with unread data resets the connection, and the client may
+// lose the response.
+constexpr Duration kMaxDiscardTime = std::chrono::seconds(1);
+
 // A request with its body may take this multiple of the header timeout.
 constexpr int kBodyTimeoutFactor = 3;
 
@@ -112,6 +117,10 @@
     }
     return;
   }
+  if (discarding_) {
+    Read();
+    return;
+  }
   if (input_.empty() && !serving_) {
     request_start_ = EventLoop::Now();
   }
@@ -134,10 +143,14 @@
       Reject(ErrorOf(error));
       return;
     }
+    const bool head_is_new = !header_checked_ && parser_->is_header_done();
     if (const auto header_error = CheckHeader()) {
       Reject(*header_error);
       return;
     }
+    if (head_is_new && RefuseByHead()) {
+      return;
+    }
     if (!request_hold_.TryResize(BufferedBytes())) {
       Reject(RequestError::kNoMemory);
       return;
@@ -176,6 +189,26 @@
   return std::nullopt;
 }
 
+// Returns whether the request was refused. If its body is not complete, the
+// connection cannot be used for another request.
+bool ServerConnection::RefuseByHead() {
+  const auto response =
+      head_check_ ? head_check_(RequestHead(parser_->get())) : std::nullopt;
+  if (!response) {
+    return false;
+  }
+  discarding_ = !parser_->is_done();
+  keep_alive_ = parser_->keep_alive();
+  is_head_ = parser_->get().method() == boost::beast::http::verb::head;
+  ResetParser();
+  if (discarding_) {
+    ReleaseMemory(input_);
+  }
+  serving_ = true;
+  Respond(*response, discarding_ || !response->keep_alive_);
+  return true;
+}
+
 void ServerConnection::DispatchRequest() {
   auto message = parser_->release();
   HttpRequest request;
@@ -322,7 +355,13 @@
   last_use_ = EventLoop::Now();
   request_start_ = last_use_;
   if (close) {
-    Close();
+    if (discarding_) {
+      error_code ignored;
+      socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+      Read();
+    } else {
+      Close();
+    }
     return;
   }
   Parse();
@@ -337,6 +376,7 @@
   closed_ = true;
   on_disconnect_ = nullptr;
   on_reject_ = nullptr;
+  head_check_ = nullptr;
   handler_ = nullptr;
   make_room_ = nullptr;
   ReleaseMemory(input_);
@@ -364,6 +404,12 @@
   if (closed_ || serving_ || writing_) {
     return;
   }
+  if (discarding_) {
+    if (draining || now - last_use_ > kMaxDiscardTime) {
+      Close();
+    }
+    return;
+  }
   if (IsIdle()) {
     if (draining || now - last_use_ > limits.idle_timeout_) {
       Close();
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -18,6 +18,7 @@
 #include "http/event_loop.h"
 #include "http/http_message.h"
 #include "http/request_error.h"
+#include "http/request_head.h"
 
 namespace clementinerill::http {
 
@@ -32,6 +33,11 @@
   using Handler =
       std::function<void(std::shared_ptr<ServerConnection>, HttpRequest)>;
 
+  /// @brief Called when the head of a request is complete, before its body is
+  /// read. Returns the response if the request is refused.
+  using HeadCheck =
+      std::function<std::optional<HttpResponse>(const RequestHead&)>;
+
   ServerConnection(EventLoop& loop,
                    boost::asio::ip::tcp::socket socket,
                    const CallerLimits& limits,
@@ -55,6 +61,9 @@
     on_reject_ = std::move(callback);
   }
 
+  /// @brief Sets the check of heads. To be called before `Start`.
+  void SetHeadCheck(HeadCheck check) { head_check_ = std::move(check); }
+
   /// @brief Sends the response to the request in progress. With `close` the
   /// connection is closed afterwards.
   void Respond(const HttpResponse& response, bool close);
@@ -106,6 +115,7 @@
   void Parse();
   void DispatchRequest();
   [[nodiscard]] std::optional<RequestError> CheckHeader();
+  [[nodiscard]] bool RefuseByHead();
   void Reject(RequestError error);
   [[nodiscard]] uint64_t BufferedBytes() const;
   void Write(std::string bytes, bool close);
@@ -130,6 +140,7 @@
   uint64_t serving_body_bytes_ = 0;  ///< Of the request in progress.
   std::function<void()> on_disconnect_;
   std::function<void(RequestError)> on_reject_;
+  HeadCheck head_check_;
   Instant last_use_;
   Instant request_start_;
   bool is_head_ = false;
@@ -140,6 +151,7 @@
   bool reading_ = false;
   bool header_checked_ = false;  ///< Of this request.
   bool continue_sent_ = false;   ///< `100 Continue`, for this request.
+  bool discarding_ = false;      ///< The rest of a refused request.
   bool closed_ = false;
 };
 
--- a/tests/http/server_connection_test.cc
+++ b/tests/http/server_connection_test.cc
@@ -182,5 +182,98 @@
   CHECK(server.requests_[0].body_ == "abc");
 }
 
+/// A server that refuses heads without the field `Pass`.
+struct CheckingServer : Server {
+  CheckingServer() {
+    listener_.SetHeadCheck(
+        [this](const RequestHead& head) -> std::optional<HttpResponse> {
+          targets_.emplace_back(head.Target());
+          counts_.push_back(head.Count("pass"));
+          if (head.Find("PASS") == "yes") {
+            return std::nullopt;
+          }
+          return HttpResponse{401, {{"X-Reason", "pass"}}, "", true};
+        });
+  }
+
+  std::vector<std::string> targets_;
+  std::vector<size_t> counts_;
+};
+
+// Guards against reading a body of a request that is refused by its head.
+TEST_CASE("a request is refused before its body is received", "[caller]") {
+  CheckingServer server;
+  server.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\nab");
+  const std::string received = server.ReadUntil("\r\n\r\n");
+  CHECK(received.find("HTTP/1.1 401") == 0);
+  CHECK(received.find("X-Reason: pass") != std::string::npos);
+  CHECK(received.find("Connection: close") != std::string::npos);
+  CHECK(server.requests_.empty());
+}
+
+// Guards against a client that is still sending and gets a reset in place of
+// the response.
+TEST_CASE("the body of a refused request is discarded for a while",
+          "[caller]") {
+  CheckingServer server;
+  const std::string body(1 << 18, 'x');
+  server.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 262144\r\n\r\n" +
+              body.substr(0, 100000));
+  RunUntil(server.loop_, [&] { return !server.targets_.empty(); });
+  server.Send(body.substr(0, 100000));
+  CHECK(server.ReadUntil("\r\n\r\n").find("HTTP/1.1 401") == 0);
+  // A second request behind the body is not taken for one.
+  server.Send("GET /b HTTP/1.1\r\nHost: h\r\nPass: yes\r\n\r\n");
+  const Instant now = EventLoop::Now();
+  RunUntil(server.loop_, [now] {
+    return EventLoop::Now() >= now + std::chrono::milliseconds(50);
+  });
+  server.listener_.CheckTimeouts(false, now + std::chrono::milliseconds(900));
+  CHECK(server.listener_.CountOpen() == 1);
+  server.listener_.CheckTimeouts(false, now + std::chrono::milliseconds(3000));
+  CHECK(server.listener_.CountOpen() == 0);
+  CHECK(server.requests_.empty());
+  CHECK(server.targets_.size() == 1);
+}
+
+// Guards against new connections for each refused request, and against losing
+// the request behind it.
+TEST_CASE("a complete refused request leaves the connection open", "[caller]") {
+  CheckingServer server;
+  server.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+      "GET /b HTTP/1.1\r\nHost: h\r\nPass: yes\r\nPass: no\r\n\r\n");
+  REQUIRE(server.WaitForRequests(1));
+  CHECK(server.requests_[0].target_ == "/b");
+  CHECK(server.requests_[0].body_.empty());
+  CHECK(server.targets_ == std::vector<std::string>{"/a", "/b"});
+  CHECK(server.counts_ == std::vector<size_t>{0, 2});
+  CHECK(server.ReadUntil("401").find("HTTP/1.1 401") == 0);
+}
+
+// Guards against a second check, or none, of a head that arrives in pieces.
+TEST_CASE("a head is checked once, when it is complete", "[caller]") {
+  CheckingServer server;
+  for (const char* piece : {"POST /a HTTP/1.1\r\nHost: h\r\nPa", "ss: yes\r\n",
+                            "Content-Length: 4\r\n\r\n", "ab", "cd"}) {
+    server.Send(piece);
+    RunUntil(server.loop_,
+             [end = EventLoop::Now() + std::chrono::milliseconds(20)] {
+               return EventLoop::Now() >= end;
+             });
+  }
+  REQUIRE(server.WaitForRequests(1));
+  CHECK(server.requests_[0].body_ == "abcd");
+  CHECK(server.targets_ == std::vector<std::string>{"/a"});
+}
+
+TEST_CASE("100 Continue is not sent for a refused request", "[caller]") {
+  CheckingServer server;
+  server.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+      "Content-Length: 4\r\n\r\n");
+  CHECK(server.ReadUntil("\r\n\r\n").find("HTTP/1.1 401") == 0);
+}
+
 }  // namespace
 }  // namespace clementinerill::http
