Gateway: requests need the API key of an organisation

Cause: callers without a key, or with one that was removed, must not reach replicas; replicas are to learn the organisation, and nobody the key. Change: 401 or 503 on the caller listener before the body is read; the check again when the request is complete and whenever it leaves for a replica or another daemon. Fields of callers are removed, X-Tenant is set for replicas. Clementinerill-Forward names the organisation in version 2; an aggregator refuses what it cannot vouch for. The priority of the organisation replaces that of the route. Counters gateway_access_*, log lines, /status. Nothing changes without organisations.

--- a/src/gateway/caller_response.cc
+++ b/src/gateway/caller_response.cc
@@ -23,6 +23,9 @@
 // overload, a longer one misses the latency objective.
 constexpr double kMinRetryAfterS = 0.02;
 constexpr double kMaxRetryAfterS = 0.3;
+// `Retry-After` while the configuration is too old. A proof that it is recent
+// is due several times in that bound, and other daemons may have one.
+constexpr double kOldViewRetryAfterS = 0.25;
 
 http::HttpResponse FanOutResponse(const Query& query, const WireNames& names) {
   std::vector<std::string_view> bodies;
@@ -84,8 +87,31 @@
                     kMaxRetryAfterS);
 }
 
+// An aggregator does not know the key, so it makes no statement on it: the
+// daemon that does gathers the query itself, or its caller repeats it.
+http::HttpResponse AccessLostResponse(const Query& query,
+                                      const WireNames& names) {
+  return AccessRefusalResponse(query.is_forwarded_
+                                   ? organisations::AccessRefusal::kViewTooOld
+                                   : *query.access_refusal_,
+                               names);
+}
+
 }  // namespace
 
+http::HttpResponse AccessRefusalResponse(organisations::AccessRefusal refusal,
+                                         const WireNames& names) {
+  const int status = organisations::StatusOf(refusal);
+  if (status == 503) {
+    return RefusalResponse(kOldViewRetryAfterS);
+  }
+  http::HttpResponse response;
+  response.status_ = status;
+  // Required by RFC 9110, section 15.5.2.
+  response.headers_.emplace_back("WWW-Authenticate", names.api_key_);
+  return response;
+}
+
 bool ImpliesNotExecuted(int status) noexcept {
   return status == 503 || status == 429 || status == 408 || status == 421;
 }
@@ -109,6 +135,9 @@
                  ? FanOutResponse(query, names)
                  : ForwardResponse(query.parts_.front().response_);
     case QueryOutcome::kRefused:
+      if (query.access_refusal_) {
+        return AccessLostResponse(query, names);
+      }
       return RefusalResponse(RetryAfterSeconds(query, now));
     case QueryOutcome::kTimedOut: {
       http::HttpResponse response;
--- a/src/gateway/caller_response.h
+++ b/src/gateway/caller_response.h
@@ -3,10 +3,17 @@
 
 #include "gateway/wire_names.h"
 #include "http/http_message.h"
+#include "organisations/access.h"
 #include "traffic/query.h"
 
 namespace clementinerill::gateway {
 
+/// @brief Returns the response to a request that may not run because of its API
+/// key or an old configuration.
+[[nodiscard]] http::HttpResponse AccessRefusalResponse(
+    organisations::AccessRefusal refusal,
+    const WireNames& names);
+
 /// @brief Builds the response to the caller for a query that has an outcome.
 ///
 /// The status is 503 only when no replica has executed the request and none
--- a/src/gateway/forward_header.cc
+++ b/src/gateway/forward_header.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 #include <vector>
 
 #include "base/parse_number.h"
@@ -13,6 +14,9 @@
 // rolling restart, daemons of different versions gather their queries
 // themselves.
 constexpr uint64_t kProtocolVersion = 1;
+// With an organisation. Daemons that do not know this version could run the
+// query for no organisation.
+constexpr uint64_t kProtocolVersionWithOrganisation = 2;
 constexpr std::chrono::milliseconds kMaxElapsed = std::chrono::hours(1);
 // Limit of part indices, far above the number of shards of a route.
 constexpr uint64_t kMaxPart = 100000;
@@ -30,6 +34,55 @@
   }
 }
 
+std::string EncodeName(std::string_view name) {
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string text;
+  for (const char byte : name) {
+    const auto value = static_cast<unsigned char>(byte);
+    if (value > 0x20 && value < 0x7f && byte != '%') {
+      text += byte;
+    } else {
+      text += '%';
+      text += kDigits[value / 16];
+      text += kDigits[value % 16];
+    }
+  }
+  return text;
+}
+
+std::optional<int> DecodeDigit(char digit) {
+  if (digit >= '0' && digit <= '9') {
+    return digit - '0';
+  }
+  if (digit >= 'A' && digit <= 'F') {
+    return digit - 'A' + 10;
+  }
+  return std::nullopt;
+}
+
+// Returns `std::nullopt` for text that `EncodeName` does not return.
+std::optional<std::string> DecodeName(std::string_view text) {
+  std::string name;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      name += text[i];
+      continue;
+    }
+    const auto high =
+        i + 2 < text.size() ? DecodeDigit(text[i + 1]) : std::nullopt;
+    const auto low = high ? DecodeDigit(text[i + 2]) : std::nullopt;
+    if (!low) {
+      return std::nullopt;
+    }
+    name += static_cast<char>(*high * 16 + *low);
+    i += 2;
+  }
+  if (name.empty() || EncodeName(name) != text) {
+    return std::nullopt;
+  }
+  return name;
+}
+
 std::optional<traffic::PartSubset> DecodeSubset(std::string_view missing,
                                                 std::string_view skipped,
                                                 std::string_view parts) {
@@ -57,9 +110,14 @@
 }  // namespace
 
 std::string EncodeForwardHeader(const ForwardHeader& header) {
-  std::string text = std::to_string(kProtocolVersion) + " " +
-                     std::to_string(header.configuration_version_) + " " +
+  const bool is_named = !header.organisation_.empty();
+  std::string text = std::to_string(is_named ? kProtocolVersionWithOrganisation
+                                             : kProtocolVersion) +
+                     " " + std::to_string(header.configuration_version_) + " " +
                      std::to_string(header.elapsed_.count());
+  if (is_named) {
+    text += " " + EncodeName(header.organisation_);
+  }
   if (header.subset_) {
     text += " " + std::to_string(header.subset_->max_missing_) + " " +
             std::to_string(header.subset_->max_skipped_);
@@ -73,9 +131,20 @@
 }
 
 std::optional<ForwardHeader> DecodeForwardHeader(std::string_view text) {
-  const auto words = Split(text, ' ');
-  if ((words.size() != 3 && words.size() != 6) ||
-      ParseNumber(words[0]) != kProtocolVersion) {
+  auto words = Split(text, ' ');
+  const auto protocol = ParseNumber(words[0]);
+  ForwardHeader header;
+  if (protocol == kProtocolVersionWithOrganisation && words.size() > 3) {
+    auto organisation = DecodeName(words[3]);
+    if (!organisation) {
+      return std::nullopt;
+    }
+    header.organisation_ = std::move(*organisation);
+    words.erase(words.begin() + 3);
+  } else if (protocol != kProtocolVersion) {
+    return std::nullopt;
+  }
+  if (words.size() != 3 && words.size() != 6) {
     return std::nullopt;
   }
   const auto version = ParseNumber(words[1]);
@@ -83,7 +152,6 @@
   if (!version || *version > std::numeric_limits<int64_t>::max() || !elapsed) {
     return std::nullopt;
   }
-  ForwardHeader header;
   header.configuration_version_ = static_cast<int64_t>(*version);
   header.elapsed_ = std::chrono::milliseconds(*elapsed);
   if (words.size() == 6) {
--- a/src/gateway/forward_header.h
+++ b/src/gateway/forward_header.h
@@ -30,11 +30,17 @@
   std::chrono::milliseconds elapsed_{};
   /// The parts to gather; unset for all parts of the route.
   std::optional<traffic::PartSubset> subset_ = std::nullopt;
+  /// Name of the organisation on whose behalf the query runs; empty if none.
+  std::string organisation_ = {};
 };
 
 /// @brief Encodes a header as `<protocol version> <configuration version>
-/// <elapsed milliseconds>`, followed for a subset by `<missing allowed>
-/// <skipping allowed> <part>,<part>,...`.
+/// <elapsed milliseconds>`, followed in version 2 by the organisation, and for
+/// a subset by `<missing allowed> <skipping allowed> <part>,<part>,...`.
+///
+/// Version 2 is used only with an organisation. In its name, bytes that are not
+/// visible ASCII characters, and `%`, are written as `%` and two hexadecimal
+/// digits.
 [[nodiscard]] std::string EncodeForwardHeader(const ForwardHeader& header);
 
 /// @brief Decodes a header. Returns `std::nullopt` if it is malformed or has
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -54,6 +54,7 @@
   header.configuration_version_ = query_.view_->configuration_->version_;
   header.elapsed_ =
       std::chrono::milliseconds(ToMilliseconds(now - query_.started_));
+  header.organisation_ = query_.organisation_;
   exchange_->Start(
       MakeForwardedRequest(query_.request_, header, context_.names_,
                            query_.deadline_ - now),
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "gateway/forward_exchange.h"
@@ -15,6 +16,8 @@
 /// @brief A query to forward to an aggregator.
 struct ForwardedQuery {
   std::string id_;
+  std::string organisation_;                     ///< See `traffic::Query`.
+  std::optional<organisations::KeyDigest> key_;  ///< See `traffic::Query`.
   std::shared_ptr<http::ServerConnection> caller_;
   http::HttpRequest request_;
   std::shared_ptr<const traffic::TrafficView> view_;  ///< Keeps `route_` alive.
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 #include "http/client_connection.h"
 #include "http/request_error.h"
 #include "metrics/registry.h"
+#include "organisations/access.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/forward_outcome.h"
 #include "traffic/part_failure_reason.h"
@@ -79,6 +80,21 @@
             "gateway_skipped_parts_total",
             "Parts left out of sweeps because their replicas were "
             "overloaded.")),
+        access_refused_(registry_.AddReasonCounters(
+            "gateway_access_refused_total",
+            "Requests of callers that were refused because of their API key or "
+            "an old configuration.",
+            organisations::kAccessRefusalNames)),
+        access_lost_(registry_.AddReasonCounters(
+            "gateway_access_lost_total",
+            "Queries whose API key was removed, or whose configuration became "
+            "too old, before their last attempt was sent.",
+            organisations::kAccessRefusalNames)),
+        forward_access_refused_(registry_.AddReasonCounters(
+            "gateway_access_forwards_refused_total",
+            "Forwarded queries that were refused because of their "
+            "organisation.",
+            organisations::kForwardRefusalNames)),
         unrouted_(registry_.AddCounter("gateway_unrouted_total",
                                        "Requests that match no route.")),
         unconfigured_(registry_.AddCounter(
@@ -117,7 +133,7 @@
   ReasonCounters<traffic::ForwardOutcome, 7> forwards_;
   Counter& gathered_for_others_;
   Counter& forwards_refused_;
-  ReasonCounters<traffic::PartFailureReason, 7> failed_parts_;
+  ReasonCounters<traffic::PartFailureReason, 8> failed_parts_;
   ReasonCounters<http::ResponseLimit, 3> responses_cut_off_;
   Gauge& response_buffers_;
   Gauge& request_buffers_;
@@ -128,6 +144,9 @@
   Counter& pauses_;
   Counter& departures_;
   Counter& skipped_parts_;
+  ReasonCounters<organisations::AccessRefusal, 4> access_refused_;
+  ReasonCounters<organisations::AccessRefusal, 4> access_lost_;
+  ReasonCounters<organisations::ForwardRefusal, 3> forward_access_refused_;
   Counter& unrouted_;
   Counter& unconfigured_;
   Counter& refused_stopping_;
--- a/src/gateway/query_log.cc
+++ b/src/gateway/query_log.cc
@@ -91,6 +91,13 @@
       {"parts", query.parts_.size()},
       {"extra", CountExtraAttempts(query)},
       {"version", query.view_->configuration_->version_}};
+  if (!query.organisation_.empty()) {
+    fields.emplace_back("organisation", query.organisation_);
+  }
+  if (query.access_refusal_) {
+    fields.emplace_back("access", NameOf(organisations::kAccessRefusalNames,
+                                         *query.access_refusal_));
+  }
   if (!query.delegations_.empty()) {
     fields.emplace_back("delegations", query.delegations_.size());
   }
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -7,6 +7,7 @@
 
 #include "base/parse_number.h"
 #include "base/release_memory.h"
+#include "gateway/caller_access.h"
 #include "gateway/caller_response.h"
 #include "gateway/query_log.h"
 #include "gateway/replica_exchange.h"
@@ -45,6 +46,7 @@
       request_(std::move(request)),
       query_(std::move(query)) {
   request_.headers_ = http::EndToEndHeaders(request_.headers_);
+  RemoveAccessHeaders(context_.fleet_, context_.names_, request_.headers_);
 }
 
 void QuerySession::Start() {
@@ -77,12 +79,14 @@
 }
 
 void QuerySession::StartDelegation(size_t index, int tries_left, Instant now) {
+  RecheckAccess(context_, query_);
   const traffic::Delegation& delegation = query_.delegations_[index];
   const auto& remote = context_.fleet_.aggregation_.remote_;
   const auto aggregators = remote.find(delegation.failure_domain_);
-  auto lease = aggregators == remote.end() || tries_left == 0
-                   ? std::nullopt
-                   : context_.aggregators_.Acquire(aggregators->second, now);
+  auto lease =
+      query_.access_refusal_ || aggregators == remote.end() || tries_left == 0
+          ? std::nullopt
+          : context_.aggregators_.Acquire(aggregators->second, now);
   if (!lease) {
     traffic::ReturnDelegation(query_, index, false, now);
     return;
@@ -92,6 +96,7 @@
   header.elapsed_ = std::chrono::milliseconds(
       ToMilliseconds(now - query_.started_ + kDelegationMargin));
   header.subset_ = delegation.subset_;
+  header.organisation_ = query_.organisation_;
   const auto exchange =
       std::make_shared<ForwardExchange>(context_.loop_, context_.aggregators_,
                                         context_.metrics_, std::move(*lease));
@@ -167,6 +172,7 @@
 void QuerySession::Step() {
   const Instant now = http::EventLoop::Now();
   if (IsOpen()) {
+    RecheckAccess(context_, query_);
     for (const auto& action : traffic::Advance(context_.fleet_, query_, now)) {
       Send(action, now);
     }
--- a/src/gateway/replica_exchange.cc
+++ b/src/gateway/replica_exchange.cc
@@ -50,6 +50,9 @@
       request.headers_.push_back(header);
     }
   }
+  if (!query.organisation_.empty()) {
+    request.headers_.emplace_back(names.organisation_, query.organisation_);
+  }
   const auto left =
       std::max<int64_t>(1, ToMilliseconds(traffic::RemainingTime(query, now)));
   request.headers_.emplace_back(names.timeout_, std::to_string(left));
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -88,6 +88,17 @@
   return objects;
 }
 
+// Without names and digests: the names alone would make the page long.
+json OrganisationStatus(const FleetState& fleet) {
+  const auto& configuration = fleet.view_->configuration_;
+  if (!configuration || !configuration->organisations_) {
+    return nullptr;
+  }
+  const auto& directory = *configuration->organisations_;
+  return {{"count", directory.organisations_.size()},
+          {"keys", directory.by_key_.size()}};
+}
+
 }  // namespace
 
 json StatusJson(const FleetState& fleet,
@@ -104,6 +115,7 @@
       {"daemon", fleet.name_},
       {"failure_domain", fleet.failure_domain_},
       {"configuration_version", configuration ? configuration->version_ : 0},
+      {"organisations", OrganisationStatus(fleet)},
       {"daemons", fleet.view_->daemons_},
       {"evacuated", fleet.view_->evacuated_},
       {"rollouts", RolloutStatus(fleet)},
--- a/src/gateway/status_page.h
+++ b/src/gateway/status_page.h
@@ -15,11 +15,11 @@
 /// that are not usable, and the replicas of each service with their standing
 /// and load.
 ///
-/// Shape: `{daemon, failure_domain, configuration_version, daemons: {domain:
-/// count}, evacuated: [..], rollouts: [..], unusable_objects: [{kind, name,
-/// reason}], services: {name: {routed, extra_attempts, replicas: [..]}}}`. A
-/// non-empty `service` restricts `services` to that service; it is empty if the
-/// service is unknown.
+/// Shape: `{daemon, failure_domain, configuration_version, organisations:
+/// {count, keys} or null, daemons: {domain: count}, evacuated: [..], rollouts:
+/// [..], unusable_objects: [{kind, name, reason}], services: {name: {routed,
+/// extra_attempts, replicas: [..]}}}`. A non-empty `service` restricts
+/// `services` to that service; it is empty if the service is unknown.
 [[nodiscard]] nlohmann::json StatusJson(const traffic::FleetState& fleet,
                                         const std::string& service,
                                         Instant now);
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/parse_number.h"
+#include "gateway/caller_access.h"
 #include "gateway/caller_rejection.h"
 #include "gateway/gather_permission.h"
 #include "gateway/status_page.h"
@@ -105,6 +106,9 @@
   caller_listener_.SetRequestBudget(request_budget_);
   caller_listener_.SetResponseBudget(unread_budget_);
   forward_listener_.SetResponseBudget(unread_budget_);
+  caller_listener_.SetHeadCheck([this](const http::RequestHead& head) {
+    return CheckHead(context_, head);
+  });
   caller_listener_.SetOnReject([this](http::RequestError error) {
     metrics_.requests_rejected_.Increment(error);
   });
@@ -212,7 +216,12 @@
     RejectUnrouted(context_, caller, request);
     return;
   }
-  Serve(caller, std::move(request), *route);
+  auto access = CheckRequest(context_, request, *route);
+  if (access.refusal_) {
+    caller->Respond(*access.refusal_, draining_);
+    return;
+  }
+  Serve(caller, std::move(request), *route, std::move(access.credential_));
 }
 
 Duration TrafficServer::RequestTimeout(const http::HttpRequest& request,
@@ -225,7 +234,8 @@
 
 void TrafficServer::Serve(const Caller& caller,
                           http::HttpRequest request,
-                          const traffic::RouteRule& route) {
+                          const traffic::RouteRule& route,
+                          organisations::Credential credential) {
   const Instant now = http::EventLoop::Now();
   const Duration elapsed = now - caller->RequestStart();
   Duration timeout = RequestTimeout(request, route) - elapsed;
@@ -238,12 +248,17 @@
     timeout = std::min(timeout, left);
   }
   if (!traffic::IsAggregated(route)) {
-    StartSession(caller, std::move(request), route, timeout, {});
+    traffic::QueryOrigin origin;
+    origin.credential_ = std::move(credential);
+    StartSession(caller, std::move(request), route, timeout, origin);
     return;
   }
+  RemoveAccessHeaders(fleet_, options_.names_, request.headers_);
   ForwardedQuery query;
   query.id_ = std::string(
       http::FindHeader(request.headers_, options_.names_.request_id_));
+  query.organisation_ = std::move(credential.organisation_);
+  query.key_ = credential.key_;
   query.caller_ = caller;
   query.request_ = std::move(request);
   query.view_ = fleet_.view_;
@@ -269,7 +284,10 @@
 }
 
 void TrafficServer::Forward(ForwardedQuery query, Instant now) {
-  auto lease = query.tries_ < kMaxForwardTries
+  const bool may_leave =
+      !RecheckAccess(fleet_, *query.view_->configuration_, *query.route_,
+                     {query.organisation_, query.key_});
+  auto lease = may_leave && query.tries_ < kMaxForwardTries
                    ? aggregators_.Acquire(fleet_.aggregation_.preferred_, now)
                    : std::nullopt;
   if (!lease) {
@@ -310,6 +328,7 @@
   traffic::QueryOrigin origin;
   origin.elapsed_ = now - query.started_;
   origin.is_repeat_ = may_have_run;
+  origin.credential_ = {std::move(query.organisation_), query.key_};
   StartSession(query.caller_, std::move(query.request_), *route,
                query.deadline_ - now, origin);
 }
@@ -341,7 +360,8 @@
   }
   if (!header || !route || draining_ ||
       !MayGatherForOthers(fleet_, *route, *header, options_.capacity_,
-                          CountPartsInProgress())) {
+                          CountPartsInProgress()) ||
+      !MayRunForwarded(context_, request, *route, header->organisation_)) {
     metrics_.forwards_refused_.Increment();
     http::HttpResponse response;
     response.status_ = kForwardRefused;
@@ -361,6 +381,7 @@
   origin.elapsed_ = header->elapsed_;
   origin.is_forwarded_ = true;
   origin.subset_ = header->subset_;
+  origin.credential_.organisation_ = header->organisation_;
   const Duration timeout = RequestTimeout(request, *route);
   StartSession(caller, std::move(request), *route, timeout, origin);
 }
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -68,7 +68,8 @@
   void OnForwardedRequest(const Caller& caller, http::HttpRequest request);
   void Serve(const Caller& caller,
              http::HttpRequest request,
-             const traffic::RouteRule& route);
+             const traffic::RouteRule& route,
+             organisations::Credential credential);
   /// Forwards the query if an aggregator is usable, otherwise gathers it here.
   void Forward(ForwardedQuery query, Instant now);
   void OnNotForwarded(ForwardedQuery query, bool may_have_run);
--- a/src/gateway/wire_names.h
+++ b/src/gateway/wire_names.h
@@ -21,6 +21,8 @@
   std::string part_signatures_;  ///< Signatures of the merged parts.
   std::string missing_parts_;    ///< Number of parts left out of the result.
   std::string ready_path_;
+  std::string api_key_;       ///< Key of the caller's organisation.
+  std::string organisation_;  ///< Name of the organisation, for replicas.
 };
 
 }  // namespace clementinerill::gateway
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -253,6 +253,12 @@
   if (part.state_ != PartState::kPending || part.is_delegated_) {
     return;
   }
+  if (query.access_refusal_) {
+    if (!HasOpenAttempt(part)) {
+      FailPart(part, PartFailureReason::kAccessLost);
+    }
+    return;
+  }
   bool added = false;
   if (!HasOpenAttempt(part)) {
     if (!MayAttempt(query, part)) {
--- a/src/traffic/advance_query.h
+++ b/src/traffic/advance_query.h
@@ -10,7 +10,8 @@
 /// @brief Advances the state of the query and returns the attempts to send.
 ///
 /// Sets `outcome_` once the query can be answered or cannot succeed any more,
-/// and `wake_at_` to the time of the next call at the latest.
+/// and `wake_at_` to the time of the next call at the latest. Once
+/// `access_refusal_` is set, no attempts are returned.
 [[nodiscard]] std::vector<SendAction> Advance(FleetState& fleet,
                                               Query& query,
                                               Instant now);
--- a/src/traffic/part_failure_reason.h
+++ b/src/traffic/part_failure_reason.h
@@ -16,9 +16,10 @@
   kLimitReached,    ///< The budget for extra attempts is exhausted.
   kRateLimited,     ///< All replicas have reached the rate that they accept.
   kDelegated,       ///< Missing in the response of another daemon.
+  kAccessLost,      ///< See `Query::access_refusal_`.
 };
 
-inline constexpr std::array<NameEntry<PartFailureReason>, 7>
+inline constexpr std::array<NameEntry<PartFailureReason>, 8>
     kPartFailureReasonNames = {{
         {PartFailureReason::kNone, "none"},
         {PartFailureReason::kUnknownService, "unknown_service"},
@@ -27,6 +28,7 @@
         {PartFailureReason::kLimitReached, "limit_reached"},
         {PartFailureReason::kRateLimited, "rate_limited"},
         {PartFailureReason::kDelegated, "delegated"},
+        {PartFailureReason::kAccessLost, "access_lost"},
     }};
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/query.h
+++ b/src/traffic/query.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "organisations/access.h"
 #include "traffic/attempt_outcome.h"
 #include "traffic/choose_replica.h"
 #include "traffic/delegation.h"
@@ -57,6 +58,13 @@
 /// @brief One request of a caller in progress.
 struct Query {
   std::string id_;
+  /// Name of the organisation on whose behalf the query runs; empty if none.
+  std::string organisation_;
+  /// Digest of its key; unset if there is none or another daemon checked it.
+  std::optional<organisations::KeyDigest> key_;
+  /// Why no further attempt may be sent on behalf of the organisation.
+  std::optional<organisations::AccessRefusal> access_refusal_;
+  int priority_ = 0;  ///< Of the organisation, or else of the route.
   std::shared_ptr<const TrafficView> view_;  ///< Keeps `route_` alive.
   const RouteRule* route_ = nullptr;
   Instant started_{};
--- a/src/traffic/start_query.cc
+++ b/src/traffic/start_query.cc
@@ -97,6 +97,17 @@
   return std::max(kMinHedgeDelay, std::min(latency_based, max_delay));
 }
 
+int PriorityOf(const TrafficConfiguration& configuration,
+               const RouteRule& route,
+               std::string_view organisation) {
+  if (organisation.empty() || !configuration.organisations_) {
+    return route.priority_;
+  }
+  const auto* owner =
+      organisations::FindByName(*configuration.organisations_, organisation);
+  return owner ? owner->priority_ : route.priority_;
+}
+
 Query StartQuery(FleetState& fleet,
                  const RouteRule& route,
                  std::string id,
@@ -107,6 +118,10 @@
   query.subset_ = origin.subset_;
   query.is_forwarded_ = origin.is_forwarded_;
   query.id_ = std::move(id);
+  query.organisation_ = origin.credential_.organisation_;
+  query.key_ = origin.credential_.key_;
+  query.priority_ =
+      PriorityOf(*fleet.view_->configuration_, route, query.organisation_);
   query.view_ = fleet.view_;
   query.route_ = &route;
   query.started_ = now - origin.elapsed_;
--- a/src/traffic/start_query.h
+++ b/src/traffic/start_query.h
@@ -3,7 +3,9 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
+#include "organisations/access.h"
 #include "traffic/query.h"
 
 namespace clementinerill::traffic {
@@ -16,6 +18,8 @@
   bool is_repeat_ = false;     ///< See `QueryPart`.
   /// The parts to gather; unset for all parts of the route.
   std::optional<PartSubset> subset_ = std::nullopt;
+  /// Empty if the query needs none.
+  organisations::Credential credential_ = {};
 };
 
 /// @brief Creates a query on `route`, which belongs to the current view.
@@ -30,6 +34,12 @@
                                Instant now,
                                const QueryOrigin& origin = {});
 
+/// @brief The priority of a request: that of its organisation, or of its route
+/// if it has none.
+[[nodiscard]] int PriorityOf(const TrafficConfiguration& configuration,
+                             const RouteRule& route,
+                             std::string_view organisation);
+
 /// @brief Returns the time between an attempt of a part and its hedge.
 [[nodiscard]] Duration HedgeDelay(const FleetState& fleet,
                                   const RouteRule& route);
