--- a/src/organisations/directory.cc
+++ b/src/organisations/directory.cc
@@ -72,7 +72,7 @@
                              std::string name,
                              int priority,
                              const std::vector<std::string>& keys) {
-  const auto valid = CheckName(directory, name);
+  auto valid = CheckName(directory, name);
   if (!valid) {
     return valid;
   }
@@ -80,7 +80,7 @@
   directory.by_name_.emplace(name, organisation);
   directory.organisations_.push_back({std::move(name), priority, {}});
   for (size_t i = 0; i < keys.size(); ++i) {
-    const auto added = AddKey(directory, organisation, keys[i], i);
+    auto added = AddKey(directory, organisation, keys[i], i);
     if (!added) {
       return added;
     }
--- a/tests/gateway/forwarded_access_test.cc
+++ b/tests/gateway/forwarded_access_test.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,24 +30,52 @@
       shards.push_back("shard-" + std::to_string(i));
     }
     configuration["tenants"] = {{{"name", "kami 770"}, {"api_keys", keys}}};
+    // Long enough for another version while a query is in progress.
+    configuration["routes"][0]["goal_ms"] = 4000;
+    configuration["routes"][0]["timeout_ms"] = 4000;
+    // A query ends only when all of its parts have ended.
+    configuration["routes"][0]["min_share"] = 0.05;
     store_.Put("config", "main", configuration);
   }
 
-  http::HttpResponse Send(const Endpoint& endpoint, const std::string& fields) {
+  using SharedResult = std::shared_ptr<std::optional<http::ExchangeResult>>;
+
+  SharedResult StartSend(const Endpoint& endpoint, const std::string& fields) {
     const auto connection = std::make_shared<http::ClientConnection>(
         loop_, endpoint.address_, endpoint.port_, 1 << 20);
-    std::optional<http::ExchangeResult> result;
+    const auto result = std::make_shared<std::optional<http::ExchangeResult>>();
     http::ExchangeRequest request;
     request.bytes_ =
         "GET /s/1 HTTP/1.1\r\nHost: search.example\r\nX-Request-Id: id-1\r\n"
-        "X-Request-Deadline: 800\r\n" +
+        "X-Request-Deadline: 3500\r\n" +
         fields + "\r\n";
-    connection->Start(std::move(request), [&result](http::ExchangeResult r) {
-      result = std::move(r);
-    });
-    RunUntil([&result] { return result.has_value(); });
-    connection->Close();
-    return result ? result->response_ : http::HttpResponse{};
+    connection->Start(std::move(request),
+                      [result, connection](http::ExchangeResult r) {
+                        *result = std::move(r);
+                        connection->Close();
+                      });
+    return result;
+  }
+
+  http::HttpResponse Wait(const SharedResult& result) {
+    RunUntil([&result] { return result->has_value(); });
+    return *result ? (*result)->response_ : http::HttpResponse{};
+  }
+
+  http::HttpResponse Send(const Endpoint& endpoint, const std::string& fields) {
+    return Wait(StartSend(endpoint, fields));
+  }
+
+  SharedResult StartKeyed(const Daemon& daemon) {
+    return StartSend(daemon.options_.caller_listen_,
+                     "Api-Key: " + std::string(kKey) +
+                         "\r\nX-Tenant: claimed\r\n"
+                         "Clementinerill-Forward: 1 6 0\r\n");
+  }
+
+  void RemoveKey() {
+    PutOrganisations(7, {"second-key"});
+    REQUIRE(RunUntil([&] { return AllUseVersion(7); }));
   }
 
   /// Sends queries with the key until the daemon has forwarded one.
@@ -54,10 +84,7 @@
     for (int i = 0; i < 30 && CountForwards(daemon) == 0; ++i) {
       RunFor(std::chrono::milliseconds(200));
       ForgetRequests();
-      response = Send(daemon.options_.caller_listen_,
-                      "Api-Key: " + std::string(kKey) +
-                          "\r\nX-Tenant: claimed\r\n"
-                          "Clementinerill-Forward: 1 6 0\r\n");
+      response = Wait(StartKeyed(daemon));
     }
     return response;
   }
@@ -196,4 +223,51 @@
   fixture.CheckReplicas();
 }
 
+// Guards against an aggregator that goes on with a query whose key may have
+// been removed, and against a 401 for a key that it does not know.
+TEST_CASE("an aggregator stops when a key of the organisation is removed",
+          "[forward]") {
+  ForwardedAccessFixture fixture;
+  Daemon& aggregator = fixture.StartDaemon("aggregator", 1000);
+  std::vector<FakeReplica::Caller> held;
+  for (const auto& replica : fixture.shard_replicas_) {
+    replica->handler_ = [&held](const auto& caller, const auto&) {
+      held.push_back(caller);
+    };
+  }
+  const auto result =
+      fixture.StartSend(*aggregator.options_.forward_listen_,
+                        std::string(kForwardHeader) + ": 2 6 0 kami%20770\r\n");
+  REQUIRE(fixture.RunUntil([&] { return held.size() == kShards; }));
+  fixture.RemoveKey();
+  for (const auto& caller : held) {
+    caller->Respond({503, {{"X-Not-Executed", "1"}}, "", true}, false);
+  }
+  CHECK(fixture.Wait(result).status_ == 503);
+  CHECK(held.size() == kShards);
+}
+
+// Guards against a query that is gathered after its key was removed, because
+// the aggregator refused it.
+TEST_CASE("a refused query is not gathered after its key was removed",
+          "[forward]") {
+  ForwardedAccessFixture fixture;
+  std::vector<FakeAggregator::Caller> held;
+  FakeAggregator slow(fixture, [&held](const auto& caller, const auto&) {
+    held.push_back(caller);
+  });
+  Daemon& entry = fixture.StartDaemon("vm-entry", 100);
+  ForwardedAccessFixture::SharedResult result;
+  for (int i = 0; i < 30 && held.empty(); ++i) {
+    fixture.ForgetRequests();
+    result = fixture.StartKeyed(entry);
+    fixture.RunFor(std::chrono::milliseconds(200));
+  }
+  REQUIRE_FALSE(held.empty());
+  fixture.RemoveKey();
+  held[0]->Respond({kForwardRefused, {}, "", true}, false);
+  CHECK(fixture.Wait(result).status_ == 401);
+  CHECK(fixture.MostRequests() == 0);
+}
+
 }  // namespace clementinerill::gateway
