--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -4,7 +4,9 @@
 #include <utility>
 
 #include "base/parse_number.h"
-#include "gateway/caller_response.h"
+#include "gateway/caller_access.h"
+#include "gateway/caller_rejection.h"
+#include "gateway/gather_permission.h"
 #include "gateway/status_page.h"
 #include "logging/log.h"
 
@@ -23,10 +25,6 @@
 // The last responses are sent this long before the process is killed.
 constexpr Duration kKillMargin = milliseconds(700);
 
-// `Retry-After` if only this daemon cannot serve the request, because it has no
-// configuration yet or is stopping. Short, as others can.
-constexpr double kOtherDaemonRetryAfterS = 0.1;
-
 // A stopping daemon takes a request only if this multiple of the 90th
 // percentile of its route is left until the last responses are sent; it covers
 // a retry.
@@ -107,6 +105,9 @@
   caller_listener_.SetRequestBudget(request_budget_);
   caller_listener_.SetResponseBudget(unread_budget_);
   forward_listener_.SetResponseBudget(unread_budget_);
+  caller_listener_.SetHeadCheck([this](const http::RequestHead& head) {
+    return CheckHead(context_, head);
+  });
   caller_listener_.SetOnReject([this](http::RequestError error) {
     metrics_.requests_rejected_.Increment(error);
   });
@@ -198,59 +199,24 @@
   caller->Respond(response, false);
 }
 
-void TrafficServer::RejectUnconfigured(const Caller& caller,
-                                       const http::HttpRequest& request) {
-  static RateLimitedLogger lines;
-  metrics_.unconfigured_.Increment();
-  lines.Log(
-      http::EventLoop::Now(), LogLevel::kWarning, "query",
-      "refused without a configuration",
-      {{"id", http::FindHeader(request.headers_, options_.names_.request_id_)},
-       {"status", 503}});
-  caller->Respond(RefusalResponse(kOtherDaemonRetryAfterS), draining_);
-}
-
-void TrafficServer::RejectUnrouted(const Caller& caller,
-                                   const http::HttpRequest& request) {
-  static RateLimitedLogger lines;
-  metrics_.unrouted_.Increment();
-  lines.Log(
-      http::EventLoop::Now(), LogLevel::kWarning, "query", "no route",
-      {{"id", http::FindHeader(request.headers_, options_.names_.request_id_)},
-       {"host", http::FindHeader(request.headers_, "Host")},
-       {"target", request.target_},
-       {"status", 404},
-       {"version", fleet_.view_->configuration_->version_}});
-  http::HttpResponse response;
-  response.status_ = 404;
-  caller->Respond(response, draining_);
-}
-
-void TrafficServer::RejectStopping(const Caller& caller,
-                                   const http::HttpRequest& request) {
-  static RateLimitedLogger lines;
-  metrics_.refused_stopping_.Increment();
-  lines.Log(
-      http::EventLoop::Now(), LogLevel::kWarning, "query",
-      "refused while stopping",
-      {{"id", http::FindHeader(request.headers_, options_.names_.request_id_)},
-       {"status", 503}});
-  caller->Respond(RefusalResponse(kOtherDaemonRetryAfterS), true);
-}
-
 void TrafficServer::OnRequest(const Caller& caller, http::HttpRequest request) {
   if (!fleet_.view_->configuration_) {
-    RejectUnconfigured(caller, request);
+    RejectUnconfigured(context_, caller, request);
     return;
   }
   const traffic::RouteRule* route = traffic::FindRoute(
       *fleet_.view_->configuration_, http::FindHeader(request.headers_, "Host"),
       request.target_);
   if (!route) {
-    RejectUnrouted(caller, request);
+    RejectUnrouted(context_, caller, request);
+    return;
+  }
+  auto access = CheckRequest(context_, request, *route);
+  if (access.refusal_) {
+    caller->Respond(*access.refusal_, draining_);
     return;
   }
-  Serve(caller, std::move(request), *route);
+  Serve(caller, std::move(request), *route, std::move(access.credential_));
 }
 
 Duration TrafficServer::RequestTimeout(const http::HttpRequest& request,
@@ -263,25 +229,31 @@
 
 void TrafficServer::Serve(const Caller& caller,
                           http::HttpRequest request,
-                          const traffic::RouteRule& route) {
+                          const traffic::RouteRule& route,
+                          organisations::Credential credential) {
   const Instant now = http::EventLoop::Now();
   const Duration elapsed = now - caller->RequestStart();
   Duration timeout = RequestTimeout(request, route) - elapsed;
   if (drain_started_) {
     const Duration left = ServeEnd() - now;
     if (left < ServeTime(traffic::RouteLatency(fleet_, route).P90())) {
-      RejectStopping(caller, request);
+      RejectStopping(context_, caller, request);
       return;
     }
     timeout = std::min(timeout, left);
   }
   if (!traffic::IsAggregated(route)) {
-    StartSession(caller, std::move(request), route, timeout, {});
+    traffic::QueryOrigin origin;
+    origin.credential_ = std::move(credential);
+    StartSession(caller, std::move(request), route, timeout, origin);
     return;
   }
+  RemoveAccessHeaders(fleet_, options_.names_, request.headers_);
   ForwardedQuery query;
   query.id_ = std::string(
       http::FindHeader(request.headers_, options_.names_.request_id_));
+  query.organisation_ = std::move(credential.organisation_);
+  query.key_ = credential.key_;
   query.caller_ = caller;
   query.request_ = std::move(request);
   query.view_ = fleet_.view_;
@@ -307,7 +279,10 @@
 }
 
 void TrafficServer::Forward(ForwardedQuery query, Instant now) {
-  auto lease = query.tries_ < kMaxForwardTries
+  const bool may_leave =
+      !RecheckAccess(fleet_, *query.view_->configuration_, *query.route_,
+                     {query.organisation_, query.key_});
+  auto lease = may_leave && query.tries_ < kMaxForwardTries
                    ? aggregators_.Acquire(fleet_.aggregation_.preferred_, now)
                    : std::nullopt;
   if (!lease) {
@@ -342,12 +317,13 @@
                          http::FindHeader(query.request_.headers_, "Host"),
                          query.request_.target_);
   if (!route) {
-    RejectUnrouted(query.caller_, query.request_);
+    RejectUnrouted(context_, query.caller_, query.request_);
     return;
   }
   traffic::QueryOrigin origin;
   origin.elapsed_ = now - query.started_;
   origin.is_repeat_ = may_have_run;
+  origin.credential_ = {std::move(query.organisation_), query.key_};
   StartSession(query.caller_, std::move(query.request_), *route,
                query.deadline_ - now, origin);
 }
@@ -361,23 +337,6 @@
   return parts;
 }
 
-bool TrafficServer::MayGatherForOthers(const traffic::RouteRule& route,
-                                       const ForwardHeader& header) const {
-  if (!traffic::IsAggregated(route) || draining_ ||
-      header.configuration_version_ != fleet_.view_->configuration_->version_) {
-    return false;
-  }
-  size_t parts = route.shards_.size();
-  if (header.subset_) {
-    if (header.subset_->parts_.back() >= route.shards_.size()) {
-      return false;
-    }
-    parts = header.subset_->parts_.size();
-  }
-  return CountPartsInProgress() + parts <=
-         traffic::MaxPartsInProgress(options_.capacity_);
-}
-
 void TrafficServer::OnForwardedRequest(const Caller& caller,
                                        http::HttpRequest request) {
   const auto header =
@@ -394,7 +353,10 @@
     caller->Close();
     return;
   }
-  if (!header || !route || !MayGatherForOthers(*route, *header)) {
+  if (!header || !route || draining_ ||
+      !MayGatherForOthers(fleet_, *route, *header, options_.capacity_,
+                          CountPartsInProgress()) ||
+      !MayRunForwarded(context_, request, *route, header->organisation_)) {
     metrics_.forwards_refused_.Increment();
     http::HttpResponse response;
     response.status_ = kForwardRefused;
@@ -414,6 +376,7 @@
   origin.elapsed_ = header->elapsed_;
   origin.is_forwarded_ = true;
   origin.subset_ = header->subset_;
+  origin.credential_.organisation_ = header->organisation_;
   const Duration timeout = RequestTimeout(request, *route);
   StartSession(caller, std::move(request), *route, timeout, origin);
 }
--- a/src/traffic/view_proof_limit.cc
+++ b/src/traffic/view_proof_limit.cc
@@ -6,8 +6,9 @@
 
 std::optional<Duration> RequiredProofAge(
     std::optional<Duration> max_view_age,
-    const TrafficConfiguration* /*configuration*/) {
-  return max_view_age;
+    const TrafficConfiguration* configuration) {
+  return configuration && configuration->organisations_ ? max_view_age
+                                                        : std::nullopt;
 }
 
 std::optional<Duration> RequiredProofAge(const FleetState& fleet) {
