--- a/src/gateway/relay_server.cc
+++ b/src/gateway/relay_server.cc
@@ -75,7 +75,7 @@
 
 void RelayServer::OnRelayRequest(const Caller& caller,
                                  const mirror::RelayRequest& request) {
-  if (evidence_.on_request_ && !request.evidence_.empty()) {
+  if (evidence_.on_request_) {
     evidence_.on_request_(request);
   }
   const WaitingReader reader{caller, request, http::EventLoop::BootNow(), {}};
@@ -126,8 +126,8 @@
   if (!has_changes) {
     return false;
   }
-  if (evidence_.sums_) {
-    reply.evidence_ = evidence_.sums_();
+  if (evidence_.add_to_reply_) {
+    evidence_.add_to_reply_(request, reply);
   }
   if (sends_proof_) {
     reply.held_ =
--- a/src/gateway/relay_server.h
+++ b/src/gateway/relay_server.h
@@ -21,19 +21,19 @@
 /// @brief Path at which a daemon relays its copies.
 inline constexpr const char* kRelayPath = "/relay";
 
-/// @brief Evidence on rollouts that travels with relay messages, from and to
-/// the part of the daemon that judges.
+/// @brief Evidence on rollouts and counts of requests that travel with relay
+/// messages, from and to the parts of the daemon that use them.
 struct EvidenceHandlers {
-  using Evidence = std::vector<mirror::RolloutEvidence>;
-
-  /// Evidence of this daemon, sent to the relay that it follows.
-  std::function<Evidence()> own_;
-  /// Evidence of all daemons, sent to those that follow this one.
-  std::function<Evidence()> sums_;
+  /// Adds the evidence of this daemon to a request for the relay that it
+  /// follows.
+  std::function<void(mirror::RelayRequest&)> add_to_request_;
+  /// Adds the evidence of all daemons to the reply to one that follows this.
+  std::function<void(const mirror::RelayRequest&, mirror::RelayReply&)>
+      add_to_reply_;
   /// Called with the request of a daemon that follows this one.
   std::function<void(const mirror::RelayRequest&)> on_request_;
-  /// Called with the sums that the relay sent.
-  std::function<void(const Evidence&)> on_sums_;
+  /// Called with the reply of the relay.
+  std::function<void(const mirror::RelayReply&)> on_reply_;
   /// Called with the report of another daemon that follows the store; returns
   /// that of this one.
   std::function<mirror::EvidenceReport(const mirror::EvidenceReport&)>
