--- a/tests/gateway/duty_test.cc
+++ b/tests/gateway/duty_test.cc
@@ -25,13 +25,13 @@
     std::optional<DutySession> session_;
   };
 
-  Node& Add(const std::string& name) {
+  Node& Add(const std::string& name, Duration lease = kLease) {
     nodes_.push_back(std::make_unique<Node>());
     Node& node = *nodes_.back();
     node.options_ = Options(name);
     node.options_.duty_ = DutyOptions{};
     node.options_.duty_->name_ = kDuty;
-    node.options_.duty_->lease_ = kLease;
+    node.options_.duty_->lease_ = lease;
     node.options_.duty_->margin_ = milliseconds(100);
     node.session_.emplace(loop_, node.options_, node.metrics_, [] {});
     return node;
@@ -155,6 +155,9 @@
   for (const auto& [call, count] : fixture.store_.request_counts_) {
     CHECK(call.find(kKind) == std::string::npos);
   }
+  const auto status =
+      fixture.Get(*daemon.options_.metrics_listen_, "daemon", "/status");
+  CHECK_FALSE(nlohmann::json::parse(status.body_).contains("duties"));
 }
 
 TEST_CASE("a daemon with a duty in its settings takes part", "[duty]") {
@@ -168,6 +171,31 @@
   CHECK(fixture.RunUntil(
       [&] { return daemon.metrics_.duty_held_.Value() == 1; }));
   CHECK(daemon.metrics_.duty_writes_.Value(duty::WriteOutcome::kConfirmed) > 0);
+  const auto status =
+      fixture.Get(*daemon.options_.metrics_listen_, "daemon", "/status");
+  const auto duty = nlohmann::json::parse(status.body_)["duties"][kDuty];
+  CHECK(duty["holder"] == "vm-1");
+  CHECK(duty["token"].get<int64_t>() > 0);
+  CHECK(duty["held"] == true);
+  CHECK(duty["candidate"] == true);
+}
+
+// Prints the calls of the store in half a minute with the lease in use.
+TEST_CASE("calls of the store by the holder and two candidates", "[.calls]") {
+  DutyFixture fixture;
+  for (const char* name : {"vm-1", "vm-2", "vm-3"}) {
+    fixture.Add(name, seconds(3));
+  }
+  fixture.SetDaemons();
+  REQUIRE(fixture.RunUntil([&] { return fixture.Holder() != nullptr; }));
+  auto& counts = fixture.store_.request_counts_;
+  counts.clear();
+  for (int i = 0; i < 10; ++i) {
+    fixture.RunFor(seconds(3));
+  }
+  for (const auto& [call, count] : counts) {
+    WARN(call << ": " << count << " in 30 s");
+  }
 }
 
 }  // namespace
