--- a/src/usage/revise_book.cc
+++ b/src/usage/revise_book.cc
@@ -60,6 +60,12 @@
                unsent.end());
 }
 
+// Windows after it have not begun: a book that names one was written by a
+// daemon with a wrong time.
+int64_t LatestPossible(const ReportSettings& settings, WallTime now) {
+  return WindowAt(now, settings.window_length_);
+}
+
 enum class Step { kWait, kNext };
 
 // Repeats what was fixed before the store lost it.
@@ -82,7 +88,9 @@
          const ReportSettings& settings,
          int64_t window,
          WallTime now) {
-  if (memory.last_window_ && window <= *memory.last_window_) {
+  const bool is_known = memory.last_window_ && window <= *memory.last_window_ &&
+                        *memory.last_window_ <= LatestPossible(settings, now);
+  if (is_known) {
     return FixAgain(revision, memory, window);
   }
   const auto age = now - WindowEnd(window, settings.window_length_);
@@ -165,6 +173,7 @@
     }
     last = *first - 1;
   }
+  last = std::min(*last, LatestPossible(settings, now));
   SkipOld(revision, settings, now);
   std::optional<std::map<std::string, int64_t>> last_marks;
   while (revision.book_.unsent_.size() < kMaxUnsent) {
--- a/tests/usage/report_test.cc
+++ b/tests/usage/report_test.cc
@@ -209,6 +209,21 @@
   CHECK(revision.missed_[0].reason_ == MissReason::kFixedOnce);
 }
 
+// Guards against a holder with a wrong time whose book ends the reports until
+// that time has come.
+TEST_CASE("a book of a window to come is corrected", "[book]") {
+  Reports reports;
+  reports.book_.last_window_ = 800;
+  Remember(reports.memory_, reports.book_);
+  reports.Revise(AfterEnd(99, seconds(1)));
+  CHECK(reports.book_.last_window_ == 100);
+  Mark(reports.table_, kA, 101);
+  Mark(reports.table_, kB, 101);
+  reports.Revise(AfterEnd(101, seconds(3)));
+  CHECK(reports.book_.last_window_ == 101);
+  REQUIRE(reports.book_.unsent_.size() == 1);
+}
+
 TEST_CASE("a book is decoded as encoded", "[book]") {
   ReportBook book;
   CHECK(*DecodeBook(EncodeBook(book)) == book);
