Responses: take an unsolicited 101 and a status from 600 on for malformed

Cause: every status below 200 was an interim response, and there was no upper bound. A 101 cost the caller its deadline; 600 to 999 did so when they had no length, and were passed on otherwise. In serve, such a status was an error of the upstream, and an interim response other than 100 was taken for the final one, so that the final one answered the next request on the connection.

Change: the status is checked when the head is complete; the exchange ends as malformed and the connection is closed. serve skips interim responses.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -14,6 +14,7 @@
 #include "base/parse_number.h"
 #include "base/release_memory.h"
 #include "base/rendezvous.h"
+#include "base/response_status.h"
 #include "base/result.h"
 #include "base/source_position.h"
 #include "base/time.h"
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include "base/release_memory.h"
+#include "base/response_status.h"
 #include "http/body_framing.h"
 #include "http/parsed_headers.h"
 #include "http/socket_options.h"
@@ -21,12 +22,16 @@
 // response, such as a chunk header or the trailers; the parser has no limit for
 // these.
 constexpr size_t kMaxUnparsedBytes = 64 * 1024;
-// Lowest status. Boost.Beast accepts lower ones, with a body until the end of
-// the connection.
-constexpr unsigned kMinStatus = 100;
 // Limit of interim responses before the final one.
 constexpr int kMaxInterimResponses = 16;
 
+// Checked before the body, which may last until the end of the connection.
+template <typename Parser>
+bool HasImpossibleStatus(const Parser& parser) {
+  return parser.is_header_done() &&
+         !IsPossibleStatus(static_cast<int>(parser.get().result_int()));
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(EventLoop& loop,
@@ -189,6 +194,10 @@
     error_code error;
     const size_t used = parser_->put(asio::buffer(input_), error);
     input_.erase(0, used);
+    if (HasImpossibleStatus(*parser_)) {
+      Finish(ExchangeOutcome::kGarbled);
+      return;
+    }
     if (ExceedsLimit()) {
       CutOff(ResponseLimit::kSize);
       return;
@@ -238,8 +247,7 @@
 }
 
 void ClientConnection::HandleResponse() {
-  if (CheckBodyFraming(parser_->get()) != BodyFraming::kSupported ||
-      parser_->get().result_int() < kMinStatus) {
+  if (CheckBodyFraming(parser_->get()) != BodyFraming::kSupported) {
     Finish(ExchangeOutcome::kGarbled);
     return;
   }
@@ -249,7 +257,7 @@
   response.keep_alive_ = message.keep_alive() && reusable_;
   response.headers_ = CopyHeaders(message);
   response.body_ = std::move(message.body());
-  if (response.status_ < 200) {
+  if (IsInterimStatus(response.status_)) {
     ResetParser();  // The final response follows.
     OnOtherResponse(response);
     if (++interim_responses_ > kMaxInterimResponses && !closed_) {
--- a/src/upstream/http_exchange.cc
+++ b/src/upstream/http_exchange.cc
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/parse_number.h"
+#include "base/response_status.h"
 
 namespace clementinerill {
 namespace {
@@ -23,6 +24,8 @@
 // may arrive up to this much later.
 constexpr auto kResponseGracePeriod = std::chrono::milliseconds(50);
 constexpr int kStatusCancelled = 499;
+// Limit of interim responses before the final one.
+constexpr int kMaxInterimResponses = 16;
 
 Poco::Timespan ToTimespan(Duration duration) {
   const auto microseconds =
@@ -155,6 +158,23 @@
   return std::string(std::istreambuf_iterator<char>(stream), {});
 }
 
+// Returns the stream of the body, or null if a status is malformed. The HTTP
+// client of POCO skips interim responses only if their status is 100.
+std::istream* ReceiveFinalResponse(UpstreamSession& session,
+                                   HTTPResponse& response) {
+  for (int i = 0; i <= kMaxInterimResponses; ++i) {
+    std::istream& stream = session.receiveResponse(response);
+    const int status = static_cast<int>(response.getStatus());
+    if (!IsPossibleStatus(status)) {
+      return nullptr;
+    }
+    if (!IsInterimStatus(status)) {
+      return &stream;
+    }
+  }
+  return nullptr;
+}
+
 ExchangeResult ExchangeOrThrow(UpstreamSession& session,
                                const ExchangeRequest& request,
                                Instant now) {
@@ -162,12 +182,17 @@
   std::ostream& output = session.sendRequest(http);
   output << request.body_ << std::flush;
   HTTPResponse response;
-  std::string body = ReadBody(session.receiveResponse(response));
+  ExchangeResult result;
+  std::istream* const stream = ReceiveFinalResponse(session, response);
+  if (stream == nullptr) {
+    result.result_ = AttemptResult::kMalformed;
+    return result;
+  }
+  std::string body = ReadBody(*stream);
   const auto length = response.getContentLength64();
   if (length >= 0 && length != static_cast<Poco::Int64>(body.size())) {
     throw Poco::IOException("response body length differs from Content-Length");
   }
-  ExchangeResult result;
   result.result_ = ResultFromStatus(response);
   result.signals_ = ParseSignals(response);
   if (result.result_ == AttemptResult::kAnswered) {
@@ -221,7 +246,11 @@
     http.setContentLength(0);
     session.sendRequest(http).flush();
     HTTPResponse response;
-    ReadBody(session.receiveResponse(response));
+    std::istream* const stream = ReceiveFinalResponse(session, response);
+    if (stream == nullptr) {
+      return Fail("the upstream responded with a malformed HTTP status");
+    }
+    ReadBody(*stream);
     if (response.getStatus() != HTTPResponse::HTTP_OK) {
       return Fail("the upstream responded with HTTP status " +
                   std::to_string(static_cast<int>(response.getStatus())));
--- a/tests/gateway/aggregation_test.cc
+++ b/tests/gateway/aggregation_test.cc
@@ -296,6 +296,26 @@
   }
 }
 
+// Guards against a status of a faulty aggregator that costs the deadline or is
+// passed on. The interim response that starts a query is not one.
+TEST_CASE("a status that no response can have ends the forwarded query",
+          "[aggregation]") {
+  const std::string status = GENERATE("101", "600");
+  INFO(status);
+  AggregationFixture fixture;
+  const std::string reply = "HTTP/1.1 " + std::to_string(kForwardStarted) +
+                            " Started\r\n\r\nHTTP/1.1 " + status +
+                            " Odd\r\n\r\n";
+  http::TestServer faulty(fixture.loop_, [&reply](const std::string&) {
+    return http::TestServer::Reply{reply, false};
+  });
+  fixture.PutRecord("aggregator", faulty.Port(), 1000);
+  Daemon& entry = fixture.StartDaemon("vm-entry", 100);
+  REQUIRE(fixture.RunUntil([&] { return faulty.Connections() > 0; }));
+  CHECK(fixture.ForwardOne(entry).status_ == 502);
+  CHECK(entry.metrics_.forwards_.Value(ForwardOutcome::kBroken) > 0);
+}
+
 // Guards against a faulty daemon that ends the others by responses without end.
 TEST_CASE("responses of aggregators stay within the memory of the VM",
           "[aggregation][buffers]") {
--- a/tests/http/client_connection_test.cc
+++ b/tests/http/client_connection_test.cc
@@ -205,5 +205,51 @@
   }
 }
 
+// Guards against a status that costs the caller its deadline, or is passed on
+// although RFC 9110, section 15, has no such class. The connection stays open.
+TEST_CASE("a status that no response can have is malformed at once",
+          "[client]") {
+  for (const std::string status : {"101", "600", "700", "999"}) {
+    Exchange exchange([&status](const std::string&) {
+      return TestServer::Reply{"HTTP/1.1 " + status + " Odd\r\nX-Id: 1\r\n\r\n",
+                               false};
+    });
+    INFO(status);
+    CHECK(exchange.Run("1").outcome_ == ExchangeOutcome::kGarbled);
+  }
+}
+
+// Guards against interim responses that are taken for malformed ones.
+TEST_CASE("interim responses precede the final one", "[client]") {
+  for (const std::string status : {"100", "102", "103", "199"}) {
+    Exchange exchange([&status](const std::string&) {
+      return TestServer::Reply{
+          "HTTP/1.1 " + status + " Interim\r\n\r\n" + Ok("1", "body"), false};
+    });
+    INFO(status);
+    CHECK(exchange.Run("1").response_.body_ == "body");
+  }
+}
+
+// Guards against the same in calls of the store and probes of daemons.
+TEST_CASE("a call gets no response from a malformed status", "[client]") {
+  for (const std::string status : {"101", "600"}) {
+    EventLoop loop;
+    TestServer server(loop, [&status](const std::string&) {
+      return TestServer::Reply{"HTTP/1.1 " + status + " Odd\r\n\r\n", false};
+    });
+    Client client(loop, "127.0.0.1", server.Port());
+    ClientRequest request;
+    request.target_ = "/";
+    request.timeout_ = std::chrono::seconds(60);
+    std::optional<ClientResponse> response;
+    client.Call(std::move(request),
+                [&response](ClientResponse r) { response = std::move(r); });
+    INFO(status);
+    REQUIRE(RunUntil(loop, [&response] { return response.has_value(); }));
+    CHECK(response->status_ == 0);
+  }
+}
+
 }  // namespace
 }  // namespace clementinerill::http
--- a/tests/upstream/http_exchange_test.cc
+++ b/tests/upstream/http_exchange_test.cc
@@ -125,5 +125,30 @@
   CHECK(upstream.Call().result_ == AttemptResult::kAnswered);
 }
 
+// Guards against a status outside RFC 9110, section 15, that is taken for an
+// error of the upstream, after which the connection would be used again.
+TEST_CASE("a status that no response can have is malformed", "[exchange]") {
+  for (const std::string status : {"099", "101", "600", "999"}) {
+    EndlessUpstream upstream(
+        "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n", "", {});
+    INFO(status);
+    const ExchangeResult result = upstream.Call();
+    CHECK(result.result_ == AttemptResult::kMalformed);
+    CHECK_FALSE(IsWholeAnswer(result));
+  }
+}
+
+// Guards against an interim response that is taken for the final one, which
+// would then be taken for the response to the next request.
+TEST_CASE("interim responses precede the final one", "[exchange]") {
+  for (const std::string status : {"100", "102", "103"}) {
+    EndlessUpstream upstream("HTTP/1.1 " + status + " Interim\r\n\r\n" + kHead +
+                                 "Content-Length: 7\r\n\r\n{\"a\":1}",
+                             "", {});
+    INFO(status);
+    CHECK(upstream.Call().result_ == AttemptResult::kAnswered);
+  }
+}
+
 }  // namespace
 }  // namespace clementinerill
