Listeners: limit connections, and give each address budgets

Cause: only descriptors limited the connections, which a crowd keeps for up to 60 s; then neither callers nor replicas nor the store can be reached. The ready, metrics, relay and forward addresses had no budget of requests, the first three none of unread responses, and the kernel took megabytes of an unread response.

Change: each listener has a limit of connections by descriptors and memory. When it is full, the connection closes that hangs for the longest time: one with an incomplete request or an unread response, else an idle one; never one whose request runs. Each address has budgets, and the kernel keeps 32 KiB beyond the window of the peer.

--- a/scripts/lib/test_callers.py
+++ b/scripts/lib/test_callers.py
@@ -63,6 +63,11 @@
         if self.process and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+        # Ends the watches that are open, so that no task is left to be cancelled while it waits for their lock.
+        self.store.era += 1
+        async with self.store.changed:
+            self.store.changed.notify_all()
+        await asyncio.sleep(0.2)
         self.folder.cleanup()
 
     async def start(self):
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -60,6 +60,10 @@
             "gateway_unread_responses_dropped_total",
             "Unread responses that were dropped because the memory for them "
             "was used up.")),
+        closed_for_room_(registry_.AddCounter(
+            "gateway_connections_closed_for_room_total",
+            "Connections of callers that were closed to make room for "
+            "another one.")),
         requests_refused_(registry_.AddCounter(
             "gateway_request_buffers_refused_total",
             "Times that the memory for requests was used up: requests refused "
@@ -123,6 +127,7 @@
   Gauge& request_buffers_;
   Gauge& unread_responses_;
   Counter& unread_dropped_;
+  Counter& closed_for_room_;
   Counter& requests_refused_;
   ReasonCounters<http::RequestError, 7> requests_rejected_;
   Counter& pauses_;
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
   int capacity_ = 0;  ///< CPU of this process in thousandths of a core.
   /// Memory that this process may use; that of the smallest VMs if not set.
   uint64_t memory_bytes_ = 160'000'000;
+  /// Descriptors that this process may use; those of the system if not set.
+  uint64_t max_descriptors_ = std::numeric_limits<uint64_t>::max();
   /// The strictest of the bounds within which a change in the store must be in
   /// force.
   Duration max_propagation_delay_ = std::chrono::seconds(3);
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "gateway/listener_limits.h"
 #include "gateway/rollout_exchange.h"
 #include "gateway/watch_wait.h"
 #include "logging/log.h"
@@ -115,15 +116,7 @@
 }
 
 void StoreFollower::Start() {
-  if (options_.relay_listen_) {
-    const auto port = relay_listener_.Listen(options_.relay_listen_->address_,
-                                             options_.relay_listen_->port_);
-    if (!port) {
-      Log(LogLevel::kError, "relay",
-          "cannot listen, not relaying to other daemons",
-          {{"error", Format(port.error())}});
-    }
-  }
+  ListenForReaders(relay_listener_, options_);
   for (const Endpoint& seed : options_.seeds_) {
     if (!options_.relay_listen_ || !(seed == *options_.relay_listen_)) {
       plan_.relays_.push_back({"seed", "", seed.address_, seed.port_});
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -39,12 +39,6 @@
 // three times its size, while its buffer grows and while it is passed on.
 constexpr uint64_t kResponseMemoryPart = 8;
 
-// Part of the memory for the requests of callers.
-constexpr uint64_t kRequestMemoryPart = 8;
-
-// Part of the memory for responses that callers and other daemons do not read.
-constexpr uint64_t kUnreadMemoryPart = 8;
-
 // Aggregators that a query is forwarded to until one does not refuse it.
 constexpr int kMaxForwardTries = 3;
 
@@ -74,8 +68,7 @@
       options_(options),
       metrics_(metrics),
       response_budget_(std::make_shared<BufferBudget>()),
-      request_budget_(std::make_shared<BufferBudget>()),
-      unread_budget_(std::make_shared<BufferBudget>()),
+      budgets_(MakeListenerBudgets()),
       pool_(loop, response_budget_),
       aggregators_(loop, response_budget_),
       context_{loop,           fleet_,  pool_,    aggregators_,
@@ -104,10 +97,9 @@
   fleet_.region_ = options.region_;
   SetSettings(options);
   fleet_.view_ = std::make_shared<traffic::TrafficView>();
-  unread_budget_->is_first_come_ = true;
-  caller_listener_.SetRequestBudget(request_budget_);
-  caller_listener_.SetResponseBudget(unread_budget_);
-  forward_listener_.SetResponseBudget(unread_budget_);
+  LimitListeners({caller_listener_, balancer_listener_, operator_listener_,
+                  forward_listener_},
+                 budgets_, options);
   caller_listener_.SetOnReject([this](http::RequestError error) {
     metrics_.requests_rejected_.Increment(error);
   });
@@ -152,8 +144,7 @@
   fleet_.limits_ = settings.limits_;
   stop_grace_ = settings.stop_grace_;
   response_budget_->limit_bytes_ = settings.memory_bytes_ / kResponseMemoryPart;
-  request_budget_->limit_bytes_ = settings.memory_bytes_ / kRequestMemoryPart;
-  unread_budget_->limit_bytes_ = settings.memory_bytes_ / kUnreadMemoryPart;
+  SetMemory(budgets_, settings.memory_bytes_);
 }
 
 bool TrafficServer::IsReady() const {
@@ -451,14 +442,17 @@
     gauge.Set(static_cast<int64_t>(budget.held_bytes_));
   };
   report(*response_budget_, metrics_.response_buffers_);
-  report(*request_budget_, metrics_.request_buffers_);
-  report(*unread_budget_, metrics_.unread_responses_);
-  metrics_.requests_refused_.Increment(request_budget_->refusals_ -
-                                       counted_refusals_);
-  counted_refusals_ = request_budget_->refusals_;
-  metrics_.unread_dropped_.Increment(unread_budget_->refusals_ -
-                                     counted_drops_);
-  counted_drops_ = unread_budget_->refusals_;
+  report(*budgets_.requests_, metrics_.request_buffers_);
+  report(*budgets_.unread_, metrics_.unread_responses_);
+  const auto count = [](uint64_t total, uint64_t& counted, Counter& counter) {
+    counter.Increment(total - counted);
+    counted = total;
+  };
+  count(budgets_.requests_->refusals_, counted_refusals_,
+        metrics_.requests_refused_);
+  count(budgets_.unread_->refusals_, counted_drops_, metrics_.unread_dropped_);
+  count(caller_listener_.CountClosedForRoom(), counted_closed_,
+        metrics_.closed_for_room_);
 }
 
 void TrafficServer::ReportRolloutEvidence() {
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -13,6 +13,7 @@
 #include "gateway/forward_session.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_options.h"
+#include "gateway/listener_limits.h"
 #include "gateway/query_session.h"
 #include "http/event_loop.h"
 #include "http/listener.h"
@@ -102,10 +103,10 @@
   GatewayMetrics& metrics_;
   traffic::FleetState fleet_;
   std::shared_ptr<BufferBudget> response_budget_;
-  std::shared_ptr<BufferBudget> request_budget_;
-  std::shared_ptr<BufferBudget> unread_budget_;  ///< Not read yet.
-  uint64_t counted_refusals_ = 0;  ///< Of `request_budget_`, in the metrics.
-  uint64_t counted_drops_ = 0;     ///< Of `unread_budget_`, in the metrics.
+  ListenerBudgets budgets_;
+  uint64_t counted_refusals_ = 0;  ///< Of requests, in the metrics.
+  uint64_t counted_drops_ = 0;     ///< Of responses to callers, likewise.
+  uint64_t counted_closed_ = 0;    ///< Connections of callers, likewise.
   ConnectionPool pool_;
   AggregatorPool aggregators_;
   bool draining_ = false;
--- a/src/http/forward_declarations.h
+++ b/src/http/forward_declarations.h
@@ -8,6 +8,7 @@
 class Listener;
 class ServerConnection;
 class TimerQueue;
+struct ConnectionState;
 struct HttpRequest;
 struct HttpResponse;
 
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -6,6 +6,7 @@
 #include "http/body_framing.h"
 #include "http/client.h"
 #include "http/client_connection.h"
+#include "http/connection_use.h"
 #include "http/event_loop.h"
 #include "http/forward_declarations.h"
 #include "http/http_message.h"
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -1,7 +1,10 @@
 #include "http/listener.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/ip/address.hpp>
 
@@ -58,30 +61,100 @@
 }
 
 void Listener::Accept() {
+  if (!HasRoom()) {
+    AcceptLater();
+    return;
+  }
   acceptor_.async_accept(
       [this](const error_code& error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
           return;
         }
         if (error) {
-          AcceptFailures().Log(EventLoop::Now(), LogLevel::kWarning, "listener",
-                               "accept failed", {{"error", error.message()}});
-          loop_.Timers().Add(EventLoop::Now() + kAcceptRetryDelay,
-                             [this] { Accept(); });
+          OnAcceptFailed(error);
           return;
         }
-        const auto connection = std::make_shared<ServerConnection>(
-            loop_, std::move(socket), limits_, handler_);
-        connections_.push_back(connection);
-        connection->SetRequestBudget(request_budget_);
-        connection->SetResponseBudget(
-            response_budget_, [this] { return DropLeastRecentlyRead(); });
-        connection->SetOnReject(on_reject_);
-        connection->Start();
+        if (connections_.size() >= max_connections_) {
+          CloseOneForRoom();
+        }
+        Open(std::move(socket));
         Accept();
       });
 }
 
+void Listener::AcceptLater() {
+  loop_.Timers().Add(EventLoop::Now() + kAcceptRetryDelay, [this] {
+    if (acceptor_.is_open()) {
+      Accept();
+    }
+  });
+}
+
+void Listener::OnAcceptFailed(const error_code& error) {
+  AcceptFailures().Log(EventLoop::Now(), LogLevel::kWarning, "listener",
+                       "accept failed", {{"error", error.message()}});
+  if (error == asio::error::no_descriptors) {
+    CloseOneForRoom();
+  }
+  AcceptLater();
+}
+
+void Listener::Open(asio::ip::tcp::socket socket) {
+  const auto connection = std::make_shared<ServerConnection>(
+      loop_, std::move(socket), limits_, handler_);
+  connections_.push_back(connection);
+  connection->SetRequestBudget(request_budget_);
+  connection->SetResponseBudget(response_budget_,
+                                [this] { return DropLeastRecentlyRead(); });
+  connection->SetOnReject(on_reject_);
+  connection->SetRejection(make_rejection_);
+  connection->Start();
+}
+
+bool Listener::HasRoom() {
+  if (connections_.size() >= max_connections_) {
+    RemoveClosed();
+  }
+  return connections_.size() < max_connections_ ||
+         FindConnectionToClose() != connections_.end();
+}
+
+Listener::Connections::iterator Listener::FindConnectionToClose() {
+  std::vector<ConnectionState> states;
+  states.reserve(connections_.size());
+  for (const auto& connection : connections_) {
+    states.push_back(connection->State());
+  }
+  const auto chosen = ChooseConnectionToClose(states, EventLoop::Now());
+  return chosen ? std::next(connections_.begin(),
+                            static_cast<std::ptrdiff_t>(*chosen))
+                : connections_.end();
+}
+
+bool Listener::CloseOneForRoom() {
+  RemoveClosed();
+  const auto position = FindConnectionToClose();
+  if (position == connections_.end()) {
+    return false;
+  }
+  static RateLimitedLogger lines;
+  const Instant now = EventLoop::Now();
+  const ConnectionState state = (*position)->State();
+  lines.Log(now, LogLevel::kWarning, "listener", "connection closed for room",
+            {{"use", NameOf(kConnectionUseNames, state.use_)},
+             {"unchanged_ms", ToMilliseconds(now - state.since_)},
+             {"open", connections_.size()}});
+  ++closed_for_room_;
+  (*position)->Close();
+  connections_.erase(position);
+  return true;
+}
+
+void Listener::RemoveClosed() {
+  connections_.remove_if(
+      [](const auto& connection) { return connection->IsClosed(); });
+}
+
 bool Listener::DropLeastRecentlyRead() {
   std::shared_ptr<ServerConnection> oldest;
   for (const auto& connection : connections_) {
@@ -106,8 +179,7 @@
   for (const auto& connection : connections_) {
     connection->CheckTimeouts(limits_, draining, now);
   }
-  connections_.remove_if(
-      [](const auto& connection) { return connection->IsClosed(); });
+  RemoveClosed();
 }
 
 size_t Listener::CountServing() const {
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <list>
 #include <memory>
 #include <string>
@@ -51,14 +52,35 @@
     on_reject_ = std::move(callback);
   }
 
+  /// @brief Sets the function that makes the responses to such requests, on
+  /// connections that are accepted from now on.
+  void SetRejection(std::function<HttpResponse(RequestError)> make_response) {
+    make_rejection_ = std::move(make_response);
+  }
+
+  /// @brief Sets the most open connections. Another one closes that which
+  /// `ChooseConnectionToClose` returns; without one, it waits to be accepted.
+  void SetMaxConnections(size_t count) { max_connections_ = count; }
+
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
 
   /// @brief The number of connections with a request in progress.
   [[nodiscard]] size_t CountServing() const;
   [[nodiscard]] size_t CountOpen() const { return connections_.size(); }
+  /// @brief The number of connections closed so far to make room.
+  [[nodiscard]] uint64_t CountClosedForRoom() const { return closed_for_room_; }
 
  private:
+  using Connections = std::list<std::shared_ptr<ServerConnection>>;
+
   void Accept();
+  void AcceptLater();
+  void OnAcceptFailed(const boost::system::error_code& error);
+  void Open(boost::asio::ip::tcp::socket socket);
+  [[nodiscard]] bool HasRoom();
+  [[nodiscard]] Connections::iterator FindConnectionToClose();
+  bool CloseOneForRoom();
+  void RemoveClosed();
   bool DropLeastRecentlyRead();
 
   EventLoop& loop_;
@@ -68,7 +90,10 @@
   std::shared_ptr<BufferBudget> request_budget_;
   std::shared_ptr<BufferBudget> response_budget_;
   std::function<void(RequestError)> on_reject_;
-  std::list<std::shared_ptr<ServerConnection>> connections_;
+  std::function<HttpResponse(RequestError)> make_rejection_;
+  size_t max_connections_ = std::numeric_limits<size_t>::max();
+  uint64_t closed_for_room_ = 0;
+  Connections connections_;
 };
 
 }  // namespace clementinerill::http
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -72,6 +72,7 @@
 
 void ServerConnection::Start() {
   SetNoDelay(socket_);
+  LimitUnsentBytes(socket_);
   error_code ignored;
   socket_.non_blocking(true, ignored);
   ResetParser();
@@ -194,10 +195,11 @@
 
 // What else was received is dropped: its beginning is not known for certain.
 void ServerConnection::Reject(RequestError error) {
-  HttpResponse response;
+  HttpResponse response =
+      make_rejection_ ? make_rejection_(error) : HttpResponse{};
   response.status_ = StatusOf(error);
   if (error == RequestError::kNoMemory) {
-    response.headers_ = {{"Retry-After", kBusyRetryAfterS}};
+    response.headers_.emplace_back("Retry-After", kBusyRetryAfterS);
   }
   static RateLimitedLogger lines;
   lines.Log(EventLoop::Now(), LogLevel::kWarning, "caller", "request rejected",
@@ -318,6 +320,7 @@
   writing_ = false;
   ReleaseMemory(output_);
   has_unsent_response_ = false;
+  has_responded_ = true;
   response_hold_.Release();
   last_use_ = EventLoop::Now();
   request_start_ = last_use_;
@@ -337,6 +340,7 @@
   closed_ = true;
   on_disconnect_ = nullptr;
   on_reject_ = nullptr;
+  make_rejection_ = nullptr;
   handler_ = nullptr;
   make_room_ = nullptr;
   ReleaseMemory(input_);
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -15,6 +15,7 @@
 #include "base/buffer_budget.h"
 #include "base/caller_limits.h"
 #include "base/time.h"
+#include "http/connection_use.h"
 #include "http/event_loop.h"
 #include "http/http_message.h"
 #include "http/request_error.h"
@@ -55,6 +56,13 @@
     on_reject_ = std::move(callback);
   }
 
+  /// @brief Sets the function that makes the responses to such requests; its
+  /// status is replaced. Without it they have no body. To be called before
+  /// `Start`.
+  void SetRejection(std::function<HttpResponse(RequestError)> make_response) {
+    make_rejection_ = std::move(make_response);
+  }
+
   /// @brief Sends the response to the request in progress. With `close` the
   /// connection is closed afterwards.
   void Respond(const HttpResponse& response, bool close);
@@ -92,6 +100,17 @@
   void DropResponse(Instant now);
 
   [[nodiscard]] bool IsClosed() const noexcept { return closed_; }
+  [[nodiscard]] ConnectionState State() const noexcept {
+    if (serving_) {
+      return {ConnectionUse::kServing, request_start_};
+    }
+    if (writing_) {
+      return {ConnectionUse::kSending, last_progress_};
+    }
+    return IsIdle() && has_responded_
+               ? ConnectionState{ConnectionUse::kIdle, last_use_}
+               : ConnectionState{ConnectionUse::kReceiving, request_start_};
+  }
   [[nodiscard]] bool IsServing() const noexcept { return serving_; }
   /// @brief When the first bytes of the current request were received.
   [[nodiscard]] Instant RequestStart() const noexcept { return request_start_; }
@@ -130,6 +149,7 @@
   uint64_t serving_body_bytes_ = 0;  ///< Of the request in progress.
   std::function<void()> on_disconnect_;
   std::function<void(RequestError)> on_reject_;
+  std::function<HttpResponse(RequestError)> make_rejection_;
   Instant last_use_;
   Instant request_start_;
   bool is_head_ = false;
@@ -137,6 +157,7 @@
   bool serving_ = false;
   bool writing_ = false;
   bool has_unsent_response_ = false;
+  bool has_responded_ = false;  ///< At least once.
   bool reading_ = false;
   bool header_checked_ = false;  ///< Of this request.
   bool continue_sent_ = false;   ///< `100 Continue`, for this request.
--- a/src/http/socket_options.cc
+++ b/src/http/socket_options.cc
@@ -7,6 +7,10 @@
 namespace clementinerill::http {
 namespace {
 
+// Responses up to this size are written at once. Without the limit, the kernel
+// takes up to 4 MB for each connection.
+constexpr int kMaxUnsentBytes = 32 * 1024;
+
 // Errors are ignored: on a kernel without the option the connection stays
 // usable, and a dead path is detected by the timeout of the exchange.
 void SetInt(int socket, int level, int option, int value) {
@@ -19,6 +23,11 @@
   SetInt(socket.native_handle(), IPPROTO_TCP, TCP_NODELAY, 1);
 }
 
+void LimitUnsentBytes(boost::asio::ip::tcp::socket& socket) {
+  SetInt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+         kMaxUnsentBytes);
+}
+
 void SetKeepAlive(boost::asio::ip::tcp::socket& socket,
                   const KeepAliveOptions& options) {
   const int handle = socket.native_handle();
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -21,6 +21,10 @@
 /// @brief Disables Nagle's algorithm, so that small messages are sent at once.
 void SetNoDelay(boost::asio::ip::tcp::socket& socket);
 
+/// @brief Limits the bytes that the kernel keeps of what the peer has no room
+/// for. The others stay in the process, which counts them.
+void LimitUnsentBytes(boost::asio::ip::tcp::socket& socket);
+
 /// @brief Enables TCP keep-alive and the timeout for unacknowledged data.
 void SetKeepAlive(boost::asio::ip::tcp::socket& socket,
                   const KeepAliveOptions& options);
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -288,6 +288,21 @@
   CHECK(options->limits_.extra_attempts_.slack_ == 58);
 }
 
+// Guards against connections of callers that take all descriptors, or too few,
+// because a limit is not read.
+TEST_CASE("the limits of the process are parsed", "[settings]") {
+  std::string text = kSettings;
+  text.replace(text.find("cpu_share:"), 0, "memory_mb: 112, max_fds: 2870, ");
+  const auto options = ParseNodeSettings(text, "boot.yaml");
+  REQUIRE(options);
+  CHECK(options->memory_bytes_ == 112'000'000);
+  CHECK(options->max_descriptors_ == 2870);
+  const auto without = ParseNodeSettings(kSettings, "boot.yaml");
+  REQUIRE(without);
+  CHECK(without->max_descriptors_ ==
+        gateway::GatewayOptions().max_descriptors_);
+}
+
 // Guards against a copy of the store that is still out of date when the daemon
 // counts as reachable again after an outage.
 TEST_CASE("the contact bound limits the propagation delay", "[settings]") {
