serve: serve callers and operators on one thread, within budgets

Cause: each connection held a thread of the POCO server for as long as its caller was slow, and a buffer of the largest body as soon as its head was there. The peer port kept a body of up to 32 MB with a handshake, which has none.

Change: BlockingServer serves all connections on one thread with the listener of gateway, with its limits; a thread of the pool runs complete requests only. A handshake with a body is refused.

--- a/src/daemon/admin_server.h
+++ b/src/daemon/admin_server.h
@@ -3,13 +3,10 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/ThreadPool.h>
-
 #include "base/result.h"
+#include "daemon/blocking_server.h"
 
 namespace clementinerill {
 
@@ -44,11 +41,11 @@
   void Stop();
 
  private:
-  const std::string address_;
-  const uint16_t port_;
+  [[nodiscard]] http::HttpResponse Handle(
+      const http::HttpRequest& request) const;
+
   const Handler handler_;
-  Poco::ThreadPool threads_;
-  std::unique_ptr<Poco::Net::HTTPServer> server_;
+  BlockingServer server_;
 };
 
 }  // namespace clementinerill
--- a/src/daemon/caller_server.h
+++ b/src/daemon/caller_server.h
@@ -1,14 +1,12 @@
 #ifndef CLEMENTINERILL_DAEMON_CALLER_SERVER_H_
 #define CLEMENTINERILL_DAEMON_CALLER_SERVER_H_
 
-#include <atomic>
+#include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 
-#include <Poco/Net/HTTPServer.h>
-
 #include "base/result.h"
+#include "daemon/blocking_server.h"
 #include "daemon/parse_query.h"
 #include "sweep/query_answer.h"
 
@@ -27,7 +25,7 @@
 struct CallerServerOptions {
   std::string address_ = "127.0.0.1";
   uint16_t port_ = 0;  ///< 0: the system chooses a port.
-  int threads_ = 200;  ///< Maximum of concurrent connections served.
+  int threads_ = 200;  ///< Maximum of concurrent requests.
   size_t most_body_bytes_ = size_t{1} << 20;
 };
 
@@ -44,18 +42,22 @@
 
   /// @brief Closes each connection after its next response
   /// (`Connection: close`); new connections are still served.
-  void BeginDrain() noexcept { draining_ = true; }
+  void BeginDrain() noexcept { server_.BeginDrain(); }
 
   /// @brief Stops accepting connections and waits for requests in progress.
   void Stop();
 
  private:
-  const CallerServerOptions options_;
+  [[nodiscard]] http::HttpResponse Handle(
+      const http::HttpRequest& request,
+      const std::function<bool()>& caller_gone) const;
+  [[nodiscard]] http::HttpResponse ServeQuery(
+      const std::string& path,
+      const http::HttpRequest& request,
+      const std::function<bool()>& caller_gone) const;
+
   const CallerHandlers handlers_;
-  std::unique_ptr<Poco::ThreadPool> threads_;
-  std::unique_ptr<Poco::Net::HTTPServer> server_;
-  std::shared_ptr<std::atomic<int>> in_progress_;
-  std::atomic<bool> draining_{false};
+  BlockingServer server_;
 };
 
 }  // namespace clementinerill
--- a/src/daemon/forward_declarations.h
+++ b/src/daemon/forward_declarations.h
@@ -4,11 +4,13 @@
 namespace clementinerill {
 
 class AttemptRunner;
+class BlockingServer;
 class CallerServer;
 class Daemon;
 class Dispatcher;
 class Mailbox;
 class QueryEngine;
+struct BlockingServerOptions;
 struct ColdMark;
 struct DaemonOptions;
 struct DispatchGrant;
--- a/src/peer/mesh_core.cc
+++ b/src/peer/mesh_core.cc
@@ -52,6 +52,9 @@
   const auto handshake = ToMilliseconds(options_.silence_timeout_);
   endpoint.set_open_handshake_timeout(static_cast<long>(handshake));
   endpoint.set_close_handshake_timeout(static_cast<long>(handshake));
+  // A handshake has no body. The default of 32 MB would be kept for each
+  // connection.
+  endpoint.set_max_http_body_size(0);
   // With Nagle's algorithm, a heartbeat would wait for the TCP acknowledgement
   // of the previous one.
   endpoint.set_tcp_post_init_handler(
