Aggregators: gather for others only within the descriptors

Cause: a daemon that gathers for others opens a connection for each part in progress, up to its capacity, however few descriptors it has.

Change: it refuses a query of another daemon if the parts in progress would exceed three sixteenths of the descriptors.

--- a/scripts/lib/test_callers.py
+++ b/scripts/lib/test_callers.py
@@ -25,6 +25,8 @@
 # Callers of one kind, and the same near the limit of descriptors.
 CROWD, FULL = 100, 400
 LARGE = b"x" * MB
+# A route that other daemons forward to this one; its response has a record of 16 bytes for each of `TOP`.
+SHARDS, TOP = 20, 60_000
 
 
 class LargeReplica(Replica):
@@ -32,7 +34,7 @@
 
     async def run(self, request, writer):
         _, target, headers, _ = request
-        body = LARGE if target.startswith("/h/large") else b"ok"
+        body = LARGE if target.startswith("/h/large") else LARGE[:16 * TOP // SHARDS] if target.startswith("/s/") else b"ok"
         identity = [("X-Server-Stamp", f"{self.name}.1"), ("X-Request-Id", headers.get("x-request-id", "")),
                     ("X-Server-Load", "1,0,400")]
         writer.write(response_bytes(200, identity, body))
@@ -55,8 +57,13 @@
                   "idle_timeout_ms": 60000}
         route = {"name": "hold", "host": "h.example", "path_prefix": "/h/", "kind": "unsafe", "timeout_ms": 8000,
                  "goal_ms": 4000, "max_attempts": 2, "service": "hold"}
-        await self.store.put("config", "main", {"version": 1, "routes": [route], "services": [], "limits": limits})
+        gather = {"name": "sweep", "host": "s.example", "path_prefix": "/s/", "kind": "safe", "timeout_ms": 8000,
+                  "goal_ms": 4000, "max_attempts": 2, "top_k": TOP, "min_share": 0.5,
+                  "gather": [f"shard-{i}" for i in range(SHARDS)]}
+        await self.store.put("config", "main", {"version": 1, "routes": [route, gather], "services": [], "limits": limits})
         await self.store.put("servers", "h0", dict(self.replica.entry(), slots=400))
+        for i in range(SHARDS):
+            await self.store.put("servers", f"s{i}", dict(self.replica.entry(), service=f"shard-{i}"))
         return self
 
     async def __aexit__(self, *_):
@@ -220,6 +227,19 @@
         await finish(report, "idle, internal ports", watched, crowds, ask, 1.0)
 
 
+async def forwarded(report):
+    """Forwarded queries whose long responses a slow daemon does not read."""
+    async with World() as world:
+        watched = await world.start_ready()
+        query = (b"GET /s/1 HTTP/1.1\r\nHost: s.example\r\nX-Request-Id: f\r\n"
+                 b"Clementinerill-Forward: 1 1 0\r\n\r\n")
+
+        def ask():
+            return [world.ask(), world.ask(FORWARD, "/h/1", (409,))]
+        crowds = [await world.crowd(FORWARD, CROWD, begin=query, repeated=query, pause_s=0.5)]
+        await finish(report, "unread forwarded responses", watched, crowds, ask, 5.0)
+
+
 def main():
     async def run(case):
         # The connections of the store and the replica that are left at the end are of no interest.
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -5,6 +5,7 @@
 
 #include "base/parse_number.h"
 #include "gateway/caller_response.h"
+#include "gateway/part_limit.h"
 #include "gateway/status_page.h"
 #include "logging/log.h"
 #include "traffic/start_query.h"
@@ -370,8 +371,7 @@
     }
     parts = header.subset_->parts_.size();
   }
-  return CountPartsInProgress() + parts <=
-         traffic::MaxPartsInProgress(options_.capacity_);
+  return CountPartsInProgress() + parts <= MaxPartsForOthers(options_);
 }
 
 void TrafficServer::OnForwardedRequest(const Caller& caller,
