--- a/scripts/lib/test_callers_serve.py
+++ b/scripts/lib/test_callers_serve.py
@@ -104,6 +104,13 @@
         Crowd(HOST, peer, CROWD // 2, begin=HEAD), Crowd(HOST, peer, CROWD // 2, begin=UPLOAD)])
 
 
+async def store_away(report, f):
+    """A crowd near the limit of descriptors while the platform is away."""
+    f.platform.kill()
+    port = f.daemons[f.daemon_names[0]].port
+    await finish(report, "store away", f, [Crowd(HOST, port, FULL, begin=HEAD)])
+
+
 async def stopping(report, f):
     """A crowd during SIGTERM. The process ends by itself."""
     daemon, _, watched = start(f)
