--- a/src/gateway/gather_permission.cc
+++ b/src/gateway/gather_permission.cc
@@ -7,7 +7,7 @@
 bool MayGatherForOthers(const traffic::FleetState& fleet,
                         const traffic::RouteRule& route,
                         const ForwardHeader& header,
-                        int capacity,
+                        size_t max_parts,
                         size_t parts_in_progress) {
   if (!traffic::IsAggregated(route) ||
       header.configuration_version_ != fleet.view_->configuration_->version_) {
@@ -20,7 +20,7 @@
     }
     parts = header.subset_->parts_.size();
   }
-  return parts_in_progress + parts <= traffic::MaxPartsInProgress(capacity);
+  return parts_in_progress + parts <= max_parts;
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/gather_permission.h
+++ b/src/gateway/gather_permission.h
@@ -13,7 +13,7 @@
 [[nodiscard]] bool MayGatherForOthers(const traffic::FleetState& fleet,
                                       const traffic::RouteRule& route,
                                       const ForwardHeader& header,
-                                      int capacity,
+                                      size_t max_parts,
                                       size_t parts_in_progress);
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/relay_server.cc
+++ b/src/gateway/relay_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/listener_limits.h"
 #include "gateway/rollout_exchange.h"
 #include "logging/log.h"
 
@@ -39,13 +40,8 @@
                   OnRequest(caller, request);
                 }) {}
 
-void RelayServer::Listen(const Endpoint& endpoint) {
-  const auto port = listener_.Listen(endpoint.address_, endpoint.port_);
-  if (!port) {
-    Log(LogLevel::kError, "relay",
-        "cannot listen, not relaying to other daemons",
-        {{"error", Format(port.error())}});
-  }
+void RelayServer::Listen(const GatewayOptions& options) {
+  ListenForReaders(listener_, options);
 }
 
 void RelayServer::OnRequest(const Caller& caller,
--- a/src/gateway/relay_server.h
+++ b/src/gateway/relay_server.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "gateway/followed_kind.h"
+#include "gateway/gateway_options.h"
 #include "http/listener.h"
 #include "mirror/relay_message.h"
-#include "settings/endpoint.h"
 
 namespace clementinerill::gateway {
 
@@ -49,7 +49,8 @@
               const std::map<std::string, FollowedKind>& kinds,
               const EvidenceHandlers& evidence);
 
-  void Listen(const Endpoint& endpoint);
+  /// @brief Listens if the options name an address; an error is logged.
+  void Listen(const GatewayOptions& options);
 
   /// @brief Sets whether replies carry the age of the proof of a copy.
   void SetSendsProof(bool sends_proof) { sends_proof_ = sends_proof; }
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -96,9 +96,7 @@
 }
 
 void StoreFollower::Start() {
-  if (options_.relay_listen_) {
-    relay_server_.Listen(*options_.relay_listen_);
-  }
+  relay_server_.Listen(options_);
   for (const Endpoint& seed : options_.seeds_) {
     if (!options_.relay_listen_ || !(seed == *options_.relay_listen_)) {
       plan_.relays_.push_back({"seed", "", seed.address_, seed.port_});
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -377,7 +377,9 @@
     return options->usage_;
   };
   CHECK_FALSE(usage(""));
-  CHECK_FALSE(usage("cloud_api: {duties: [usage_report]}\n"));
+  // The duty without an address is a mistake of the operators.
+  CHECK_FALSE(ParseNodeSettings(
+      kSettings + "cloud_api: {duties: [usage_report]}\n", "boot.yaml"));
   CHECK_FALSE(usage("cloud_api: {address: \"10.0.0.1:80\"}\n"));
   CHECK_FALSE(
       usage("cloud_api: {address: \"10.0.0.1:80\", duties: [other]}\n"));
@@ -415,6 +417,21 @@
         R"({"window":7,"counts":{}})");
 }
 
+// Guards against connections of callers that take all descriptors, or too few,
+// because a limit is not read.
+TEST_CASE("the limits of the process are parsed", "[settings]") {
+  std::string text = kSettings;
+  text.replace(text.find("cpu_share:"), 0, "memory_mb: 112, max_fds: 2870, ");
+  const auto options = ParseNodeSettings(text, "boot.yaml");
+  REQUIRE(options);
+  CHECK(options->memory_bytes_ == 112'000'000);
+  CHECK(options->max_descriptors_ == 2870);
+  const auto without = ParseNodeSettings(kSettings, "boot.yaml");
+  REQUIRE(without);
+  CHECK(without->max_descriptors_ ==
+        gateway::GatewayOptions().max_descriptors_);
+}
+
 // Guards against a copy of the store that is still out of date when the daemon
 // counts as reachable again after an outage.
 TEST_CASE("the contact bound limits the propagation delay", "[settings]") {
