Tests: the proof needs organisations in the configuration

Cause: with the keys merged a proof is required only where the configuration has organisations; the tests of the proof had none.

Change: the configuration of these tests has one.

--- a/tests/gateway/view_proof_test.cc
+++ b/tests/gateway/view_proof_test.cc
@@ -17,6 +17,18 @@
 }
 
 struct ViewProofFixture : GatewayFixture {
+  /// As in the base, with an organisation: without one no proof is required.
+  static nlohmann::json Configuration(int64_t version) {
+    auto configuration = GatewayFixture::Configuration(version);
+    configuration["tenants"] = {{{"name", "kami770"}, {"api_keys", {"key"}}}};
+    return configuration;
+  }
+
+  void PutEverything() {
+    GatewayFixture::PutEverything();
+    store_.Put("config", "main", Configuration(5));
+  }
+
   GatewayOptions StrictOptions(const std::string& name) {
     GatewayOptions options = Options(name);
     options.limits_.max_view_age_ = kMaxAge;
@@ -186,7 +198,7 @@
   Daemon& daemon = fixture.Start(fixture.StrictOptions("vm-1"));
   REQUIRE(fixture.RunUntil([&] { return fixture.IsReady(daemon); }));
   fixture.store_.Copy();
-  fixture.store_.Put("config", "main", GatewayFixture::Configuration(7));
+  fixture.store_.Put("config", "main", fixture.Configuration(7));
   REQUIRE(fixture.RunUntil([&] { return fixture.AllUseVersion(7); }));
   fixture.store_.Restore();
   fixture.RunFor(kMaxAge + milliseconds(500));
