Tests: shorten the outage of the usage API to what is kept

Cause in the test: an outage of 5 s, the age of the oldest report (2 s) and the delay of a retry (2 s at most) exceed the 8 windows of 1 s for which reports are kept, so that the oldest was missed as documented. The checks stay as they are.

--- a/tests/gateway/usage_test.cc
+++ b/tests/gateway/usage_test.cc
@@ -147,13 +147,15 @@
   UsageFixture fixture;
   fixture.StartFleet(2, 2);
   fixture.WaitForFirstWindow();
+  // Reports are kept for 8 windows of 1 s; the oldest is 2 s old at the start,
+  // and a retry may take 2 s after the end.
   fixture.api_.status_ = 503;
-  fixture.Serve(seconds(2));
+  fixture.Serve(seconds(1));
   const size_t accepted = fixture.api_.accepted_.size();
-  fixture.RunFor(seconds(2));
+  fixture.RunFor(seconds(1));
   CHECK(fixture.api_.accepted_.size() == accepted);
   fixture.api_.is_silent_ = true;
-  fixture.RunFor(seconds(1));
+  fixture.RunFor(milliseconds(700));
   fixture.api_.is_silent_ = false;
   fixture.api_.status_ = 200;
   REQUIRE(fixture.RunUntil([&] { return fixture.IsAllReported(); }));
