--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -379,7 +379,8 @@
   CHECK_FALSE(usage(""));
   // The duty without an address is a mistake of the operators.
   CHECK_FALSE(ParseNodeSettings(
-      kSettings + "cloud_api: {duties: [usage_report]}\n", "boot.yaml"));
+      std::string(kSettings) + "cloud_api: {duties: [usage_report]}\n",
+      "boot.yaml"));
   CHECK_FALSE(usage("cloud_api: {address: \"10.0.0.1:80\"}\n"));
   CHECK_FALSE(
       usage("cloud_api: {address: \"10.0.0.1:80\", duties: [other]}\n"));
