--- a/src/gateway/session_context.h
+++ b/src/gateway/session_context.h
@@ -4,8 +4,8 @@
 #include "gateway/aggregator_pool.h"
 #include "gateway/connection_pool.h"
 #include "gateway/gateway_metrics.h"
-#include "gateway/wire_names.h"
 #include "gateway/usage_counter.h"
+#include "gateway/wire_names.h"
 #include "http/event_loop.h"
 #include "traffic/fleet_state.h"
 
