--- /dev/null
+++ b/src/capacity/capacity.h
@@ -0,0 +1,8 @@
+#ifndef CLEMENTINERILL_CAPACITY_CAPACITY_H_
+#define CLEMENTINERILL_CAPACITY_CAPACITY_H_
+
+#include "capacity/estimate.h"
+#include "capacity/forward_declarations.h"
+#include "capacity/spread.h"
+
+#endif  // CLEMENTINERILL_CAPACITY_CAPACITY_H_
--- /dev/null
+++ b/src/capacity/forward_declarations.h
@@ -0,0 +1,11 @@
+#ifndef CLEMENTINERILL_CAPACITY_FORWARD_DECLARATIONS_H_
+#define CLEMENTINERILL_CAPACITY_FORWARD_DECLARATIONS_H_
+
+namespace clementinerill::capacity {
+
+struct Estimate;
+struct Observation;
+
+}  // namespace clementinerill::capacity
+
+#endif  // CLEMENTINERILL_CAPACITY_FORWARD_DECLARATIONS_H_
