Capacity: setting, status, and estimates that daemons share

`capacity.learned` (default true) turns learning off; `capacity` of each replica on /status shows the estimates. Tests of the fourth number of the load: absent, unusual and malformed ones leave the first three in use.

SharedEstimate is what daemons tell each other of a replica: merged by the number of observations and their age, and bounded.

--- a/src/capacity/estimate.cc
+++ b/src/capacity/estimate.cc
@@ -52,6 +52,10 @@
 // Half-life of estimates without new observations.
 constexpr Duration kEvidenceHalfLife = seconds(20);
 constexpr Duration kExpiry = seconds(60);
+// The same for estimates of other daemons, which report about once a second,
+// and the number of their observations below which they are not used.
+constexpr Duration kSharedHalfLife = seconds(10);
+constexpr double kMinSharedWeight = 1;
 // Bounds of the reported pace as a factor; others are mistakes.
 // Half-life of a reported load: queues of a few requests of 5 to 20 ms change
 // within this time.
@@ -195,13 +199,32 @@
   return 1;
 }
 
+// The part of all daemons in an estimate, from 0 to 1, against that of this
+// daemon alone.
+double SharedPart(const Estimate& estimate, Instant now) {
+  const double shared = estimate.shared_weight_ *
+                        Decay(now - estimate.shared_at_, kSharedHalfLife);
+  if (shared < kMinSharedWeight) {
+    return 0;
+  }
+  return shared / (shared + Evidence(estimate, now));
+}
+
+double AcceptedShare(const Estimate& estimate, Instant now) {
+  const double own = estimate.accepted_share_;
+  return own +
+         SharedPart(estimate, now) * (estimate.shared_accepted_share_ - own);
+}
+
 // Without observations, a reduced share of the slots returns to all of them.
 double ShareOfSlots(const Estimate& estimate,
                     double share,
                     int slots,
                     Instant now) {
   const double missing =
-      (1 - share) * Decay(now - estimate.evidence_at_, kEvidenceHalfLife);
+      (1 - share) *
+      Decay(now - std::max(estimate.evidence_at_, estimate.shared_at_),
+            kEvidenceHalfLife);
   return std::max(1.0, (1 - missing) * std::max(slots, 1));
 }
 
@@ -267,12 +290,15 @@
 }
 
 bool IsLearned(const Estimate& estimate, Instant now) {
-  return estimate.is_learning_ && now - estimate.reported_at_ < kExpiry;
+  return estimate.is_learning_ &&
+         now - std::max(estimate.reported_at_, estimate.shared_at_) < kExpiry;
 }
 
 double LastingSlowness(const Estimate& estimate, Instant now) {
-  return std::exp(estimate.log_slowness_ *
-                  Decay(now - estimate.evidence_at_, kEvidenceHalfLife));
+  const double own = estimate.log_slowness_ *
+                     Decay(now - estimate.evidence_at_, kEvidenceHalfLife);
+  const double shared = SharedPart(estimate, now);
+  return std::exp(own + shared * (estimate.shared_log_slowness_ - own));
 }
 
 double UsualBusy(const Estimate& estimate, Instant now) {
@@ -304,13 +330,18 @@
   return estimate.earlier_pace_;
 }
 
+double Evidence(const Estimate& estimate, Instant now) {
+  return estimate.evidence_ *
+         Decay(now - estimate.evidence_at_, kEvidenceHalfLife);
+}
+
 double AcceptedRequests(const Estimate& estimate, int slots, Instant now) {
-  return ShareOfSlots(estimate, estimate.accepted_share_, slots, now);
+  return ShareOfSlots(estimate, AcceptedShare(estimate, now), slots, now);
 }
 
 double Capacity(const Estimate& estimate, int slots, Instant now) {
-  const double share =
-      std::min(estimate.accepted_share_, HandledShare(SlowdownCurve(estimate)));
+  const double share = std::min(AcceptedShare(estimate, now),
+                                HandledShare(SlowdownCurve(estimate)));
   return ShareOfSlots(estimate, share, slots, now);
 }
 
--- a/src/capacity/estimate.h
+++ b/src/capacity/estimate.h
@@ -63,6 +63,11 @@
   double accepted_share_ = 1;  ///< Of the slots, as learned from refusals.
   double evidence_ = 0;        ///< Number of recent observations.
   Instant evidence_at_{};
+
+  double shared_log_slowness_ = 0;    ///< As learned by all daemons.
+  double shared_accepted_share_ = 1;  ///< As learned by all daemons.
+  double shared_weight_ = 0;          ///< Number of their observations.
+  Instant shared_at_{};               ///< When they were made.
 };
 
 /// @brief Records the report of a response or refusal, before its outcome.
@@ -101,6 +106,9 @@
 /// 1 once the report has expired.
 [[nodiscard]] double Pace(const Estimate& estimate, Instant now);
 
+/// @brief Returns the number of recent observations of this daemon.
+[[nodiscard]] double Evidence(const Estimate& estimate, Instant now);
+
 /// @brief Returns the factor by which the pace explains the latency of the
 /// answer to which the last report belongs; 1 if unknown.
 [[nodiscard]] double RecentPace(const Estimate& estimate);
--- a/src/capacity/forward_declarations.h
+++ b/src/capacity/forward_declarations.h
@@ -4,7 +4,10 @@
 namespace clementinerill::capacity {
 
 struct Estimate;
+struct FleetEstimates;
 struct Observation;
+struct Report;
+struct SharedEstimate;
 
 }  // namespace clementinerill::capacity
 
--- a/src/gateway/status_page.cc
+++ b/src/gateway/status_page.cc
@@ -14,6 +14,21 @@
   return std::string(text);
 }
 
+// Null for replicas that do not report their pace.
+json CapacityStatus(const ReplicaState& replica, Instant now) {
+  const capacity::Estimate& estimate = replica.estimate_;
+  if (!capacity::IsLearned(estimate, now)) {
+    return nullptr;
+  }
+  const int slots = replica.entry_.slots_;
+  return {{"lasting_slowness", capacity::LastingSlowness(estimate, now)},
+          {"pace", capacity::Pace(estimate, now)},
+          {"handled_well", capacity::Capacity(estimate, slots, now)},
+          {"accepted", capacity::AcceptedRequests(estimate, slots, now)},
+          {"usual_busy", capacity::UsualBusy(estimate, now)},
+          {"observations", capacity::Evidence(estimate, now)}};
+}
+
 json ReplicaStatus(const FleetState& fleet,
                    const ReplicaState& replica,
                    Instant now) {
@@ -34,6 +49,7 @@
       {"failures_in_row", replica.failures_in_row_},
       {"requests", replica.outstanding_.size()},
       {"estimated_busy", traffic::EstimatedBusy(replica, now)},
+      {"capacity", CapacityStatus(replica, now)},
       {"rate_limit",
        replica.rate_limit_ ? json(*replica.rate_limit_) : json(nullptr)},
       {"connections", replica.open_connections_}};
--- a/src/traffic/fleet_state.h
+++ b/src/traffic/fleet_state.h
@@ -67,6 +67,8 @@
   /// Maximum age of the proof of the configuration with which requests that
   /// need a key may run; unset if no proof is required.
   std::optional<Duration> max_view_age_;
+  /// Whether to learn the capacity of replicas that report their pace.
+  bool learns_capacity_ = true;
 };
 
 /// @brief Mutable state of services and routes; owned by the traffic thread.
@@ -75,8 +77,6 @@
   std::string failure_domain_;  ///< Failure domain of this daemon.
   std::string region_;          ///< Region of this daemon.
   FleetLimits limits_;
-  /// Whether to learn the capacity of replicas that report their pace.
-  bool learns_capacity_ = true;
   std::shared_ptr<const TrafficView> view_;
   organisations::ViewProof view_proof_;  ///< Of the configuration of `view_`.
   std::map<std::string, std::shared_ptr<ServiceState>, std::less<>> services_;
--- a/src/traffic/record_report.cc
+++ b/src/traffic/record_report.cc
@@ -65,7 +65,7 @@
   if (report.load_) {
     replica.reported_busy_ = report.load_->running_ + report.load_->waiting_;
     replica.reported_at_ = now;
-    if (report.load_->pace_ && fleet.learns_capacity_) {
+    if (report.load_->pace_ && fleet.limits_.learns_capacity_) {
       const ReportedLoad& load = *report.load_;
       capacity::RecordReport(
           replica.estimate_,
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -38,6 +38,7 @@
 #include "traffic/rollout_order.h"
 #include "traffic/route_rule.h"
 #include "traffic/service_rule.h"
+#include "traffic/share_estimates.h"
 #include "traffic/skip_overloaded_parts.h"
 #include "traffic/start_query.h"
 #include "traffic/traffic_configuration.h"
--- a/tests/capacity/capacity_load_test.cc
+++ b/tests/capacity/capacity_load_test.cc
@@ -102,6 +102,43 @@
   }
 }
 
+// Sixty daemons with a response of each replica in a second, of replicas with
+// two slots that differ in speed. Guards against daemons that learn alone.
+TEST_CASE("quiet daemons learn from each other", "[load]") {
+  ModelSettings settings = BusyFleet(60);
+  settings.requests_per_s_ = 200;
+  for (Server& server : settings.servers_) {
+    server.slots_ = 2;
+    server.knee_ = 2;
+  }
+  settings.servers_[0].slow_factor_ = [](Duration) { return 1.3; };
+  settings.servers_[1].slow_factor_ = [](Duration) { return 0.8; };
+  const Late alone = Compare(settings);
+  settings.shares_ = true;
+  const Late shared = Compare(settings);
+  INFO("late: shared " << shared.with_ << ", alone " << alone.with_
+                       << ", without " << shared.without_);
+  CHECK(shared.with_ <= 1.05 * alone.with_);
+  // Spread of the estimates of the slow replica between daemons.
+  const auto spread = [&settings](bool shares) {
+    settings.shares_ = shares;
+    const ModelResult result = CapacityModel(settings).Run();
+    double low = 10;
+    double high = 0;
+    for (size_t daemon = 0; daemon < result.daemons_.size(); ++daemon) {
+      const double slowness = LastingSlowness(result.EstimateOf(daemon, 0),
+                                              traffic::At(settings.length_));
+      low = std::min(low, slowness);
+      high = std::max(high, slowness);
+    }
+    return high / low;
+  };
+  const double spread_alone = spread(false);
+  const double spread_shared = spread(true);
+  INFO("spread: alone " << spread_alone << ", shared " << spread_shared);
+  CHECK(spread_shared < 0.7 * spread_alone);
+}
+
 // The daemons send a fifth more than all replicas together handle. Guards
 // against an estimate that gives capacity away in an overload.
 TEST_CASE("overload by the tier", "[load]") {
--- a/tests/capacity/capacity_model.h
+++ b/tests/capacity/capacity_model.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "capacity/capacity.h"
 #include "traffic/fleet_fixture.h"
 
 namespace clementinerill::capacity {
@@ -46,6 +47,7 @@
   Duration length_ = seconds(20);
   bool reports_pace_ = true;  ///< Without it the estimate is not used.
   bool learns_ = true;
+  bool shares_ = false;  ///< Whether daemons share estimates twice a second.
   uint64_t seed_ = 1;
 };
 
@@ -79,7 +81,7 @@
     for (int i = 0; i < settings_.daemons_; ++i) {
       auto fleet = std::make_unique<traffic::Fleet>(
           std::vector<traffic::RouteRule>{route}, settings_.daemons_);
-      fleet->state_.learns_capacity_ = settings_.learns_;
+      fleet->state_.limits_.learns_capacity_ = settings_.learns_;
       fleet->state_.name_ = "vm-" + std::to_string(i);
       fleet->state_.failure_domain_ =
           std::string(1, static_cast<char>('a' + i % 3));
@@ -96,6 +98,9 @@
 
   ModelResult Run() {
     for (now_ = {}; now_ < settings_.length_; now_ += kStep) {
+      if (settings_.shares_ && now_ % milliseconds(500) == Duration::zero()) {
+        ShareAll();
+      }
       Arrive();
       for (size_t server = 0; server < states_.size(); ++server) {
         Serve(server);
@@ -139,6 +144,18 @@
     return query.query_.outcome_ == traffic::QueryOutcome::kOpen;
   }
 
+  void ShareAll() {
+    FleetEstimates all;
+    for (const auto& daemon : result_.daemons_) {
+      RecordShared(all, daemon->state_.name_,
+                   ShareEstimates(daemon->state_, Now()), true, Now());
+    }
+    const auto merged = MergeShared(all, false, Now());
+    for (const auto& daemon : result_.daemons_) {
+      ApplySharedEstimates(daemon->state_, merged, Now());
+    }
+  }
+
   void Arrive() {
     const double mean = settings_.requests_per_s_ *
                         std::chrono::duration<double>(kStep).count();
--- a/tests/gateway/replica_report_decoder_test.cc
+++ b/tests/gateway/replica_report_decoder_test.cc
@@ -33,6 +33,28 @@
   }
 }
 
+// Guards against a load that is lost because of an unusual fourth number, and
+// against a pace that was never sent.
+TEST_CASE("the load has an optional fourth number", "[report]") {
+  const auto load = [](const char* text) {
+    return Decode(200, {{"X-Server-Load", text}}).load_;
+  };
+  REQUIRE(load("3,1,4"));
+  CHECK_FALSE(load("3,1,4")->pace_);
+  CHECK(load("3,1,4")->slots_ == 4);
+  CHECK(load("3,1,4,130")->pace_ == 130);
+  CHECK(load("3,1,4,130")->running_ == 3);
+  CHECK(load("3,1,4,99.6")->pace_ == 99);
+  CHECK(load("3,1,4,1000000000")->pace_ == 100000);
+  for (const char* text : {"3,1,4,", "3,1,4,0", "3,1,4,-5", "3,1,4,fast",
+                           "3,1,4,100,7", "3,1,4,1e3"}) {
+    INFO(text);
+    REQUIRE(load(text));
+    CHECK_FALSE(load(text)->pace_);
+  }
+  CHECK_FALSE(load("3,1"));
+}
+
 // Guards against a departure that is read from another value than the one that
 // stands for it.
 TEST_CASE("only one value reports a departure", "[report]") {
--- a/tests/platform_adapter/decoder_test.cc
+++ b/tests/platform_adapter/decoder_test.cc
@@ -283,6 +283,7 @@
   CHECK(options->metrics_listen_->port_ == 7740);
   CHECK(options->seeds_.size() == 1);
   CHECK(options->capacity_ == 250);
+  CHECK(options->limits_.learns_capacity_);
   CHECK(options->max_propagation_delay_ == milliseconds(2500));
   CHECK(options->stop_grace_ == seconds(6));
   CHECK(options->limits_.extra_attempts_.slack_ == 58);
@@ -342,6 +343,8 @@
         std::string::npos);
   CHECK(error("cold_slack: 5", "cold_slack: -1").find("cold_slack") !=
         std::string::npos);
+  CHECK(error("field_of_later: 1", "capacity: {learned: often}")
+            .find("capacity.learned") != std::string::npos);
   CHECK(error("cpu_share: 0.25", "cpu_share: .nan").find("cpu_share") !=
         std::string::npos);
 }
