Capacity: share estimates along the messages of rollout evidence

A new or quiet daemon learns of a replica from a response in seconds. Polls of relays, their replies and the exchange between relays carry a field `capacities`, which is absent while there is nothing to tell, so that messages do not change where no replica reports its pace.

Not run: a fleet of real processes.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -48,10 +48,10 @@
           }),
       unusable_(metrics),
       rollouts_(loop, options),
-      exchange_(loop,
-                [this](const mirror::EvidenceReport& report) {
-                  RecordReport(report.process_, report.evidence_, false);
-                }),
+      capacities_(rollouts_.Process()),
+      exchange_(
+          loop,
+          [this](const mirror::EvidenceReport& report) { OnReport(report); }),
       prober_(loop,
               [this](const mirror::DaemonRecord& daemon) {
                 DeleteDaemonRecord(daemon);
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/capacity_shares.h"
 #include "gateway/daemon_prober.h"
 #include "gateway/evacuation_control.h"
 #include "gateway/gateway_metrics.h"
@@ -45,6 +46,9 @@
   /// a rollout.
   void RecordEvidence(const traffic::VersionComparison& evidence);
 
+  /// @brief What daemons share about replicas.
+  [[nodiscard]] CapacityShares& Capacities() noexcept { return capacities_; }
+
  private:
   void OnChanges(const std::string& kind, const mirror::KindChanges& changes);
   void ApplyChanges(const std::string& kind,
@@ -61,6 +65,7 @@
   void UpdateAggregators();
   [[nodiscard]] EvidenceHandlers MakeEvidenceHandlers();
   [[nodiscard]] mirror::EvidenceReport OwnReport() const;
+  void OnReport(const mirror::EvidenceReport& report);
   void RecordReport(const std::string& process,
                     const std::vector<mirror::RolloutEvidence>& evidence,
                     bool is_direct);
@@ -83,6 +88,7 @@
   StoreFollower follower_;
   UnusableObjects unusable_;
   RolloutControl rollouts_;
+  CapacityShares capacities_;
   RolloutExchange exchange_;
   int judgements_ = 0;  ///< Since the start; every second one sends a report.
   DaemonProber prober_;
--- a/src/gateway/evidence_control.cc
+++ b/src/gateway/evidence_control.cc
@@ -9,29 +9,50 @@
 // Period of the judgement of rollouts. Daemons report their evidence half as
 // often.
 constexpr Duration kJudgementPeriod = milliseconds(250);
+constexpr int kEvidencePeriod = 2;
+// Judgements between reports of what was learned of replicas alone.
+constexpr int kCapacityPeriod = 4;
 
 }  // namespace
 
 EvidenceHandlers ControlLoop::MakeEvidenceHandlers() {
-  using Evidence = EvidenceHandlers::Evidence;
   EvidenceHandlers handlers;
-  handlers.own_ = [this] {
-    return rollouts_.OwnEvidence(http::EventLoop::Now());
+  handlers.own_ = [this](mirror::RelayRequest& request) {
+    const Instant now = http::EventLoop::Now();
+    request.evidence_ = rollouts_.OwnEvidence(now);
+    request.capacities_ = capacities_.Own(now);
+  };
+  handlers.sums_ = [this](mirror::RelayReply& reply) {
+    const Instant now = http::EventLoop::Now();
+    reply.evidence_ = rollouts_.Sums(now);
+    reply.capacities_ = capacities_.Sums(now);
   };
-  handlers.sums_ = [this] { return rollouts_.Sums(http::EventLoop::Now()); };
   handlers.on_request_ = [this](const mirror::RelayRequest& request) {
     RecordReport(request.daemon_, request.evidence_, true);
+    capacities_.RecordReport(request.daemon_, request.capacities_, true,
+                             http::EventLoop::Now());
   };
-  handlers.on_sums_ = [this](const Evidence& sums) {
-    rollouts_.RecordSums(sums, http::EventLoop::Now());
+  handlers.on_sums_ = [this](const mirror::RelayReply& reply) {
+    const Instant now = http::EventLoop::Now();
+    rollouts_.RecordSums(reply.evidence_, now);
+    capacities_.RecordSums(reply.capacities_, now);
   };
   handlers.on_report_ = [this](const mirror::EvidenceReport& report) {
-    RecordReport(report.process_, report.evidence_, false);
+    OnReport(report);
     return OwnReport();
   };
   return handlers;
 }
 
+void ControlLoop::OnReport(const mirror::EvidenceReport& report) {
+  // A daemon that follows another one names no process.
+  if (!report.process_.empty()) {
+    RecordReport(report.process_, report.evidence_, false);
+    capacities_.RecordReport(report.process_, report.capacities_, false,
+                             http::EventLoop::Now());
+  }
+}
+
 void ControlLoop::RecordEvidence(const traffic::VersionComparison& evidence) {
   rollouts_.RecordOwn(evidence, http::EventLoop::Now());
 }
@@ -52,19 +73,23 @@
   if (!follower_.IsWatcher()) {
     return {};
   }
-  return {rollouts_.Process(),
-          rollouts_.DirectEvidence(http::EventLoop::Now())};
+  const Instant now = http::EventLoop::Now();
+  return {rollouts_.Process(), rollouts_.DirectEvidence(now),
+          capacities_.Direct(now)};
 }
 
 void ControlLoop::JudgeRollouts() {
   const Instant now = http::EventLoop::Now();
-  if (rollouts_.HasOpenOrder()) {
-    const bool is_judge = follower_.IsWatcher();
+  const bool is_judge = follower_.IsWatcher();
+  const bool has_order = rollouts_.HasOpenOrder();
+  if (has_order) {
     publish_shares_(
         rollouts_.Decide({static_cast<int>(daemons_.size()), is_judge}, now));
-    if (is_judge && ++judgements_ % 2 == 0) {
-      exchange_.Send(OwnReport());
-    }
+  }
+  const int period = has_order ? kEvidencePeriod : kCapacityPeriod;
+  if (is_judge && ++judgements_ % period == 0 &&
+      (has_order || !capacities_.Direct(now).empty())) {
+    exchange_.Send(OwnReport());
   }
   loop_.Timers().Add(now + kJudgementPeriod, [this] { JudgeRollouts(); });
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,11 +1,12 @@
 #include "gateway/gateway.h"
 
 #include <csignal>
-
+#include <functional>
 #include <thread>
 
 #include <boost/asio/signal_set.hpp>
 
+#include "gateway/capacity_shares.h"
 #include "gateway/control_loop.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/traffic_server.h"
@@ -18,6 +19,9 @@
 // Period of the check for changed settings. The platform may change them
 // without sending a signal.
 constexpr Duration kSettingsPollPeriod = std::chrono::seconds(2);
+// Period of sharing what was learned of replicas: with the polls of relays,
+// others know it within about a second.
+constexpr Duration kSharePeriod = std::chrono::milliseconds(250);
 
 /// Reloads the settings on SIGHUP and when polling finds their text changed.
 ///
@@ -149,6 +153,18 @@
         control_loop.Post(
             [&control, evidence] { control.RecordEvidence(evidence); });
       });
+  control.Capacities().SetPublish([&traffic_loop, &traffic](
+                                      const CapacityShares::Estimates& all) {
+    traffic_loop.Post([&traffic, all] { traffic.ApplySharedEstimates(all); });
+  });
+  const std::function<void()> share_estimates = [&] {
+    control_loop.Post([&control, own = traffic.ShareEstimates()] {
+      control.Capacities().RecordOwn(own, http::EventLoop::Now());
+    });
+    traffic_loop.Timers().Add(http::EventLoop::Now() + kSharePeriod,
+                              share_estimates);
+  };
+  share_estimates();
   std::thread control_thread([&control_loop, &control] {
     control.Start();
     control_loop.Run();
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -232,7 +232,7 @@
   }
   request.daemon_ = options_.name_;
   if (evidence_.own_) {
-    request.evidence_ = evidence_.own_();
+    evidence_.own_(request);
   }
   return request;
 }
@@ -278,7 +278,7 @@
     return;
   }
   if (evidence_.on_sums_) {
-    evidence_.on_sums_(decoded->evidence_);
+    evidence_.on_sums_(*decoded);
   }
   if (!ApplyRelayReply(*decoded)) {
     OnRelayFailed("copy is out of date");
@@ -375,7 +375,7 @@
 
 void StoreFollower::OnRelayRequest(const Caller& caller,
                                    const mirror::RelayRequest& request) {
-  if (evidence_.on_request_ && !request.evidence_.empty()) {
+  if (evidence_.on_request_) {
     evidence_.on_request_(request);
   }
   if (TryReply(caller, request, request.wait_ <= milliseconds(0))) {
@@ -423,7 +423,7 @@
     return false;
   }
   if (evidence_.sums_) {
-    reply.evidence_ = evidence_.sums_();
+    evidence_.sums_(reply);
   }
   RespondCbor(caller, mirror::Encode(reply));
   return true;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -26,16 +26,14 @@
 /// @brief Evidence on rollouts that travels with relay messages, from and to
 /// the part of the daemon that judges.
 struct EvidenceHandlers {
-  using Evidence = std::vector<mirror::RolloutEvidence>;
-
-  /// Evidence of this daemon, sent to the relay that it follows.
-  std::function<Evidence()> own_;
-  /// Evidence of all daemons, sent to those that follow this one.
-  std::function<Evidence()> sums_;
+  /// Adds the evidence of this daemon, sent to the relay that it follows.
+  std::function<void(mirror::RelayRequest&)> own_;
+  /// Adds the evidence of all daemons, sent to those that follow this one.
+  std::function<void(mirror::RelayReply&)> sums_;
   /// Called with the request of a daemon that follows this one.
   std::function<void(const mirror::RelayRequest&)> on_request_;
   /// Called with the sums that the relay sent.
-  std::function<void(const Evidence&)> on_sums_;
+  std::function<void(const mirror::RelayReply&)> on_sums_;
   /// Called with the report of another daemon that follows the store; returns
   /// that of this one.
   std::function<mirror::EvidenceReport(const mirror::EvidenceReport&)>
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -17,6 +17,7 @@
 #include "http/event_loop.h"
 #include "http/listener.h"
 #include "traffic/fleet_state.h"
+#include "traffic/share_estimates.h"
 #include "traffic/start_query.h"
 
 namespace clementinerill::gateway {
@@ -46,6 +47,14 @@
     traffic::ApplyVersionShares(fleet_, shares);
   }
 
+  [[nodiscard]] std::vector<capacity::SharedEstimate> ShareEstimates() const {
+    return traffic::ShareEstimates(fleet_, http::EventLoop::Now());
+  }
+  void ApplySharedEstimates(
+      const std::vector<capacity::SharedEstimate>& estimates) {
+    traffic::ApplySharedEstimates(fleet_, estimates, http::EventLoop::Now());
+  }
+
   using OnEvidence = std::function<void(const traffic::VersionComparison&)>;
   void SetOnEvidence(OnEvidence on_evidence) {
     on_evidence_ = std::move(on_evidence);
--- a/src/mirror/relay_message.cc
+++ b/src/mirror/relay_message.cc
@@ -160,6 +160,42 @@
   return evidence;
 }
 
+// The most reports of replicas that a message may have.
+constexpr size_t kMaxCapacities = 1024;
+
+// The field is absent without reports, so that messages do not change where no
+// replica reports its pace. Each report is an array, because there are many.
+void EncodeCapacities(const std::vector<CapacityReport>& capacities,
+                      json& message) {
+  if (capacities.empty()) {
+    return;
+  }
+  json& list = message["capacities"] = json::array();
+  for (const CapacityReport& report : capacities) {
+    list.push_back({report.replica_, report.log_slowness_,
+                    report.accepted_share_, report.observations_,
+                    report.age_.count()});
+  }
+}
+
+std::vector<CapacityReport> DecodeCapacities(const json& message) {
+  std::vector<CapacityReport> capacities;
+  const auto list = message.find("capacities");
+  if (list == message.end()) {
+    return capacities;
+  }
+  for (const json& report : *list) {
+    if (capacities.size() >= kMaxCapacities) {
+      break;
+    }
+    capacities.push_back({report.at(0).get<uint32_t>(),
+                          report.at(1).get<int64_t>(),
+                          report.at(2).get<int64_t>(),
+                          DecodeCount(report.at(3)), DecodeTime(report.at(4))});
+  }
+  return capacities;
+}
+
 // Parses CBOR and applies `decode`. Exceptions of the JSON library become
 // errors.
 template <typename T, typename Decode>
@@ -182,11 +218,13 @@
 }  // namespace
 
 std::string Encode(const RelayRequest& request) {
-  return ToCbor({{"wait_ms", request.wait_.count()},
-                 {"revisions", request.revisions_},
-                 {"eras", request.eras_},
-                 {"daemon", request.daemon_},
-                 {"evidence", EncodeEvidenceList(request.evidence_)}});
+  json message = {{"wait_ms", request.wait_.count()},
+                  {"revisions", request.revisions_},
+                  {"eras", request.eras_},
+                  {"daemon", request.daemon_},
+                  {"evidence", EncodeEvidenceList(request.evidence_)}};
+  EncodeCapacities(request.capacities_, message);
+  return ToCbor(message);
 }
 
 std::string Encode(const RelayReply& reply) {
@@ -194,13 +232,17 @@
   for (const auto& [name, kind] : reply.kinds_) {
     kinds[name] = EncodeKind(kind);
   }
-  return ToCbor({{"kinds", std::move(kinds)},
-                 {"evidence", EncodeEvidenceList(reply.evidence_)}});
+  json message = {{"kinds", std::move(kinds)},
+                  {"evidence", EncodeEvidenceList(reply.evidence_)}};
+  EncodeCapacities(reply.capacities_, message);
+  return ToCbor(message);
 }
 
 std::string Encode(const EvidenceReport& report) {
-  return ToCbor({{"process", report.process_},
-                 {"evidence", EncodeEvidenceList(report.evidence_)}});
+  json message = {{"process", report.process_},
+                  {"evidence", EncodeEvidenceList(report.evidence_)}};
+  EncodeCapacities(report.capacities_, message);
+  return ToCbor(message);
 }
 
 Result<RelayRequest> DecodeRelayRequest(const std::string& body) {
@@ -214,6 +256,7 @@
     }
     request.daemon_ = message.at("daemon").get<std::string>();
     request.evidence_ = DecodeEvidenceList(message.at("evidence"));
+    request.capacities_ = DecodeCapacities(message);
     return request;
   });
 }
@@ -227,6 +270,7 @@
     if (message.contains("evidence")) {
       reply.evidence_ = DecodeEvidenceList(message.at("evidence"));
     }
+    reply.capacities_ = DecodeCapacities(message);
     return reply;
   });
 }
@@ -236,6 +280,7 @@
     EvidenceReport report;
     report.process_ = message.at("process").get<std::string>();
     report.evidence_ = DecodeEvidenceList(message.at("evidence"));
+    report.capacities_ = DecodeCapacities(message);
     return report;
   });
 }
--- a/src/mirror/relay_message.h
+++ b/src/mirror/relay_message.h
@@ -9,6 +9,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "mirror/capacity_report.h"
 #include "mirror/kind_changes.h"
 #include "mirror/rollout_evidence.h"
 
@@ -21,6 +22,7 @@
   std::map<std::string, int64_t> eras_;    ///< Of `revisions_`; 0 if missing.
   std::string daemon_;                     ///< The sending process.
   std::vector<RolloutEvidence> evidence_;  ///< On rollouts in progress.
+  std::vector<CapacityReport> capacities_ = {};  ///< As learned by the sender.
 };
 
 /// @brief Changes of one kind, and the age of the relay's copy.
@@ -35,15 +37,19 @@
   std::map<std::string, RelayedKind> kinds_;
   /// Sums over all daemons, of rollouts in progress.
   std::vector<RolloutEvidence> evidence_;
+  std::vector<CapacityReport> capacities_ = {};  ///< Merged over all daemons.
 };
 
-/// @brief Evidence on rollouts in progress that daemons which follow the store
-/// exchange. The response has the same form.
+/// @brief Evidence on rollouts in progress, and what was learned of replicas,
+/// that daemons which follow the store exchange. The response has the same
+/// form.
 struct EvidenceReport {
   std::string process_;  ///< The sending process.
   /// Of the sender and the daemons that follow it; empty if it follows another
   /// daemon, which then reports for it.
   std::vector<RolloutEvidence> evidence_;
+  /// Of the same daemons, merged.
+  std::vector<CapacityReport> capacities_ = {};
 };
 
 /// @brief Encodes a message between daemons as CBOR.
--- a/tests/mirror/relay_test.cc
+++ b/tests/mirror/relay_test.cc
@@ -129,6 +129,39 @@
   CHECK(report->evidence_.size() == 1);
 }
 
+// Guards against fields that are lost, and against messages that change for
+// deployments whose replicas do not report their pace.
+TEST_CASE("messages carry what was learned of replicas", "[relay]") {
+  const CapacityReport learned{4000000000U, -223, 750, 60,
+                               std::chrono::milliseconds(1500)};
+  RelayRequest request;
+  RelayReply reply;
+  EvidenceReport report;
+  for (const std::string& message :
+       {Encode(request), Encode(reply), Encode(report)}) {
+    CHECK(message.find("capacities") == std::string::npos);
+  }
+  request.capacities_ = reply.capacities_ = report.capacities_ = {learned};
+  const auto decoded_request = DecodeRelayRequest(Encode(request));
+  const auto decoded_reply = DecodeRelayReply(Encode(reply));
+  const auto decoded_report = DecodeEvidenceReport(Encode(report));
+  REQUIRE(decoded_request);
+  REQUIRE(decoded_reply);
+  REQUIRE(decoded_report);
+  for (const auto& decoded :
+       {decoded_request->capacities_, decoded_reply->capacities_,
+        decoded_report->capacities_}) {
+    REQUIRE(decoded.size() == 1);
+    CHECK(decoded[0].replica_ == 4000000000U);
+    CHECK(decoded[0].log_slowness_ == -223);
+    CHECK(decoded[0].accepted_share_ == 750);
+    CHECK(decoded[0].observations_ == 60);
+    CHECK(decoded[0].age_ == std::chrono::milliseconds(1500));
+  }
+  request.capacities_.assign(5000, learned);
+  CHECK(DecodeRelayRequest(Encode(request))->capacities_.size() == 1024);
+}
+
 // Guards against a malformed message that crashes the process.
 TEST_CASE("malformed relay messages are rejected", "[relay]") {
   CHECK_FALSE(DecodeRelayReply("not cbor"));
