--- a/src/capacity/shared_estimate.cc
+++ b/src/capacity/shared_estimate.cc
@@ -135,8 +135,8 @@
   }
   std::vector<SharedEstimate> estimates;
   estimates.reserve(merged.size());
-  for (auto& [replica, shared] : merged) {
-    estimates.push_back(std::move(shared));
+  for (const auto& [replica, shared] : merged) {
+    estimates.push_back(shared);
   }
   KeepHeaviest(estimates);
   return estimates;
--- a/src/traffic/share_estimates.cc
+++ b/src/traffic/share_estimates.cc
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <map>
-#include <utility>
 
 #include "base/hash.h"
 
@@ -20,9 +19,10 @@
   std::vector<capacity::SharedEstimate> estimates;
   for (const auto& [name, service] : fleet.services_) {
     for (const auto& replica : service->replicas_) {
-      auto shared = capacity::Share(replica->estimate_, KeyOf(*replica), now);
+      const auto shared =
+          capacity::Share(replica->estimate_, KeyOf(*replica), now);
       if (shared) {
-        estimates.push_back(std::move(*shared));
+        estimates.push_back(*shared);
       }
     }
   }
