--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,7 +14,8 @@
 HANG_S = 2.2        # srv_crash, how dark: for_s up to 4.5
 OBJECTIVE_MS = 500
 LEAVE_S = 0.25      # give_up: clients leave within half of the objective
-CLIENTS = 90
+LEAVE_SHARE = 0.3   # give_up: share = 0.3
+CLIENTS = 200
 BODY = b"b" * 300
 
 
@@ -113,15 +114,17 @@
     started = time.monotonic()
     tasks = []
     for i in range(CLIENTS):
-        tasks.append(asyncio.ensure_future(post(gateways[i % 9], f"give-up{i}", LEAVE_S, left)))
+        leaves = i % 10 < 10 * LEAVE_SHARE
+        tasks.append(asyncio.ensure_future(post(gateways[i % 9], f"{'give-up' if leaves else 'stay'}{i}",
+                                                LEAVE_S if leaves else None, left)))
         await asyncio.sleep(0.3 / CLIENTS)
-    statuses = await asyncio.gather(*tasks)
-    record.say(f"{CLIENTS} clients: {statuses.count('left')} have left without an answer, {statuses.count(200)} have a 200")
     await asyncio.sleep(max(0.0, started + HANG_S - time.monotonic()))
     for replica in replicas:
         replica.wake()
     record.say("the replicas are back")
-    await asyncio.sleep(4.5)
+    statuses = await asyncio.gather(*tasks)
+    record.say(f"{CLIENTS} clients: {statuses.count('left')} have left without an answer, {statuses.count(200)} have a 200")
+    await asyncio.sleep(2)
     late = 0
     for replica in replicas:
         for at, request_id, _, _, _ in replica.runs:
