--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -362,26 +363,36 @@
     0 if it held, 1 if it was broken, 2 if the case could not run. `gateways` is a list that the case fills."""
     record = Record(folder)
     gateways = []
-    code = 2
-    try:
-        if not os.access(PROGRAM, os.X_OK):
-            raise RuntimeError("build the program with the line of deploy/system.toml first")
-        with tempfile.TemporaryDirectory(prefix="review-") as temporary:
-            try:
-                held = asyncio.run(asyncio.wait_for(case(record, temporary, gateways), 110))
-                code = 0 if held else 1
-            finally:
-                for gateway in gateways:
-                    gateway.end()
-                keep = os.environ.get("KEEP_LOGS")
-                if keep:
-                    os.makedirs(keep, exist_ok=True)
-                    for gateway in gateways:
-                        with open(gateway.log, "rb") as log, open(os.path.join(keep, gateway.name + ".log"), "wb") as to:
-                            to.write(log.read())
-    except Exception as error:  # pylint: disable=broad-except
-        record.say(f"the case could not run: {type(error).__name__}: {error}")
-    record.say({0: "the rule held", 1: "the rule was broken", 2: "no result"}[code])
-    # Connections that are still open need no orderly end.
-    sys.stdout.flush()
-    os._exit(code)
+    temporary = tempfile.mkdtemp(prefix="review-")
+
+    def finish(code):
+        # Ends the process at once: tasks of stand-ins that still wait need no orderly end.
+        for gateway in gateways:
+            gateway.end()
+        keep = os.environ.get("KEEP_LOGS")
+        if keep:
+            os.makedirs(keep, exist_ok=True)
+            for gateway in gateways:
+                shutil.copy(gateway.log, keep)
+        shutil.rmtree(temporary, ignore_errors=True)
+        record.say({0: "the rule held", 1: "the rule was broken", 2: "no result"}[code])
+        os._exit(code)
+
+    def give_up(number, _):
+        record.say(f"ended by signal {number}")
+        finish(2)
+
+    async def run():
+        try:
+            if not os.access(PROGRAM, os.X_OK):
+                raise RuntimeError("build the program with the line of deploy/system.toml first")
+            held = await case(record, temporary, gateways)
+        except Exception as error:  # pylint: disable=broad-except
+            record.say(f"the case could not run: {type(error).__name__}: {error}")
+            finish(2)
+        finish(0 if held else 1)
+
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, give_up)
+    signal.alarm(115)
+    asyncio.run(run())
