Gateway: a request that was not sent is taken back when its caller leaves

Cause: OnCallerDisconnected kept all attempts of a non-idempotent request, also those of which no byte had been sent. ClientConnection wrote them whenever the connection was established.

Ruled out: a close that is not noticed (outcome=caller_left after 250 ms), and idempotent requests, which were closed before.

Change: attempts that have sent nothing are closed when the caller leaves. HasSent turns true with the first byte that is handed to the kernel, so what is taken back is proved unsent. The outcome "withdrawn" is not run: it does not count for the organisation or against the replica. Its permit is not returned, because an expired one would be used twice.

--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -276,16 +276,32 @@
 }
 
 void QuerySession::CloseRunningAttempts(AttemptOutcome outcome, Instant now) {
-  std::vector<RunningAttempt> running;
-  running.swap(running_);
-  for (const RunningAttempt& attempt : running) {
-    context_.metrics_.attempts_.Increment(outcome);
-    attempt.connection_->Close();
-    traffic::RecordAttemptOutcome(context_.fleet_, query_, attempt.action_,
-                                  outcome, {}, now);
+  for (const RunningAttempt& attempt : std::exchange(running_, {})) {
+    CloseAttempt(attempt, outcome, now);
   }
 }
 
+void QuerySession::WithdrawUnsentAttempts(Instant now) {
+  const auto unsent = std::stable_partition(
+      running_.begin(), running_.end(), [](const RunningAttempt& attempt) {
+        return attempt.connection_->HasSent();
+      });
+  const std::vector<RunningAttempt> withdrawn(unsent, running_.end());
+  running_.erase(unsent, running_.end());
+  for (const RunningAttempt& attempt : withdrawn) {
+    CloseAttempt(attempt, AttemptOutcome::kWithdrawn, now);
+  }
+}
+
+void QuerySession::CloseAttempt(const RunningAttempt& attempt,
+                                AttemptOutcome outcome,
+                                Instant now) {
+  context_.metrics_.attempts_.Increment(outcome);
+  attempt.connection_->Close();
+  traffic::RecordAttemptOutcome(context_.fleet_, query_, attempt.action_,
+                                outcome, {}, now);
+}
+
 void QuerySession::OnCallerDisconnected() {
   const Instant now = http::EventLoop::Now();
   if (!IsOpen()) {
@@ -293,10 +309,11 @@
   }
   query_.outcome_ = QueryOutcome::kDisconnected;
   CancelDelegations();
+  WithdrawUnsentAttempts(now);
   RecordEnd(0, now);
   context_.metrics_.queries_.Increment(QueryOutcome::kDisconnected);
-  // A non-idempotent request is not cancelled: that would only leave it unknown
-  // whether it took effect.
+  // A non-idempotent request that was sent is not cancelled: that would only
+  // leave it unknown whether it took effect.
   if (query_.route_->kind_ == traffic::RequestKind::kIdempotent) {
     CloseRunningAttempts(AttemptOutcome::kCancelled, now);
   }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -108,6 +108,9 @@
 
   [[nodiscard]] bool IsClosed() const noexcept { return closed_; }
   [[nodiscard]] bool IsBusy() const noexcept { return busy_; }
+  /// @brief Whether bytes of the request in progress may have been sent. If
+  /// not, `Close` takes the request back.
+  [[nodiscard]] bool HasSent() const noexcept { return sent_; }
   /// @brief Whether the connection is established.
   [[nodiscard]] bool IsConnected() const noexcept {
     return connected_ && !closed_;
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -43,7 +43,7 @@
 int CountSent(const QueryPart& part) {
   return static_cast<int>(std::count_if(
       part.attempts_.begin(), part.attempts_.end(), [](const Attempt& attempt) {
-        return attempt.is_open_ || attempt.outcome_ != AttemptOutcome::kNotSent;
+        return attempt.is_open_ || !IsUnsent(attempt.outcome_);
       }));
 }
 
--- a/src/traffic/attempt_outcome.h
+++ b/src/traffic/attempt_outcome.h
@@ -18,10 +18,11 @@
   kGarbled,      ///< Bytes that are no response to the request; may have run.
   kAbandoned,    ///< Deadline passed without a response; may have run.
   kCancelled,    ///< Caller disconnected before a response; may have run.
+  kWithdrawn,    ///< Taken back before any byte was sent; not run.
 };
 
-inline constexpr std::array<NameEntry<AttemptOutcome>, 9> kAttemptOutcomeNames =
-    {{
+inline constexpr std::array<NameEntry<AttemptOutcome>, 10>
+    kAttemptOutcomeNames = {{
         {AttemptOutcome::kAnswered, "answered"},
         {AttemptOutcome::kFailed, "failed"},
         {AttemptOutcome::kShed, "shed"},
@@ -31,13 +32,19 @@
         {AttemptOutcome::kGarbled, "garbled"},
         {AttemptOutcome::kAbandoned, "abandoned"},
         {AttemptOutcome::kCancelled, "cancelled"},
+        {AttemptOutcome::kWithdrawn, "withdrawn"},
     }};
 
+/// @brief Whether the outcome proves that no byte of the request was sent.
+[[nodiscard]] constexpr bool IsUnsent(AttemptOutcome outcome) noexcept {
+  return outcome == AttemptOutcome::kNotSent ||
+         outcome == AttemptOutcome::kWithdrawn;
+}
+
 /// @brief Whether the outcome proves that the replica did not run the request.
 [[nodiscard]] constexpr bool IsNotRun(AttemptOutcome outcome) noexcept {
-  return outcome == AttemptOutcome::kShed ||
-         outcome == AttemptOutcome::kMisdirected ||
-         outcome == AttemptOutcome::kNotSent;
+  return IsUnsent(outcome) || outcome == AttemptOutcome::kShed ||
+         outcome == AttemptOutcome::kMisdirected;
 }
 
 }  // namespace clementinerill::traffic
--- a/src/traffic/replica_state.cc
+++ b/src/traffic/replica_state.cc
@@ -85,6 +85,15 @@
   }
 }
 
+void RemoveSend(ReplicaState& replica, Instant sent) {
+  RemoveOutstanding(replica, sent);
+  auto& sends = replica.recent_sends_;
+  const auto found = std::find(sends.begin(), sends.end(), sent);
+  if (found != sends.end()) {
+    sends.erase(found);
+  }
+}
+
 // Whether a response since `sent` has already shown the same stall.
 bool IsSameStall(const ReplicaState& replica, Instant sent, double ratio) {
   return ratio > 2.0 && replica.slowness_at_ > sent;
@@ -100,12 +109,7 @@
 }
 
 void CancelSend(ReplicaState& replica, Instant sent) {
-  RemoveOutstanding(replica, sent);
-  auto& sends = replica.recent_sends_;
-  const auto found = std::find(sends.begin(), sends.end(), sent);
-  if (found != sends.end()) {
-    sends.erase(found);
-  }
+  RemoveSend(replica, sent);
   if (replica.rate_limit_) {
     ReturnPermit(replica.rate_allowance_);
   }
@@ -116,6 +120,12 @@
                    Instant sent,
                    Duration median_latency,
                    Instant now) {
+  if (outcome == AttemptOutcome::kWithdrawn) {
+    // Its permit is not returned: it may have expired since, and another one
+    // would become available.
+    RemoveSend(replica, sent);
+    return;
+  }
   RemoveOutstanding(replica, sent);
   switch (outcome) {
     case AttemptOutcome::kAnswered: {
@@ -156,6 +166,7 @@
       }
       break;
     case AttemptOutcome::kCancelled:
+    case AttemptOutcome::kWithdrawn:
       break;
   }
 }
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -67,8 +67,8 @@
 /// @brief Records a request that is sent to the replica.
 void RecordSend(ReplicaState& replica, Instant now);
 
-/// @brief Removes a recorded send that did not take place, and returns its
-/// permit and its part of the limit while cold.
+/// @brief Removes a send that was recorded in the same step and did not take
+/// place, and returns its permit and its part of the limit while cold.
 void CancelSend(ReplicaState& replica, Instant sent);
 
 /// @brief Records the outcome of an attempt that was sent at `sent`.
--- a/tests/http/test_server.h
+++ b/tests/http/test_server.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -30,10 +31,32 @@
   TestServer(EventLoop& loop, Handler handler)
       : acceptor_(loop.Context(),
                   {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        filler_(loop.Context()),
         handler_(std::move(handler)) {
     Accept();
   }
 
+  /// A server whose accept queue is full until `Accept` is called. Connections
+  /// opened before then are established about a second after they were opened,
+  /// when the kernel sends their first packet again.
+  static std::unique_ptr<TestServer> WithFullQueue(EventLoop& loop,
+                                                   Handler handler) {
+    return std::unique_ptr<TestServer>(
+        new TestServer(loop, std::move(handler), FullQueue{}));
+  }
+
+  /// Accepts connections from now on.
+  void Accept() {
+    acceptor_.async_accept([this](const auto& error, auto socket) {
+      if (error) {
+        return;
+      }
+      ++connections_;
+      Serve(std::make_shared<Session>(std::move(socket)));
+      Accept();
+    });
+  }
+
   [[nodiscard]] uint16_t Port() const {
     return acceptor_.local_endpoint().port();
   }
@@ -49,15 +72,17 @@
     std::string output_;
   };
 
-  void Accept() {
-    acceptor_.async_accept([this](const auto& error, auto socket) {
-      if (error) {
-        return;
-      }
-      ++connections_;
-      Serve(std::make_shared<Session>(std::move(socket)));
-      Accept();
-    });
+  struct FullQueue {};
+
+  TestServer(EventLoop& loop, Handler handler, FullQueue /*tag*/)
+      : acceptor_(loop.Context()),
+        filler_(loop.Context()),
+        handler_(std::move(handler)) {
+    acceptor_.open(boost::asio::ip::tcp::v4());
+    acceptor_.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    // Linux queues one connection more than the length that it is given.
+    acceptor_.listen(0);
+    filler_.connect(acceptor_.local_endpoint());
   }
 
   void Serve(const std::shared_ptr<Session>& session) {
@@ -98,6 +123,7 @@
   }
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::socket filler_;  ///< Fills the accept queue.
   Handler handler_;
   int connections_ = 0;
 };
