Gateway: a request states the time that is left when it is sent

Cause: the request was serialized when its replica was chosen, before the wait for the connection. Ruled out: the deadline of the query itself, which is right; requests on open connections, which are written at once.

Change: the bytes are made when the connection can send them.

Before: gateway_test [unsent] "a request that is sent late states the time that is left" fails for both kinds of route. After: it passes.

--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -219,8 +219,12 @@
       now);
   running_.push_back({action, connection});
   const auto self = shared_from_this();
-  http::ExchangeRequest exchange = MakeReplicaExchange(
-      request_, query_, attempt.replica_->entry_, context_.names_, now);
+  http::ExchangeRequest exchange =
+      MakeReplicaExchange(request_, query_, context_.names_);
+  exchange.make_bytes_ = [self, replica = attempt.replica_] {
+    return MakeReplicaRequest(self->request_, self->query_, replica->entry_,
+                              self->context_.names_, http::EventLoop::Now());
+  };
   const std::weak_ptr<QuerySession> weak = self;
   exchange.on_other_response_ =
       [weak, replica = attempt.replica_](const http::HttpResponse& response) {
--- a/src/gateway/replica_exchange.cc
+++ b/src/gateway/replica_exchange.cc
@@ -34,12 +34,11 @@
   return std::chrono::seconds(*seconds);
 }
 
-http::ExchangeRequest MakeReplicaExchange(
-    const http::HttpRequest& caller_request,
-    const traffic::Query& query,
-    const traffic::ReplicaEntry& replica,
-    const WireNames& names,
-    Instant now) {
+std::string MakeReplicaRequest(const http::HttpRequest& caller_request,
+                               const traffic::Query& query,
+                               const traffic::ReplicaEntry& replica,
+                               const WireNames& names,
+                               Instant now) {
   http::HttpRequest request;
   request.method_ = caller_request.method_;
   request.target_ = caller_request.target_;
@@ -57,8 +56,14 @@
       std::max<int64_t>(1, ToMilliseconds(traffic::RemainingTime(query, now)));
   request.headers_.emplace_back(names.timeout_, std::to_string(left));
   request.headers_.emplace_back(names.expected_replica_, replica.id_);
+  return http::ToBytes(request);
+}
+
+http::ExchangeRequest MakeReplicaExchange(
+    const http::HttpRequest& caller_request,
+    const traffic::Query& query,
+    const WireNames& names) {
   http::ExchangeRequest exchange;
-  exchange.bytes_ = http::ToBytes(request);
   exchange.is_head_ = caller_request.method_ == "HEAD";
   exchange.is_matching_response_ =
       [id = query.id_, name = names.request_id_](const http::HttpResponse& a) {
--- a/src/gateway/replica_exchange.h
+++ b/src/gateway/replica_exchange.h
@@ -2,6 +2,7 @@
 #define CLEMENTINERILL_GATEWAY_REPLICA_EXCHANGE_H_
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "gateway/wire_names.h"
@@ -11,14 +12,22 @@
 
 namespace clementinerill::gateway {
 
-/// @brief Returns the exchange that sends the request of a caller to a replica.
-[[nodiscard]] http::ExchangeRequest MakeReplicaExchange(
+/// @brief Returns the serialized request of a caller for a replica. It states
+/// the time that is left at `now`.
+[[nodiscard]] std::string MakeReplicaRequest(
     const http::HttpRequest& caller_request,
     const traffic::Query& query,
     const traffic::ReplicaEntry& replica,
     const WireNames& names,
     Instant now);
 
+/// @brief Returns the exchange for the request of a caller, still without its
+/// bytes.
+[[nodiscard]] http::ExchangeRequest MakeReplicaExchange(
+    const http::HttpRequest& caller_request,
+    const traffic::Query& query,
+    const WireNames& names);
+
 /// @brief Returns the outcome of an attempt from the result of its exchange.
 [[nodiscard]] traffic::AttemptOutcome ClassifyExchange(
     const http::ExchangeResult& result,
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -110,6 +110,9 @@
 }
 
 void ClientConnection::Write() {
+  if (request_.make_bytes_) {
+    request_.bytes_ = std::exchange(request_.make_bytes_, nullptr)();
+  }
   error_code error;
   const size_t bytes = socket_.write_some(asio::buffer(request_.bytes_), error);
   written_ = error ? 0 : bytes;
@@ -314,6 +317,7 @@
     CloseSocket();
   }
   ReleaseMemory(request_.bytes_);
+  request_.make_bytes_ = nullptr;
   if (handler) {
     handler({outcome, std::move(response), cut_off_by_, std::move(hold)});
   }
@@ -321,6 +325,7 @@
 
 void ClientConnection::Close() {
   handler_ = nullptr;
+  request_.make_bytes_ = nullptr;
   request_.is_matching_response_ = nullptr;
   request_.on_other_response_ = nullptr;
   busy_ = false;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -52,6 +52,10 @@
 /// @brief A serialized request and the rule for matching its response.
 struct ExchangeRequest {
   std::string bytes_;
+  /// Makes `bytes_` when the connection can send them, which may be long after
+  /// `ClientConnection::Start`: a lost packet delays a connection by seconds.
+  /// Optional.
+  std::function<std::string()> make_bytes_;
   bool is_head_ = false;
   /// Whether a response belongs to this request; others are discarded, because
   /// a late or duplicate response must not be taken for that of a later
--- a/tests/gateway/unsent_request_test.cc
+++ b/tests/gateway/unsent_request_test.cc
@@ -138,5 +138,23 @@
   CHECK(fixture.Attempts(AttemptOutcome::kWithdrawn) == 1);
 }
 
+// Guards against replicas that work on after their caller has given up, because
+// they were told the time that was left when they were chosen.
+TEST_CASE("a request that is sent late states the time that is left",
+          "[gateway][unsent]") {
+  // The time by which a replica may be told too much.
+  constexpr Duration kMaxExcess = milliseconds(500);
+  UnsentFixture fixture(GENERATE("unsafe", "safe"));
+  const auto caller = fixture.Send("late");
+  fixture.server_->Accept();
+  REQUIRE(fixture.RunUntil([&] { return caller->result_.has_value(); }));
+  CHECK(caller->Status() == 200);
+  const auto& arrival = fixture.arrivals_.at("late");
+  REQUIRE(arrival.at_ - caller->sent_ > kMaxExcess);
+  const milliseconds stated(
+      std::stoi(FieldOf(arrival.head_, "X-Request-Deadline")));
+  CHECK(arrival.at_ + stated <= caller->sent_ + kCallerTimeout + kMaxExcess);
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
