Gateway: a request is not sent once its query has ended

Replicas ran requests whose callers had the response of another replica: the connection of the first attempt came about after its hedge had been answered, and the request was written to it.

Cause: attempts of an answered query go on until the deadline, also those that are still being connected.

Change: the bytes of a request are not made once the query has ended or its deadline has passed; the connection goes to the pool unused. An attempt that never connects still counts against its replica at the deadline, as before; closing it with the response would have hidden replicas that cannot be reached.

Before: gateway_test [unsent] "a request that is answered elsewhere first is not sent" fails with one arrival. After: it passes, and http_test [client] with the new cases.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -81,6 +81,7 @@
   }
   switch (result.outcome_) {
     case ExchangeOutcome::kNotSent:
+    case ExchangeOutcome::kWithdrawn:
       End(ForwardOutcome::kNotSent);
       return;
     case ExchangeOutcome::kBroken:
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -222,8 +222,7 @@
   http::ExchangeRequest exchange =
       MakeReplicaExchange(request_, query_, context_.names_);
   exchange.make_bytes_ = [self, replica = attempt.replica_] {
-    return MakeReplicaRequest(self->request_, self->query_, replica->entry_,
-                              self->context_.names_, http::EventLoop::Now());
+    return self->RequestFor(*replica, http::EventLoop::Now());
   };
   const std::weak_ptr<QuerySession> weak = self;
   exchange.on_other_response_ =
@@ -239,6 +238,16 @@
                     });
 }
 
+std::optional<std::string> QuerySession::RequestFor(
+    const traffic::ReplicaState& replica,
+    Instant now) const {
+  if (!IsOpen() || now >= query_.deadline_) {
+    return std::nullopt;
+  }
+  return MakeReplicaRequest(request_, query_, replica.entry_, context_.names_,
+                            now);
+}
+
 void QuerySession::OnExchange(traffic::SendAction action,
                               http::ExchangeResult result) {
   const Instant now = http::EventLoop::Now();
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -50,6 +51,10 @@
 
   void Step();
   void Send(traffic::SendAction action, Instant now);
+  /// Returns the bytes for a replica; none if the query has ended.
+  [[nodiscard]] std::optional<std::string> RequestFor(
+      const traffic::ReplicaState& replica,
+      Instant now) const;
   void StartDelegations(Instant now);
   void StartDelegation(size_t index, int tries_left, Instant now);
   void OnDelegation(size_t index, int tries_left, ForwardResult result);
--- a/src/gateway/replica_exchange.cc
+++ b/src/gateway/replica_exchange.cc
@@ -83,6 +83,8 @@
       return AttemptOutcome::kBroken;
     case ExchangeOutcome::kGarbled:
       return AttemptOutcome::kGarbled;
+    case ExchangeOutcome::kWithdrawn:
+      return AttemptOutcome::kWithdrawn;
     case ExchangeOutcome::kResponse:
       break;
   }
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -111,7 +111,18 @@
 
 void ClientConnection::Write() {
   if (request_.make_bytes_) {
-    request_.bytes_ = std::exchange(request_.make_bytes_, nullptr)();
+    auto bytes = std::exchange(request_.make_bytes_, nullptr)();
+    if (!bytes) {
+      const auto self = shared_from_this();
+      // The handler must not run inside `Start`.
+      loop_.Post([self] {
+        if (self->busy_) {
+          self->Finish(ExchangeOutcome::kWithdrawn);
+        }
+      });
+      return;
+    }
+    request_.bytes_ = std::move(*bytes);
   }
   error_code error;
   const size_t bytes = socket_.write_some(asio::buffer(request_.bytes_), error);
@@ -171,9 +182,9 @@
     OnConnectionEnd();
     return;
   }
-  if (!busy_) {
+  if (!busy_ || !sent_) {
     // Unsolicited data must not be taken for the next response.
-    CloseSocket();
+    OnConnectionEnd();
     return;
   }
   input_.append(read_buffer_.data(), bytes);
@@ -313,7 +324,9 @@
   BufferHold hold = std::exchange(hold_, BufferHold(buffer_account_));
   Handler handler = std::move(handler_);
   handler_ = nullptr;
-  if (outcome != ExchangeOutcome::kResponse || !reusable_) {
+  const bool is_between_requests = outcome == ExchangeOutcome::kResponse ||
+                                   outcome == ExchangeOutcome::kWithdrawn;
+  if (!is_between_requests || !reusable_) {
     CloseSocket();
   }
   ReleaseMemory(request_.bytes_);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -21,10 +21,11 @@
 
 /// @brief The outcome of one request and response on a connection.
 enum class ExchangeOutcome {
-  kResponse,  ///< A complete response to the request was received.
-  kNotSent,   ///< The connection failed before any byte was written.
-  kBroken,    ///< The connection closed before the response was complete.
-  kGarbled,   ///< Malformed, mismatched, too long or endless response.
+  kResponse,   ///< A complete response to the request was received.
+  kNotSent,    ///< The connection failed before any byte was written.
+  kBroken,     ///< The connection closed before the response was complete.
+  kGarbled,    ///< Malformed, mismatched, too long or endless response.
+  kWithdrawn,  ///< Not sent: it was no longer wanted. See `make_bytes_`.
 };
 
 /// @brief The limit because of which a response was cut off.
@@ -54,8 +55,9 @@
   std::string bytes_;
   /// Makes `bytes_` when the connection can send them, which may be long after
   /// `ClientConnection::Start`: a lost packet delays a connection by seconds.
-  /// Optional.
-  std::function<std::string()> make_bytes_;
+  /// Without a result the request is not sent, and the connection can be used
+  /// for another one. Optional.
+  std::function<std::optional<std::string>()> make_bytes_;
   bool is_head_ = false;
   /// Whether a response belongs to this request; others are discarded, because
   /// a late or duplicate response must not be taken for that of a later
--- a/tests/gateway/unsent_request_test.cc
+++ b/tests/gateway/unsent_request_test.cc
@@ -156,5 +156,23 @@
   CHECK(arrival.at_ + stated <= caller->sent_ + kCallerTimeout + kMaxExcess);
 }
 
+// Guards against replicas that run requests whose callers have the response of
+// another replica.
+TEST_CASE("a request that is answered elsewhere first is not sent",
+          "[gateway][unsent]") {
+  UnsentFixture fixture("safe");
+  fixture.AddReachableReplica();
+  std::vector<std::unique_ptr<CallerRequest>> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(fixture.Send("id-" + std::to_string(i)));
+  }
+  for (const auto& caller : callers) {
+    REQUIRE(fixture.RunUntil([&] { return caller->result_.has_value(); }));
+    CHECK(caller->Status() == 200);
+  }
+  REQUIRE(fixture.daemon_->metrics_.hedges_.Value() > 0);
+  CHECK(fixture.CountArrivals() == 0);
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
--- a/tests/http/client_connection_test.cc
+++ b/tests/http/client_connection_test.cc
@@ -1,5 +1,7 @@
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <catch2/catch.hpp>
 
@@ -53,6 +55,67 @@
   CHECK(exchange.server_.Connections() == 1);
 }
 
+// Guards against requests that state what was true before their connection was
+// established.
+TEST_CASE("a request is made when its connection can send it", "[client]") {
+  EventLoop loop;
+  const auto server = TestServer::WithFullQueue(loop, [](const std::string&) {
+    return TestServer::Reply{Ok("1", "body"), false};
+  });
+  const auto connection = std::make_shared<ClientConnection>(
+      loop, "127.0.0.1", server->Port(), 1000);
+  int made = 0;
+  std::optional<ExchangeResult> result;
+  ExchangeRequest request;
+  request.make_bytes_ = [&made] {
+    ++made;
+    return "GET / HTTP/1.1\r\n\r\n";
+  };
+  connection->Start(std::move(request),
+                    [&result](ExchangeResult r) { result = std::move(r); });
+  const Instant started = EventLoop::Now();
+  RunUntil(loop, [started] {
+    return EventLoop::Now() > started + std::chrono::milliseconds(50);
+  });
+  CHECK(made == 0);
+  CHECK_FALSE(connection->HasSent());
+  server->Accept();
+  REQUIRE(RunUntil(loop, [&result] { return result.has_value(); }));
+  CHECK(result->outcome_ == ExchangeOutcome::kResponse);
+  CHECK(made == 1);
+  CHECK(connection->HasSent());
+}
+
+// Guards against a connection that is lost, or a request that is sent, when the
+// request is no longer wanted.
+TEST_CASE("a withdrawn request leaves its connection for another one",
+          "[client]") {
+  int requests = 0;
+  Exchange exchange([&requests](const std::string&) {
+    return TestServer::Reply{Ok(std::to_string(++requests), "body"), false};
+  });
+  const bool is_connected = GENERATE(false, true);
+  int expected = 0;
+  if (is_connected) {
+    exchange.Run(std::to_string(++expected));
+  }
+  std::optional<ExchangeResult> result;
+  ExchangeRequest request;
+  request.make_bytes_ = [] { return std::nullopt; };
+  exchange.connection_->Start(std::move(request), [&result](ExchangeResult r) {
+    result = std::move(r);
+  });
+  CHECK_FALSE(result.has_value());
+  REQUIRE(RunUntil(exchange.loop_, [&result] { return result.has_value(); }));
+  CHECK(result->outcome_ == ExchangeOutcome::kWithdrawn);
+  CHECK_FALSE(exchange.connection_->HasSent());
+  REQUIRE(exchange.connection_->IsReusable());
+  const auto next = exchange.Run(std::to_string(++expected));
+  CHECK(next.outcome_ == ExchangeOutcome::kResponse);
+  CHECK(requests == expected);
+  CHECK(exchange.server_.Connections() == 1);
+}
+
 // Guards against a duplicate or late response that is taken for the response
 // to the next request.
 TEST_CASE("a response to an earlier request is discarded", "[client]") {
