Gateway: a request that was never sent is refused

Callers whose request could not be sent by the deadline, or before the daemon stopped, got 504, which promises nothing; a non-idempotent request was then not repeated though it had not run. In a shutdown it was sent after its 504.

Cause: an attempt without an outcome counted as one that may have run, whether it had been sent or not.

Change: attempts that have sent nothing are closed before the response is chosen; what is left decides between 503 and 504. At the deadline they end as "connect_timeout", which counts against the replica as a missing response does.

Before: gateway_test [unsent] fails for the deadline (both kinds of route) and for the shutdown: 504, and one arrival after the shutdown. After: 503, no arrival.

--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -174,9 +174,9 @@
 
   MetricsRegistry registry_;
   ReasonCounters<traffic::QueryOutcome, 7> queries_;
-  ReasonCounters<traffic::AttemptOutcome, 10> attempts_;
+  ReasonCounters<traffic::AttemptOutcome, 11> attempts_;
   Counter& hedges_;
-  ReasonCounters<traffic::AttemptOutcome, 10> retries_;
+  ReasonCounters<traffic::AttemptOutcome, 11> retries_;
   ReasonCounters<traffic::ForwardOutcome, 7> forwards_;
   Counter& gathered_for_others_;
   Counter& forwards_refused_;
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -172,6 +172,9 @@
 void QuerySession::Step() {
   const Instant now = http::EventLoop::Now();
   if (IsOpen()) {
+    if (traffic::IsDue(query_, now)) {
+      CloseUnsentAttempts(AttemptOutcome::kConnectTimeout, now);
+    }
     RecheckAccess(context_, query_);
     for (const auto& action : traffic::Advance(context_.fleet_, query_, now)) {
       Send(action, now);
@@ -197,6 +200,7 @@
     self->timer_.reset();
     const Instant now = http::EventLoop::Now();
     if (now >= self->query_.deadline_) {
+      self->CloseUnsentAttempts(AttemptOutcome::kConnectTimeout, now);
       self->CloseRunningAttempts(AttemptOutcome::kAbandoned, now);
     }
     self->Step();
@@ -294,15 +298,15 @@
   }
 }
 
-void QuerySession::WithdrawUnsentAttempts(Instant now) {
+void QuerySession::CloseUnsentAttempts(AttemptOutcome outcome, Instant now) {
   const auto unsent = std::stable_partition(
       running_.begin(), running_.end(), [](const RunningAttempt& attempt) {
         return attempt.connection_->HasSent();
       });
-  const std::vector<RunningAttempt> withdrawn(unsent, running_.end());
+  const std::vector<RunningAttempt> closed(unsent, running_.end());
   running_.erase(unsent, running_.end());
-  for (const RunningAttempt& attempt : withdrawn) {
-    CloseAttempt(attempt, AttemptOutcome::kWithdrawn, now);
+  for (const RunningAttempt& attempt : closed) {
+    CloseAttempt(attempt, outcome, now);
   }
 }
 
@@ -322,7 +326,7 @@
   }
   query_.outcome_ = QueryOutcome::kDisconnected;
   CancelDelegations();
-  WithdrawUnsentAttempts(now);
+  CloseUnsentAttempts(AttemptOutcome::kWithdrawn, now);
   RecordEnd(0, now);
   context_.metrics_.queries_.Increment(QueryOutcome::kDisconnected);
   // A non-idempotent request that was sent is not cancelled: that would only
@@ -338,6 +342,7 @@
     return;
   }
   const Instant now = http::EventLoop::Now();
+  CloseUnsentAttempts(AttemptOutcome::kWithdrawn, now);
   query_.outcome_ = traffic::MayHaveRun(query_) ? QueryOutcome::kTimedOut
                                                 : QueryOutcome::kRefused;
   Respond(now);
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -66,7 +66,7 @@
   void Respond(Instant now);
   void CloseRunningAttempts(traffic::AttemptOutcome outcome, Instant now);
   /// Closes the attempts of which no byte has been sent.
-  void WithdrawUnsentAttempts(Instant now);
+  void CloseUnsentAttempts(traffic::AttemptOutcome outcome, Instant now);
   void CloseAttempt(const RunningAttempt& attempt,
                     traffic::AttemptOutcome outcome,
                     Instant now);
--- a/src/traffic/advance_query.cc
+++ b/src/traffic/advance_query.cc
@@ -313,7 +313,7 @@
   if (answered + pending < required) {
     return FailureOutcome(query);
   }
-  const bool is_late = now >= query.deadline_ - kDeadlineMargin;
+  const bool is_late = IsDue(query, now);
   if (answered >= required &&
       (pending == 0 || now >= query.partial_response_at_ || is_late)) {
     return QueryOutcome::kPartial;
@@ -357,6 +357,10 @@
   return sends;
 }
 
+bool IsDue(const Query& query, Instant now) {
+  return now >= query.deadline_ - kDeadlineMargin;
+}
+
 Duration RemainingTime(const Query& query, Instant now) {
   return std::max(query.deadline_ - now, Duration::zero());
 }
--- a/src/traffic/advance_query.h
+++ b/src/traffic/advance_query.h
@@ -16,6 +16,10 @@
                                               Query& query,
                                               Instant now);
 
+/// @brief Whether the query has to be answered now, so that the response
+/// reaches the caller before its deadline.
+[[nodiscard]] bool IsDue(const Query& query, Instant now);
+
 /// @brief Returns the time until the deadline of the query, or zero after it.
 [[nodiscard]] Duration RemainingTime(const Query& query, Instant now);
 
--- a/src/traffic/attempt_outcome.h
+++ b/src/traffic/attempt_outcome.h
@@ -19,9 +19,10 @@
   kAbandoned,    ///< Deadline passed without a response; may have run.
   kCancelled,    ///< Caller disconnected before a response; may have run.
   kWithdrawn,    ///< Taken back before any byte was sent; not run.
+  kConnectTimeout,  ///< Deadline passed before any byte was sent; not run.
 };
 
-inline constexpr std::array<NameEntry<AttemptOutcome>, 10>
+inline constexpr std::array<NameEntry<AttemptOutcome>, 11>
     kAttemptOutcomeNames = {{
         {AttemptOutcome::kAnswered, "answered"},
         {AttemptOutcome::kFailed, "failed"},
@@ -33,12 +34,14 @@
         {AttemptOutcome::kAbandoned, "abandoned"},
         {AttemptOutcome::kCancelled, "cancelled"},
         {AttemptOutcome::kWithdrawn, "withdrawn"},
+        {AttemptOutcome::kConnectTimeout, "connect_timeout"},
     }};
 
 /// @brief Whether the outcome proves that no byte of the request was sent.
 [[nodiscard]] constexpr bool IsUnsent(AttemptOutcome outcome) noexcept {
   return outcome == AttemptOutcome::kNotSent ||
-         outcome == AttemptOutcome::kWithdrawn;
+         outcome == AttemptOutcome::kWithdrawn ||
+         outcome == AttemptOutcome::kConnectTimeout;
 }
 
 /// @brief Whether the outcome proves that the replica did not run the request.
--- a/src/traffic/replica_state.cc
+++ b/src/traffic/replica_state.cc
@@ -158,6 +158,7 @@
       RecordConsecutiveFailure(replica, now);
       break;
     case AttemptOutcome::kAbandoned:
+    case AttemptOutcome::kConnectTimeout:
       UpdateFailureShare(replica, true, now);
       // A timeout on one connection does not count towards ejection while the
       // replica responds on others.
--- a/tests/gateway/unsent_request_test.cc
+++ b/tests/gateway/unsent_request_test.cc
@@ -174,5 +174,33 @@
   CHECK(fixture.CountArrivals() == 0);
 }
 
+// Guards against callers that do not learn that their request has not run, and
+// against one that runs although they were told so.
+TEST_CASE("a request that could not be sent by its deadline is refused",
+          "[gateway][unsent]") {
+  UnsentFixture fixture(GENERATE("unsafe", "safe"));
+  const auto caller = fixture.Send("late", milliseconds(400));
+  REQUIRE(fixture.RunUntil([&] { return caller->result_.has_value(); }));
+  CHECK(caller->Status() == 503);
+  CHECK(fixture.CountArrivals() == 0);
+}
+
+// The same for a daemon that stops.
+TEST_CASE("a request that could not be sent before a shutdown is refused",
+          "[gateway][unsent]") {
+  UnsentFixture fixture("unsafe");
+  const auto caller = fixture.Send("late");
+  fixture.daemon_->traffic_.SetSettings([&] {
+    GatewayOptions options = fixture.daemon_->options_;
+    options.stop_grace_ = milliseconds(3600);
+    return options;
+  }());
+  fixture.daemon_->traffic_.Drain([] {});
+  REQUIRE(fixture.RunUntil([&] { return caller->result_.has_value(); }));
+  CHECK(http::EventLoop::Now() - caller->sent_ < kCallerTimeout);
+  CHECK(caller->Status() == 503);
+  CHECK(fixture.CountArrivals() == 0);
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
