Gateway: a request is not started if its caller left before it was read

A busy daemon read requests of callers that had closed their connections and sent them to replicas; a non-idempotent one ran for nobody.

Cause: the close stands behind the request and was read after the request had been started.

Change: the check that forwarded queries have is made for requests of callers as well.

Before: gateway_test [unsent] "a request is not sent if its caller left before it was read" fails for both kinds of route. After: it passes.

--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -192,6 +192,12 @@
 }
 
 void TrafficServer::OnRequest(const Caller& caller, http::HttpRequest request) {
+  if (caller->IsPeerClosed()) {
+    // The caller has left while its request waited for the CPU.
+    metrics_.queries_.Increment(traffic::QueryOutcome::kDisconnected);
+    caller->Close();
+    return;
+  }
   if (!fleet_.view_->configuration_) {
     RejectUnconfigured(context_, caller, request);
     return;
--- a/tests/gateway/unsent_request_test.cc
+++ b/tests/gateway/unsent_request_test.cc
@@ -202,5 +202,27 @@
   CHECK(fixture.CountArrivals() == 0);
 }
 
+// Guards against a request that is sent although its caller had left when the
+// daemon, which was busy, came to read it.
+TEST_CASE("a request is not sent if its caller left before it was read",
+          "[gateway][unsent]") {
+  UnsentFixture fixture(GENERATE("unsafe", "safe"));
+  fixture.server_->Accept();
+  const auto first = fixture.Send("first");
+  REQUIRE(fixture.RunUntil([&] { return first->result_.has_value(); }));
+  {
+    boost::asio::ip::tcp::socket caller(fixture.loop_.Context());
+    caller.connect({boost::asio::ip::make_address("127.0.0.1"),
+                    fixture.daemon_->options_.caller_listen_.port_});
+    boost::asio::write(caller,
+                       boost::asio::buffer(RequestOf("gone", kCallerTimeout)));
+  }
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.arrivals_.count("first") == 1);
+  CHECK(fixture.arrivals_.count("gone") == 0);
+  CHECK(fixture.daemon_->metrics_.queries_.Value(QueryOutcome::kDisconnected) ==
+        1);
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
