Traffic: decide again when a request that waited can be sent

Replicas got requests that had been allowed seconds before: in an evacuated failure domain, after they had left for good, during a pause that they had asked for, or more than their limits at once, when connections came about together.

Cause: the replica was chosen, and its limits were charged, before the wait for the connection; nothing was decided after it. Ruled out: requests on open connections, which are sent at once.

Change: ConfirmSend decides again when the connection can send and moves the request to that time in the limits. What must not be sent is withdrawn, and the query goes on elsewhere. A gone replica is no longer reported as ejected.

Before: gateway_test [unsent] with an evacuation fails: one arrival in the evacuated domain, none at the other replica.

--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -15,6 +15,7 @@
 #include "http/http_message.h"
 #include "logging/log.h"
 #include "traffic/aggregator_health.h"
+#include "traffic/confirm_send.h"
 
 namespace clementinerill::gateway {
 namespace {
@@ -225,8 +226,8 @@
   const auto self = shared_from_this();
   http::ExchangeRequest exchange =
       MakeReplicaExchange(request_, query_, context_.names_);
-  exchange.make_bytes_ = [self, replica = attempt.replica_] {
-    return self->RequestFor(*replica, http::EventLoop::Now());
+  exchange.make_bytes_ = [self, action] {
+    return self->RequestFor(action, http::EventLoop::Now());
   };
   const std::weak_ptr<QuerySession> weak = self;
   exchange.on_other_response_ =
@@ -242,14 +243,18 @@
                     });
 }
 
-std::optional<std::string> QuerySession::RequestFor(
-    const traffic::ReplicaState& replica,
-    Instant now) const {
-  if (!IsOpen() || now >= query_.deadline_) {
+std::optional<std::string> QuerySession::RequestFor(traffic::SendAction action,
+                                                    Instant now) {
+  if (IsOpen()) {
+    RecheckAccess(context_, query_);
+  }
+  if (!traffic::ConfirmSend(context_.fleet_, query_, action, now)) {
     return std::nullopt;
   }
-  return MakeReplicaRequest(request_, query_, replica.entry_, context_.names_,
-                            now);
+  const traffic::Attempt& attempt =
+      query_.parts_[action.part_].attempts_[action.attempt_];
+  return MakeReplicaRequest(request_, query_, attempt.replica_->entry_,
+                            context_.names_, now);
 }
 
 void QuerySession::OnExchange(traffic::SendAction action,
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -51,10 +51,10 @@
 
   void Step();
   void Send(traffic::SendAction action, Instant now);
-  /// Returns the bytes for a replica; none if the query has ended.
+  /// Returns the bytes of an attempt; none if it must not be sent any more.
   [[nodiscard]] std::optional<std::string> RequestFor(
-      const traffic::ReplicaState& replica,
-      Instant now) const;
+      traffic::SendAction action,
+      Instant now);
   void StartDelegations(Instant now);
   void StartDelegation(size_t index, int tries_left, Instant now);
   void OnDelegation(size_t index, int tries_left, ForwardResult result);
--- a/src/traffic/replica_eligibility.cc
+++ b/src/traffic/replica_eligibility.cc
@@ -13,12 +13,15 @@
   if (view.evacuated_.count(replica.entry_.failure_domain_) > 0) {
     return ReplicaEligibility::kEvacuated;
   }
+  const auto leaving = LeavingSince(replica);
+  if (leaving && now - *leaving >= view.leaving_grace_) {
+    return ReplicaEligibility::kGone;
+  }
   if (IsEjected(replica, now)) {
     return ReplicaEligibility::kEjected;
   }
-  if (const auto leaving = LeavingSince(replica)) {
-    return now - *leaving >= view.leaving_grace_ ? ReplicaEligibility::kGone
-                                                 : ReplicaEligibility::kLeaving;
+  if (leaving) {
+    return ReplicaEligibility::kLeaving;
   }
   return IsOnProbation(replica) ? ReplicaEligibility::kOnProbation
                                 : ReplicaEligibility::kUsable;
--- a/src/traffic/replica_state.cc
+++ b/src/traffic/replica_state.cc
@@ -87,11 +87,7 @@
 
 void RemoveSend(ReplicaState& replica, Instant sent) {
   RemoveOutstanding(replica, sent);
-  auto& sends = replica.recent_sends_;
-  const auto found = std::find(sends.begin(), sends.end(), sent);
-  if (found != sends.end()) {
-    sends.erase(found);
-  }
+  RemoveColdSend(replica, sent);
 }
 
 // Whether a response since `sent` has already shown the same stall.
@@ -108,6 +104,14 @@
   }
 }
 
+void RemoveColdSend(ReplicaState& replica, Instant sent) {
+  auto& sends = replica.recent_sends_;
+  const auto found = std::find(sends.begin(), sends.end(), sent);
+  if (found != sends.end()) {
+    sends.erase(found);
+  }
+}
+
 void CancelSend(ReplicaState& replica, Instant sent) {
   RemoveSend(replica, sent);
   if (replica.rate_limit_) {
--- a/src/traffic/replica_state.h
+++ b/src/traffic/replica_state.h
@@ -71,6 +71,9 @@
 /// place, and returns its permit and its part of the limit while cold.
 void CancelSend(ReplicaState& replica, Instant sent);
 
+/// @brief Removes a send from those that count for the limit while cold.
+void RemoveColdSend(ReplicaState& replica, Instant sent);
+
 /// @brief Records the outcome of an attempt that was sent at `sent`.
 ///
 /// `median_latency` is that of the route; zero if unknown.
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -10,6 +10,7 @@
 #include "traffic/attempt_outcome.h"
 #include "traffic/choose_replica.h"
 #include "traffic/cold_limit.h"
+#include "traffic/confirm_send.h"
 #include "traffic/connection_shares.h"
 #include "traffic/delegation.h"
 #include "traffic/departures.h"
--- a/tests/gateway/unsent_request_test.cc
+++ b/tests/gateway/unsent_request_test.cc
@@ -83,8 +83,10 @@
   }
 
   /// Adds a replica to which connections are established at once.
-  void AddReachableReplica() {
-    store_.Put("servers", "d1", replicas_[2]->Entry("hold"));
+  void AddReachableReplica(const std::string& domain) {
+    nlohmann::json entry = replicas_[2]->Entry("hold");
+    entry["zone"] = domain;
+    store_.Put("servers", "d1", entry);
     REQUIRE(
         RunUntil([this] { return daemon_->metrics_.replicas_.Value() == 4; }));
   }
@@ -161,7 +163,7 @@
 TEST_CASE("a request that is answered elsewhere first is not sent",
           "[gateway][unsent]") {
   UnsentFixture fixture("safe");
-  fixture.AddReachableReplica();
+  fixture.AddReachableReplica("z1");
   std::vector<std::unique_ptr<CallerRequest>> callers;
   for (int i = 0; i < 4; ++i) {
     callers.push_back(fixture.Send("id-" + std::to_string(i)));
@@ -174,6 +176,22 @@
   CHECK(fixture.CountArrivals() == 0);
 }
 
+// Guards against requests to an evacuated failure domain that were to be sent
+// before its evacuation, and against callers that are not served elsewhere
+// then.
+TEST_CASE("a request does not reach a domain evacuated while it waited",
+          "[gateway][unsent]") {
+  UnsentFixture fixture("unsafe");
+  const auto caller = fixture.Send("late");
+  fixture.AddReachableReplica("z2");
+  fixture.store_.Put("evacuations", "z1", nlohmann::json::object());
+  fixture.RunFor(milliseconds(100));
+  CHECK(fixture.CountArrivals() == 0);
+  REQUIRE(fixture.RunUntil([&] { return caller->result_.has_value(); }));
+  CHECK(caller->Status() == 200);
+  CHECK(fixture.replicas_[2]->requests_.size() == 1);
+}
+
 // Guards against callers that do not learn that their request has not run, and
 // against one that runs although they were told so.
 TEST_CASE("a request that could not be sent by its deadline is refused",
