Gateway: one check for callers that left before their request was read

The check stood twice in traffic_server.cc, and a request that it dropped left no log line. No change of what is sent; gateway_test [unsent] and [aggregation] pass.

--- a/src/gateway/caller_rejection.cc
+++ b/src/gateway/caller_rejection.cc
@@ -12,6 +12,22 @@
 
 }  // namespace
 
+bool DropIfCallerLeft(SessionContext& context,
+                      const std::shared_ptr<http::ServerConnection>& caller,
+                      const http::HttpRequest& request) {
+  if (!caller->IsPeerClosed()) {
+    return false;
+  }
+  static RateLimitedLogger lines;
+  context.metrics_.queries_.Increment(traffic::QueryOutcome::kDisconnected);
+  lines.Log(
+      http::EventLoop::Now(), LogLevel::kWarning, "query",
+      "dropped, caller left before it was read",
+      {{"id", http::FindHeader(request.headers_, context.names_.request_id_)}});
+  caller->Close();
+  return true;
+}
+
 void RejectUnconfigured(SessionContext& context,
                         const std::shared_ptr<http::ServerConnection>& caller,
                         const http::HttpRequest& request) {
--- a/src/gateway/caller_rejection.h
+++ b/src/gateway/caller_rejection.h
@@ -9,6 +9,13 @@
 
 namespace clementinerill::gateway {
 
+/// @brief Drops a request whose caller has closed the connection while the
+/// request waited to be read. Returns whether it was dropped.
+[[nodiscard]] bool DropIfCallerLeft(
+    SessionContext& context,
+    const std::shared_ptr<http::ServerConnection>& caller,
+    const http::HttpRequest& request);
+
 /// @brief Refuses a request because this daemon has no configuration yet.
 void RejectUnconfigured(SessionContext& context,
                         const std::shared_ptr<http::ServerConnection>& caller,
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -192,10 +192,7 @@
 }
 
 void TrafficServer::OnRequest(const Caller& caller, http::HttpRequest request) {
-  if (caller->IsPeerClosed()) {
-    // The caller has left while its request waited for the CPU.
-    metrics_.queries_.Increment(traffic::QueryOutcome::kDisconnected);
-    caller->Close();
+  if (DropIfCallerLeft(context_, caller, request)) {
     return;
   }
   if (!fleet_.view_->configuration_) {
@@ -346,9 +343,7 @@
                                http::FindHeader(request.headers_, "Host"),
                                request.target_)
           : nullptr;
-  if (caller->IsPeerClosed()) {
-    // Its daemon has turned elsewhere while the query waited for the CPU here.
-    caller->Close();
+  if (DropIfCallerLeft(context_, caller, request)) {
     return;
   }
   if (!header || !route || draining_ ||
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -25,7 +25,7 @@
   kNotSent,    ///< The connection failed before any byte was written.
   kBroken,     ///< The connection closed before the response was complete.
   kGarbled,    ///< Malformed, mismatched, too long or endless response.
-  kWithdrawn,  ///< Not sent: it was no longer wanted. See `make_bytes_`.
+  kWithdrawn,  ///< Not sent: `ExchangeRequest::make_bytes_` had no result.
 };
 
 /// @brief The limit because of which a response was cut off.
