Gateway tests: the late request always waits half a second

The test on the time that a late request states needs a wait of over 0.5 s, but took what was left of the first second of the connection: a daemon that became ready slowly would have failed it. It now waits before the replica accepts, for the same bound. Not seen to fail; found by reading. With it [unsent] passes.

--- a/tests/gateway/unsent_request_test.cc
+++ b/tests/gateway/unsent_request_test.cc
@@ -148,11 +148,11 @@
   constexpr Duration kMaxExcess = milliseconds(500);
   UnsentFixture fixture(GENERATE("unsafe", "safe"));
   const auto caller = fixture.Send("late");
+  fixture.RunFor(kMaxExcess);
   fixture.server_->Accept();
   REQUIRE(fixture.RunUntil([&] { return caller->result_.has_value(); }));
   CHECK(caller->Status() == 200);
   const auto& arrival = fixture.arrivals_.at("late");
-  REQUIRE(arrival.at_ - caller->sent_ > kMaxExcess);
   const milliseconds stated(
       std::stoi(FieldOf(arrival.head_, "X-Request-Deadline")));
   CHECK(arrival.at_ + stated <= caller->sent_ + kCallerTimeout + kMaxExcess);
