--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -27,6 +27,7 @@
 MACHINE = {"cpu_share": 0.25, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0}
 CALLER_LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                  "idle_timeout_ms": 15000}
+PAGE_ITEMS, PAGE_BYTES = 500, 1_048_576  # Of a list of the store; also of the events of a watch.
 ZONES = ("ub-bayanzurkh", "ub-khanuul", "ub-sukhbaatar")
 
 
@@ -135,16 +136,14 @@
 
     async def answer(self, method, target, body):
         url = urllib.parse.urlsplit(target)
-        query = dict(urllib.parse.parse_qsl(url.query))
+        query = dict(urllib.parse.parse_qsl(url.query, encoding="utf-8", errors="surrogateescape"))
         path = [urllib.parse.unquote(part) for part in url.path.split("/")[1:]]
         kind, name = path[1], path[2] if len(path) > 2 else None
         objects = self.kinds.setdefault(kind, {})
         if method == "GET" and name is None:
             if "watch" in query:
                 return await self.watch(kind, int(query["watch"]), int(query.get("wait_ms", "0")))
-            names = sorted(n for n in objects if n > query.get("after", ""))
-            return 200, {"items": [objects[n] for n in names[:500]], "has_more": len(names) > 500,
-                         "current_rev": self.revision}
+            return 200, self.page(objects, os.fsencode(query.get("after", "")))
         if method == "GET":
             return (200, objects[name]) if name in objects else (404, {})
         sent = json.loads(body) if body else {}
@@ -170,6 +169,17 @@
             return 200, objects[name]
         return 200, self.written(method, target, self.put(kind, name, sent.get("spec")))
 
+    def page(self, objects, after):
+        """Returns 500 items or about 1 MB at most, but one at least; names are compared as bytes."""
+        rest = sorted((n for n in objects if os.fsencode(n) > after), key=os.fsencode)
+        items, size = [], 0
+        for name in rest[:PAGE_ITEMS]:
+            size += len(json.dumps(objects[name]))
+            if items and size > PAGE_BYTES:
+                break
+            items.append(objects[name])
+        return {"items": items, "has_more": len(items) < len(rest), "current_rev": self.revision}
+
     def written(self, method, target, entry):
         if self.on_write:
             self.on_write(method, target, entry)
@@ -178,11 +188,18 @@
     async def watch(self, kind, since, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         while True:
-            events = [{"object": entry, "deleted": deleted}
-                      for rev, of, _, entry, deleted in self.events if rev > since and of == kind]
+            found = [event for event in self.events if event[0] > since and event[1] == kind]
             left = end - time.monotonic()
-            if events or left <= 0:
-                return 200, {"events": events, "current_rev": self.revision}
+            if found or left <= 0:
+                some, size = [], 0
+                for event in found:
+                    size += len(json.dumps(event[3]))
+                    if some and size > PAGE_BYTES:
+                        break
+                    some.append(event)
+                # The rest follows with the next watch.
+                revision = self.revision if len(some) == len(found) else some[-1][0]
+                return 200, {"events": [{"object": e[3], "deleted": e[4]} for e in some], "current_rev": revision}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
