HTTP: a length above the limit ends the response, not the process

Cause: Boost.Beast 1.74 compares the length with body_limit and ends the head with an error. An eager parser goes on in the same call with the bytes that follow, forgets the error at the start of the body and reserves the length.

Change: head and body are parsed by separate calls (ParseSome), so that the error ends the response. Requests were sound: their parser stays in the head and keeps the error; a test holds it.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -8,6 +8,7 @@
 #include "base/release_memory.h"
 #include "base/response_status.h"
 #include "http/body_framing.h"
+#include "http/parse_some.h"
 #include "http/parsed_headers.h"
 #include "http/socket_options.h"
 
@@ -105,7 +106,6 @@
 void ClientConnection::ResetParser() {
   parser_.emplace();
   parser_->body_limit(max_response_bytes_);
-  parser_->eager(true);
   parser_->skip(request_.is_head_);
 }
 
@@ -206,8 +206,7 @@
 void ClientConnection::Parse() {
   while (!closed_ && busy_ && !input_.empty()) {
     error_code error;
-    const size_t used = parser_->put(asio::buffer(input_), error);
-    input_.erase(0, used);
+    const size_t used = ParseSome(*parser_, input_, error);
     if (HasImpossibleStatus(*parser_)) {
       Finish(ExchangeOutcome::kGarbled);
       return;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -11,6 +11,7 @@
 #include "http/forward_declarations.h"
 #include "http/http_message.h"
 #include "http/listener.h"
+#include "http/parse_some.h"
 #include "http/parsed_headers.h"
 #include "http/request_error.h"
 #include "http/request_head.h"
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -7,6 +7,7 @@
 
 #include "base/release_memory.h"
 #include "http/body_framing.h"
+#include "http/parse_some.h"
 #include "http/parsed_headers.h"
 #include "http/socket_options.h"
 #include "logging/log.h"
@@ -88,7 +89,6 @@
   parser_.emplace();
   parser_->header_limit(limits_.max_header_bytes_);
   parser_->body_limit(limits_.max_body_bytes_);
-  parser_->eager(true);
   header_checked_ = false;
   continue_sent_ = false;
 }
@@ -138,8 +138,7 @@
 void ServerConnection::Parse() {
   while (!closed_ && !serving_ && !writing_ && !input_.empty()) {
     error_code error;
-    const size_t used = parser_->put(asio::buffer(input_), error);
-    input_.erase(0, used);
+    const size_t used = ParseSome(*parser_, input_, error);
     if (error && error != boost::beast::http::error::need_more) {
       Reject(ErrorOf(error));
       return;
--- a/tests/http/client_connection_test.cc
+++ b/tests/http/client_connection_test.cc
@@ -184,6 +184,50 @@
   CHECK(exchange.Run("1").outcome_ == ExchangeOutcome::kGarbled);
 }
 
+// Guards against a length in a head that ends the process: memory for it is
+// reserved before the length is compared with the limit.
+TEST_CASE("a length above the limit is cut off, whatever follows it",
+          "[client][length]") {
+  const auto framing = GENERATE(values<std::string>(
+      {"Content-Length: 1001\r\n\r\n", "Content-Length: 16777217\r\n\r\n",
+       "Content-Length: 1000000000000000\r\n\r\n",
+       "Content-Length: 9223372036854775807\r\n\r\n",
+       "Content-Length: 18446744073709551615\r\n\r\n",
+       "Transfer-Encoding: chunked\r\n\r\n38d7ea4c68000\r\n",
+       "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"}));
+  const auto body =
+      GENERATE(values<std::string>({"", "x", std::string(999, 'x')}));
+  const bool is_closed = GENERATE(false, true);
+  INFO(framing << body.size() << " bytes, closed: " << is_closed);
+  Exchange exchange([&](const std::string&) {
+    return TestServer::Reply{"HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + framing + body,
+                             is_closed};
+  });
+  const ExchangeResult result = exchange.Run("1");
+  CHECK(result.outcome_ == ExchangeOutcome::kGarbled);
+  CHECK(exchange.connection_->IsClosed());
+}
+
+// Guards against the same in calls of the store, of relays and of daemons.
+TEST_CASE("a call gets no response from a length above the limit",
+          "[client][length]") {
+  EventLoop loop;
+  TestServer server(loop, [](const std::string&) {
+    return TestServer::Reply{
+        "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000\r\n\r\nbody",
+        false};
+  });
+  Client client(loop, "127.0.0.1", server.Port());
+  ClientRequest request;
+  request.target_ = "/";
+  request.timeout_ = std::chrono::seconds(60);
+  std::optional<ClientResponse> response;
+  client.Call(std::move(request),
+              [&response](ClientResponse r) { response = std::move(r); });
+  REQUIRE(RunUntil(loop, [&response] { return response.has_value(); }));
+  CHECK(response->status_ == 0);
+}
+
 // Guards against a response that exhausts the memory of a VM.
 TEST_CASE("a response above the size limit is reported as garbled",
           "[client]") {
--- a/tests/http/server_connection_test.cc
+++ b/tests/http/server_connection_test.cc
@@ -116,6 +116,24 @@
   CHECK(server.ReadUntil("413").find("HTTP/1.1 413") == 0);
 }
 
+// Guards against memory for a length that no request may have, and against
+// bytes after the head that are taken for header fields.
+TEST_CASE("a length above the limit is rejected, whatever follows it",
+          "[caller][length]") {
+  const auto length = GENERATE(
+      values<std::string>({"1048577", "1000000000000000", "9223372036854775807",
+                           "18446744073709551615"}));
+  const auto body = GENERATE(values<std::string>(
+      {"x", "{}", "a: b\r\n", "a: b\r\n\r\n", std::string(3000, 'x'),
+       "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"}));
+  INFO(length << ", then " << body);
+  Server server;
+  server.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + length +
+              "\r\n\r\n" + body);
+  CHECK(server.ReadUntil("413").find("HTTP/1.1 413") == 0);
+  CHECK(server.requests_.empty());
+}
+
 // Guards against a shutdown that cuts off a request in progress, and against
 // idle connections that keep a stopping process alive.
 TEST_CASE("draining closes idle connections only", "[caller]") {
