HTTP: the memory of a body follows the bytes that have arrived

A replica that announces 16 MB and sends one byte takes 16 MiB of address space from the daemon, once for each connection: 300 requests at once took 4.8 GB. The limit for the sum of responses counts received bytes and saw nothing.

Cause: string_body of Boost.Beast reserves the announced length when the head is complete. Ruled out: the budgets of responses and requests, which count what has arrived.

Change: a body type of our own that appends, for responses and requests alike; its capacity is at most twice what has arrived.

Measured: gateway_test "announced lengths take no memory": 4,806,749,072 bytes allocated beyond the start before, at most 160,000,000 allowed; passes now. http_test [length] passes.

--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -10,12 +10,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "base/buffer_budget.h"
 #include "base/name_table.h"
 #include "http/event_loop.h"
 #include "http/http_message.h"
+#include "http/received_body.h"
 
 namespace clementinerill::http {
 
@@ -129,8 +129,7 @@
   [[nodiscard]] Instant LastUse() const noexcept { return last_use_; }
 
  private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
   void Connect();
   void Read();
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -13,6 +13,7 @@
 #include "http/listener.h"
 #include "http/parse_some.h"
 #include "http/parsed_headers.h"
+#include "http/received_body.h"
 #include "http/request_error.h"
 #include "http/request_head.h"
 #include "http/server_connection.h"
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -10,7 +10,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "base/buffer_budget.h"
 #include "base/caller_limits.h"
@@ -18,6 +17,7 @@
 #include "http/connection_use.h"
 #include "http/event_loop.h"
 #include "http/http_message.h"
+#include "http/received_body.h"
 #include "http/request_error.h"
 #include "http/request_head.h"
 
@@ -125,8 +125,7 @@
   [[nodiscard]] Instant RequestStart() const noexcept { return request_start_; }
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<ReceivedBody>;
 
   void ResetParser();
   void Read();
--- a/tests/gateway/length_test.cc
+++ b/tests/gateway/length_test.cc
@@ -1,3 +1,8 @@
+#include <malloc.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -9,6 +14,9 @@
 namespace clementinerill::gateway {
 namespace {
 
+// Memory of the smallest VMs, for which a daemon is set up by default.
+constexpr uint64_t kMemoryBytes = 160'000'000;
+
 /// A daemon, and a replica that answers with bytes that the test chooses.
 struct OddReplicaFixture : GatewayFixture {
   explicit OddReplicaFixture(http::TestServer::Reply reply)
@@ -84,5 +92,43 @@
   CHECK(fixture.odd_requests_ < kSweeps / 4);
 }
 
+// Guards against replicas that take the memory of a VM by announcing bodies, on
+// hundreds of connections at once, whose bytes never come.
+TEST_CASE("announced lengths take no memory", "[gateway][length]") {
+  OddReplicaFixture fixture({HeadWithLength("16000000") + "x", false});
+  for (int i = 1; i <= 30; ++i) {
+    fixture.AddOddReplica("c" + std::to_string(i), "hold");
+  }
+  Daemon& daemon = fixture.StartReady();
+  const Endpoint& endpoint = daemon.options_.caller_listen_;
+  const auto allocated = [] {
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+  };
+  const size_t before = allocated();
+  size_t most = before;
+  constexpr int kCalls = 300;
+  int ended = 0;
+  std::vector<std::shared_ptr<http::ClientConnection>> calls;
+  for (int i = 0; i < kCalls; ++i) {
+    http::ExchangeRequest request;
+    request.bytes_ =
+        "GET /h5/1 HTTP/1.1\r\nHost: hold.example\r\nX-Request-Id: call-" +
+        std::to_string(i) + "\r\nX-Request-Deadline: 800\r\n\r\n";
+    calls.push_back(std::make_shared<http::ClientConnection>(
+        fixture.loop_, endpoint.address_, endpoint.port_, 1 << 20));
+    calls.back()->Start(std::move(request),
+                        [&ended](const auto& /*result*/) { ++ended; });
+  }
+  fixture.RunUntil([&] {
+    most = std::max(most, allocated());
+    return ended == kCalls;
+  });
+  CHECK(ended == kCalls);
+  CHECK(fixture.odd_requests_ > 200);
+  CHECK(most - before < kMemoryBytes);
+  CHECK(fixture.FanOut(daemon).status_ == 200);
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
