HTTP: an exception ends one exchange, not the process

Whatever a handler throws left the event loop and ended the process, with all requests of all callers; std::bad_alloc can come from every line.

Cause: no handler was contained, and a loop that ended by an exception did not run on. Ruled out as a cure: catching in EventLoop::Run alone. It keeps the process, but the exchange that was left halfway never ends, timers stay unarmed and a listener stops accepting.

Change: HandlerGuard runs each handler, logs and counts what leaves it, and lets its owner end what is halfway: a connection to another process ends as broken, or as not sent if no byte was; a request that had not reached its handler is refused with 503, one that had ends with 500; other timers run, periodic ones (AddPeriodic) go on and take no memory; a listener accepts again with its next tick. A handler of Client that throws is called once more, so that control loops try again.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -24,7 +24,20 @@
 
 void Client::Call(ClientRequest request,
                   std::function<void(ClientResponse)> handler) {
+  timeout_ = loop_.Timers().Add(EventLoop::Now() + request.timeout_, [this] {
+    timeout_.reset();
+    if (connection_) {
+      connection_->Close();
+    }
+    Finish({});
+  });
   handler_ = std::move(handler);
+  // A request that cannot be sent for lack of memory ends with the timeout.
+  loop_.Guard().Run(HandlerKind::kCall,
+                    [this, &request] { Send(std::move(request)); });
+}
+
+void Client::Send(ClientRequest request) {
   if (!connection_ || !connection_->IsReusable()) {
     connection_ = std::make_shared<ClientConnection>(loop_, address_, port_,
                                                      kMaxResponseBytes);
@@ -43,11 +56,6 @@
   }
   ExchangeRequest exchange;
   exchange.bytes_ = ToBytes(message);
-  timeout_ = loop_.Timers().Add(EventLoop::Now() + request.timeout_, [this] {
-    timeout_.reset();
-    connection_->Close();
-    Finish({});
-  });
   connection_->Start(std::move(exchange), [this](ExchangeResult result) {
     if (result.outcome_ == ExchangeOutcome::kResponse) {
       Finish({result.response_.status_, std::move(result.response_.body_),
@@ -75,10 +83,19 @@
 
 void Client::Finish(ClientResponse response) {
   StopTimer();
-  const auto handler = std::move(handler_);
-  handler_ = nullptr;
-  if (handler) {
-    handler(std::move(response));
+  const Handler handler = std::exchange(handler_, nullptr);
+  if (!handler) {
+    return;
+  }
+  const HandlerGuard& guard = loop_.Guard();
+  const bool has_ended =
+      guard.TryRun(HandlerKind::kCall, [&] { handler(std::move(response)); });
+  if (!has_ended && !handler_) {
+    guard.Run(HandlerKind::kCall, [&] {
+      ClientResponse failed;
+      failed.handler_failed_ = true;
+      handler(std::move(failed));
+    });
   }
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -31,6 +31,9 @@
   int status_ = 0;
   std::string body_;
   Headers headers_ = {};
+  /// Whether the handler has thrown an exception when it was called with the
+  /// response that was received; the status is 0 then.
+  bool handler_failed_ = false;
 };
 
 /// @brief Describes a failed request for a log line.
@@ -46,16 +49,23 @@
   Client& operator=(const Client&) = delete;
 
   /// @brief Sends a request; `handler` is called once unless `Cancel` is called
-  /// first.
+  /// first. If it throws an exception before it calls `Call`, it is called once
+  /// more with `ClientResponse::handler_failed_`, so that it can try again.
   ///
   /// Must not be called while another request is in progress. On a timeout the
   /// connection is closed.
   void Call(ClientRequest request, std::function<void(ClientResponse)> handler);
 
+  /// @brief Whether a request is in progress.
+  [[nodiscard]] bool IsBusy() const noexcept { return handler_ != nullptr; }
+
   /// @brief Abandons the request in progress and closes its connection.
   void Cancel();
 
  private:
+  using Handler = std::function<void(ClientResponse)>;
+
+  void Send(ClientRequest request);
   void Finish(ClientResponse response);
   void StopTimer();
 
@@ -63,7 +73,7 @@
   const std::string address_;
   const uint16_t port_;
   std::shared_ptr<ClientConnection> connection_;
-  std::function<void(ClientResponse)> handler_;
+  Handler handler_;
   std::optional<TimerQueue::Id> timeout_;
 };
 
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -60,8 +60,7 @@
   socket_.open(endpoint_.protocol(), error);
   if (error) {
     // For example out of file descriptors: reported like a refused connection.
-    const auto self = shared_from_this();
-    loop_.Post([self] { self->Finish(ExchangeOutcome::kNotSent); });
+    Post(&ClientConnection::OnConnectionEnd);
     return;
   }
   SetNoDelay(socket_);
@@ -71,23 +70,44 @@
   connecting_ = true;
   const auto self = shared_from_this();
   socket_.async_connect(endpoint_, [self](const error_code& failed) {
-    self->connecting_ = false;
-    if (self->closed_) {
-      return;
-    }
-    if (failed) {
-      self->Finish(ExchangeOutcome::kNotSent);
-      return;
-    }
-    self->connected_ = true;
-    self->socket_.non_blocking(true);
-    if (self->busy_) {
-      self->Write();
-    }
-    self->Read();
+    self->Contain([&] { self->OnConnected(failed); });
   });
 }
 
+void ClientConnection::OnConnected(const error_code& error) {
+  connecting_ = false;
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    Finish(ExchangeOutcome::kNotSent);
+    return;
+  }
+  connected_ = true;
+  socket_.non_blocking(true);
+  if (busy_) {
+    Write();
+  }
+  Read();
+}
+
+void ClientConnection::Post(void (ClientConnection::*task)()) {
+  const auto self = shared_from_this();
+  loop_.Post([self, task] { self->Contain([&] { (*self.*task)(); }); });
+}
+
+// What has been received is released first: there may be no memory left.
+void ClientConnection::OnException() {
+  parser_.reset();
+  ReleaseMemory(input_);
+  reusable_ = false;
+  if (busy_) {
+    Finish(sent_ ? ExchangeOutcome::kBroken : ExchangeOutcome::kNotSent);
+  } else {
+    CloseSocket();
+  }
+}
+
 void ClientConnection::Start(ExchangeRequest request, Handler handler) {
   request_ = std::move(request);
   handler_ = std::move(handler);
@@ -113,13 +133,8 @@
   if (request_.make_bytes_) {
     auto bytes = std::exchange(request_.make_bytes_, nullptr)();
     if (!bytes) {
-      const auto self = shared_from_this();
       // The handler must not run inside `Start`.
-      loop_.Post([self] {
-        if (self->busy_) {
-          self->Finish(ExchangeOutcome::kWithdrawn);
-        }
-      });
+      Post(&ClientConnection::OnWithdrawn);
       return;
     }
     request_.bytes_ = std::move(*bytes);
@@ -129,9 +144,8 @@
   written_ = error ? 0 : bytes;
   sent_ = sent_ || written_ > 0;
   if (error && error != asio::error::would_block) {
-    const auto self = shared_from_this();
     // The handler must not run inside `Start`.
-    loop_.Post([self] { self->OnConnectionEnd(); });
+    Post(&ClientConnection::OnConnectionEnd);
     return;
   }
   if (written_ < request_.bytes_.size()) {
@@ -157,12 +171,13 @@
 
 void ClientConnection::Read() {
   const auto self = shared_from_this();
-  socket_.async_read_some(asio::buffer(read_buffer_),
-                          [self](const error_code& error, size_t bytes) {
-                            if (!self->closed_) {
-                              self->OnRead(error, bytes);
-                            }
-                          });
+  socket_.async_read_some(
+      asio::buffer(read_buffer_),
+      [self](const error_code& error, size_t bytes) {
+        if (!self->closed_) {
+          self->Contain([&] { self->OnRead(error, bytes); });
+        }
+      });
 }
 
 void ClientConnection::OnRead(const error_code& error, size_t bytes) {
@@ -195,6 +210,12 @@
   }
 }
 
+void ClientConnection::OnWithdrawn() {
+  if (busy_) {
+    Finish(ExchangeOutcome::kWithdrawn);
+  }
+}
+
 void ClientConnection::OnConnectionEnd() {
   if (busy_) {
     Finish(sent_ ? ExchangeOutcome::kBroken : ExchangeOutcome::kNotSent);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -89,7 +89,8 @@
   /// @brief Starts an exchange; `handler` is called once unless `Close` is
   /// called first.
   ///
-  /// Must not be called while another exchange is in progress.
+  /// Must not be called while another exchange is in progress. After an
+  /// exception, such as `std::bad_alloc`, the caller ends it by `Close`.
   void Start(ExchangeRequest request, Handler handler);
 
   /// @brief Closes the connection and abandons the exchange in progress without
@@ -129,13 +130,24 @@
   [[nodiscard]] Instant LastUse() const noexcept { return last_use_; }
 
  private:
+  /// Runs a handler of the event loop; an exception ends the exchange.
+  template <typename Task>
+  void Contain(Task&& task) {
+    loop_.Guard().Run(HandlerKind::kExchange, task, [this] { OnException(); });
+  }
+  void OnException();
+  /// Runs a member function later in the same way.
+  void Post(void (ClientConnection::*task)());
+
   using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
   void Connect();
+  void OnConnected(const boost::system::error_code& error);
   void Read();
   void Write();
   void WriteRest();
   void OnRead(const boost::system::error_code& error, size_t bytes);
+  void OnWithdrawn();
   void OnConnectionEnd();
   void Parse();
   void ResetParser();
--- a/src/http/event_loop.h
+++ b/src/http/event_loop.h
@@ -11,6 +11,7 @@
 
 #include "base/boot_instant.h"
 #include "base/time.h"
+#include "http/handler_guard.h"
 #include "http/timer_queue.h"
 
 namespace clementinerill::http {
@@ -18,10 +19,13 @@
 /// @brief The event loop of one thread, with its sockets and timers.
 class EventLoop {
  public:
-  EventLoop() : context_(1), timers_(context_) {}
+  EventLoop() : context_(1), timers_(context_, guard_) {}
 
   [[nodiscard]] boost::asio::io_context& Context() noexcept { return context_; }
   [[nodiscard]] TimerQueue& Timers() noexcept { return timers_; }
+  /// @brief Runs the handlers of this loop, so that an exception in one of them
+  /// ends neither the process nor the other handlers.
+  [[nodiscard]] HandlerGuard& Guard() noexcept { return guard_; }
 
   /// @brief The current time, to be passed to decision functions, which never
   /// read a clock themselves.
@@ -38,13 +42,18 @@
 
   /// @brief Runs `task` on the thread of the loop. Thread-safe.
   void Post(std::function<void()> task) {
-    boost::asio::post(context_, std::move(task));
+    boost::asio::post(context_, [this, task = std::move(task)] {
+      guard_.Run(HandlerKind::kTask, task);
+    });
   }
 
   /// @brief Processes events until `Stop` is called.
   void Run() {
     const auto work = boost::asio::make_work_guard(context_);
-    context_.run();
+    // Returns early only if an exception has left a handler.
+    while (!context_.stopped()) {
+      guard_.Run(HandlerKind::kLoop, [this] { context_.run(); });
+    }
   }
 
   /// @brief Makes `Run` return. Thread-safe.
@@ -52,6 +61,7 @@
 
  private:
   boost::asio::io_context context_;
+  HandlerGuard guard_;
   TimerQueue timers_;
 };
 
--- a/src/http/forward_declarations.h
+++ b/src/http/forward_declarations.h
@@ -5,6 +5,7 @@
 
 class ClientConnection;
 class EventLoop;
+class HandlerGuard;
 class Listener;
 class ServerConnection;
 class TimerQueue;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -9,6 +9,7 @@
 #include "http/connection_use.h"
 #include "http/event_loop.h"
 #include "http/forward_declarations.h"
+#include "http/handler_guard.h"
 #include "http/http_message.h"
 #include "http/listener.h"
 #include "http/parse_some.h"
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -65,29 +65,38 @@
     AcceptLater();
     return;
   }
-  acceptor_.async_accept(
-      [this](const error_code& error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
-          return;
-        }
-        if (error) {
-          OnAcceptFailed(error);
-          return;
-        }
-        if (connections_.size() >= max_connections_) {
-          CloseOneForRoom();
-        }
-        Open(std::move(socket));
-        Accept();
-      });
+  acceptor_.async_accept([this](const error_code& error,
+                                asio::ip::tcp::socket socket) {
+    if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+      return;
+    }
+    is_accepting_ = loop_.Guard().TryRun(
+        HandlerKind::kAccept, [&] { OnAccepted(error, std::move(socket)); });
+  });
+  is_accepting_ = true;
+}
+
+void Listener::OnAccepted(const error_code& error,
+                          asio::ip::tcp::socket socket) {
+  if (error) {
+    OnAcceptFailed(error);
+    return;
+  }
+  if (connections_.size() >= max_connections_) {
+    CloseOneForRoom();
+  }
+  loop_.Guard().Run(HandlerKind::kAccept, [&] { Open(std::move(socket)); });
+  Accept();
 }
 
 void Listener::AcceptLater() {
   loop_.Timers().Add(EventLoop::Now() + kAcceptRetryDelay, [this] {
     if (acceptor_.is_open()) {
+      is_accepting_ = false;
       Accept();
     }
   });
+  is_accepting_ = true;
 }
 
 void Listener::OnAcceptFailed(const error_code& error) {
@@ -103,13 +112,19 @@
   const auto connection = std::make_shared<ServerConnection>(
       loop_, std::move(socket), limits_, handler_);
   connections_.push_back(connection);
-  connection->SetRequestBudget(request_budget_);
-  connection->SetResponseBudget(response_budget_,
-                                [this] { return DropLeastRecentlyRead(); });
-  connection->SetOnReject(on_reject_);
-  connection->SetRejection(make_rejection_);
-  connection->SetHeadCheck(head_check_);
-  connection->Start();
+  loop_.Guard().Run(
+      HandlerKind::kAccept, [&] { Start(*connection); },
+      [&] { connection->Close(); });
+}
+
+void Listener::Start(ServerConnection& connection) {
+  connection.SetRequestBudget(request_budget_);
+  connection.SetResponseBudget(response_budget_,
+                               [this] { return DropLeastRecentlyRead(); });
+  connection.SetOnReject(on_reject_);
+  connection.SetRejection(make_rejection_);
+  connection.SetHeadCheck(head_check_);
+  connection.Start();
 }
 
 bool Listener::HasRoom() {
@@ -178,9 +193,15 @@
 
 void Listener::CheckTimeouts(bool draining, Instant now) {
   for (const auto& connection : connections_) {
-    connection->CheckTimeouts(limits_, draining, now);
+    loop_.Guard().Run(
+        HandlerKind::kRequest,
+        [&] { connection->CheckTimeouts(limits_, draining, now); },
+        [&] { connection->Close(); });
   }
   RemoveClosed();
+  if (!is_accepting_ && acceptor_.is_open()) {
+    Accept();
+  }
 }
 
 size_t Listener::CountServing() const {
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -81,8 +81,11 @@
 
   void Accept();
   void AcceptLater();
+  void OnAccepted(const boost::system::error_code& error,
+                  boost::asio::ip::tcp::socket socket);
   void OnAcceptFailed(const boost::system::error_code& error);
   void Open(boost::asio::ip::tcp::socket socket);
+  void Start(ServerConnection& connection);
   [[nodiscard]] bool HasRoom();
   [[nodiscard]] Connections::iterator FindConnectionToClose();
   bool CloseOneForRoom();
@@ -100,6 +103,9 @@
   std::function<HttpResponse(RequestError)> make_rejection_;
   size_t max_connections_ = std::numeric_limits<size_t>::max();
   uint64_t closed_for_room_ = 0;
+  /// Whether a connection or the end of a delay is awaited. An exception may
+  /// end both; `CheckTimeouts` begins again.
+  bool is_accepting_ = false;
   Connections connections_;
 };
 
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -99,23 +99,19 @@
   }
   reading_ = true;
   const auto self = shared_from_this();
-  socket_.async_read_some(asio::buffer(read_buffer_),
-                          [self](const error_code& error, size_t bytes) {
-                            self->reading_ = false;
-                            if (!self->closed_) {
-                              self->OnRead(error, bytes);
-                            }
-                          });
+  socket_.async_read_some(
+      asio::buffer(read_buffer_),
+      [self](const error_code& error, size_t bytes) {
+        self->reading_ = false;
+        if (!self->closed_) {
+          self->Contain([&] { self->OnRead(error, bytes); });
+        }
+      });
 }
 
 void ServerConnection::OnRead(const error_code& error, size_t bytes) {
   if (error) {
-    const auto callback = std::move(on_disconnect_);
-    on_disconnect_ = nullptr;
-    Close();
-    if (callback) {
-      callback();
-    }
+    Disconnect();
     return;
   }
   if (discarding_) {
@@ -135,6 +131,31 @@
   }
 }
 
+void ServerConnection::Disconnect() {
+  const auto callback = std::move(on_disconnect_);
+  on_disconnect_ = nullptr;
+  Close();
+  if (callback) {
+    callback();
+  }
+}
+
+// A request that has not reached the handler has not run, so it is refused.
+// Whoever serves one that has is told that its client is gone.
+void ServerConnection::OnException() {
+  if (closed_) {
+    return;
+  }
+  if (serving_ || writing_) {
+    Disconnect();
+    return;
+  }
+  if (!loop_.Guard().TryRun(HandlerKind::kRequest,
+                            [this] { Reject(RequestError::kNoMemory); })) {
+    Close();
+  }
+}
+
 void ServerConnection::Parse() {
   while (!closed_ && !serving_ && !writing_ && !input_.empty()) {
     error_code error;
@@ -222,7 +243,13 @@
   is_head_ = request.method_ == "HEAD";
   serving_ = true;
   ResetParser();
-  handler_(shared_from_this(), std::move(request));
+  const auto self = shared_from_this();
+  const bool has_ended = loop_.Guard().TryRun(
+      HandlerKind::kRequest, [&] { handler_(self, std::move(request)); });
+  if (!has_ended) {
+    // It may have run: no promise that it has not.
+    Respond({500, {}, {}, false}, true);
+  }
 }
 
 // What else was received is dropped: its beginning is not known for certain.
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -125,11 +125,20 @@
   [[nodiscard]] Instant RequestStart() const noexcept { return request_start_; }
 
  private:
+  /// Runs a handler of the event loop; an exception ends the request, and the
+  /// connection with it.
+  template <typename Task>
+  void Contain(Task&& task) {
+    loop_.Guard().Run(HandlerKind::kRequest, task, [this] { OnException(); });
+  }
+  void OnException();
+
   using Parser = boost::beast::http::request_parser<ReceivedBody>;
 
   void ResetParser();
   void Read();
   void OnRead(const boost::system::error_code& error, size_t bytes);
+  void Disconnect();
   void Parse();
   void DispatchRequest();
   [[nodiscard]] std::optional<RequestError> CheckHeader();
@@ -138,6 +147,9 @@
   [[nodiscard]] uint64_t BufferedBytes() const;
   void Write(std::string bytes, bool close);
   void WriteRest(bool close);
+  void OnWrittenSome(const boost::system::error_code& error,
+                     size_t bytes,
+                     bool close);
   void HoldResponse();
   void OnWritten(bool close);
   [[nodiscard]] bool IsIdle() const noexcept;
--- a/src/http/server_connection_write.cc
+++ b/src/http/server_connection_write.cc
@@ -24,7 +24,10 @@
   static_cast<void>(request_hold_.TryResize(BufferedBytes()));
   on_disconnect_ = nullptr;
   const bool closes = close || !keep_alive_;
-  Write(ToBytes(response, closes, is_head_), closes);
+  loop_.Guard().Run(
+      HandlerKind::kRequest,
+      [&] { Write(ToBytes(response, closes, is_head_), closes); },
+      [this] { Close(); });
 }
 
 void ServerConnection::SendInterim(int status) {
@@ -55,7 +58,8 @@
   sent_ = socket_.write_some(asio::buffer(output_), error);
   if (!error && sent_ == output_.size()) {
     // Posted, so that the next request is not dispatched from within `Respond`.
-    loop_.Post([self, close] { self->OnWritten(close); });
+    loop_.Post(
+        [self, close] { self->Contain([&] { self->OnWritten(close); }); });
     return;
   }
   if (error && error != asio::error::would_block) {
@@ -80,23 +84,29 @@
   socket_.async_write_some(
       asio::buffer(output_.data() + sent_, output_.size() - sent_),
       [self, close](const error_code& error, size_t bytes) {
-        if (self->closed_) {
-          return;
-        }
-        if (error) {
-          self->Close();
-          return;
-        }
-        self->sent_ += bytes;
-        self->last_progress_ = EventLoop::Now();
-        if (self->sent_ == self->output_.size()) {
-          self->OnWritten(close);
-        } else {
-          self->WriteRest(close);
-        }
+        self->Contain([&] { self->OnWrittenSome(error, bytes, close); });
       });
 }
 
+void ServerConnection::OnWrittenSome(const error_code& error,
+                                     size_t bytes,
+                                     bool close) {
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  sent_ += bytes;
+  last_progress_ = EventLoop::Now();
+  if (sent_ == output_.size()) {
+    OnWritten(close);
+  } else {
+    WriteRest(close);
+  }
+}
+
 void ServerConnection::DropResponse(Instant now) {
   static RateLimitedLogger lines;
   lines.Log(now, LogLevel::kWarning, "caller", "response dropped, not read",
--- a/src/http/timer_queue.cc
+++ b/src/http/timer_queue.cc
@@ -1,11 +1,21 @@
 #include "http/timer_queue.h"
 
+#include <utility>
+
 namespace clementinerill::http {
 
 TimerQueue::Id TimerQueue::Add(Instant at, std::function<void()> callback) {
+  return Insert(at, {std::move(callback), Duration::zero()});
+}
+
+void TimerQueue::AddPeriodic(Duration period, std::function<void()> callback) {
+  Insert(Instant::clock::now() + period, {std::move(callback), period});
+}
+
+TimerQueue::Id TimerQueue::Insert(Instant at, Timer timer) {
   const Id id{at, next_id_++};
-  callbacks_.emplace(id, std::move(callback));
-  Arm();
+  callbacks_.emplace(id, std::move(timer));
+  TryArm();
   return id;
 }
 
@@ -14,6 +24,11 @@
   callbacks_.erase(id);
 }
 
+// Without memory to arm the timer, the next call does it.
+void TimerQueue::TryArm() {
+  guard_.Run(HandlerKind::kTimer, [this] { Arm(); });
+}
+
 void TimerQueue::Arm() {
   if (callbacks_.empty()) {
     return;
@@ -22,7 +37,6 @@
   if (first >= armed_for_) {
     return;
   }
-  armed_for_ = first;
   timer_.expires_at(first);
   timer_.async_wait([this](const boost::system::error_code& error) {
     // An error means that the wait was cancelled by rearming for an earlier
@@ -31,17 +45,22 @@
       RunDue();
     }
   });
+  armed_for_ = first;
 }
 
 void TimerQueue::RunDue() {
   armed_for_ = Instant::max();
   const Instant now = Instant::clock::now();
   while (!callbacks_.empty() && callbacks_.begin()->first.first <= now) {
-    const auto callback = std::move(callbacks_.begin()->second);
-    callbacks_.erase(callbacks_.begin());
-    callback();
+    // The node is inserted again, which takes no memory.
+    auto node = callbacks_.extract(callbacks_.begin());
+    guard_.Run(HandlerKind::kTimer, node.mapped().callback_);
+    if (node.mapped().period_ > Duration::zero()) {
+      node.key() = {now + node.mapped().period_, next_id_++};
+      callbacks_.insert(std::move(node));
+    }
   }
-  Arm();
+  TryArm();
 }
 
 }  // namespace clementinerill::http
--- a/src/http/timer_queue.h
+++ b/src/http/timer_queue.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/time.h"
+#include "http/handler_guard.h"
 
 namespace clementinerill::http {
 
@@ -21,20 +22,33 @@
  public:
   using Id = std::pair<Instant, uint64_t>;
 
-  explicit TimerQueue(boost::asio::io_context& context) : timer_(context) {}
+  TimerQueue(boost::asio::io_context& context, const HandlerGuard& guard)
+      : guard_(guard), timer_(context) {}
 
   /// @brief Schedules `callback` to run at `at` or shortly after.
   Id Add(Instant at, std::function<void()> callback);
 
+  /// @brief Runs `callback` after each `period`. An exception in it, or a lack
+  /// of memory, ends only that call.
+  void AddPeriodic(Duration period, std::function<void()> callback);
+
   /// @brief Removes a callback; does nothing if it has already run.
   void Cancel(const Id& id);
 
  private:
+  struct Timer {
+    std::function<void()> callback_;
+    Duration period_{};  ///< Zero: runs once.
+  };
+
+  Id Insert(Instant at, Timer timer);
+  void TryArm();
   void Arm();
   void RunDue();
 
+  const HandlerGuard& guard_;
   boost::asio::steady_timer timer_;
-  std::map<Id, std::function<void()>> callbacks_;
+  std::map<Id, Timer> callbacks_;
   Instant armed_for_ = Instant::max();
   uint64_t next_id_ = 0;
 };
