serve: an exception in a thread ends one request, not the process

What a handler, a task, a message of a daemon or a tick of the control loop threw ended the process.

Ruled out: lengths and sizes of chunks in answers of upstreams, which POCO does not reserve; two cases of the exchange test hold that.

Change: ContainExceptions around each task, request, tick and run of the peer loop; a request whose handler throws ends with 500, which promises nothing. Left: the reader of the platform's store.

--- a/src/daemon/blocking_server.cc
+++ b/src/daemon/blocking_server.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "logging/contain_exceptions.h"
+
 namespace clementinerill {
 namespace {
 
@@ -43,7 +45,7 @@
     return port;
   }
   workers_ = std::make_unique<TaskPool>(options_.threads_);
-  Tick();
+  loop_.Timers().AddPeriodic(kTickPeriod, [this] { Tick(); });
   thread_ = std::thread([this] { loop_.Run(); });
   return port;
 }
@@ -58,8 +60,11 @@
   const auto gone = std::make_shared<std::atomic<bool>>(false);
   connection->OnDisconnect([gone] { *gone = true; });
   workers_->Post([this, connection, gone, request = std::move(request)] {
-    auto response =
-        handlers_.handle_(request, [&gone] { return gone->load(); });
+    // No promise on the request, if an exception ends its handler.
+    http::HttpResponse response{500, {}, {}, true};
+    ContainExceptions("request", [&] {
+      response = handlers_.handle_(request, [&gone] { return gone->load(); });
+    });
     loop_.Post([this, connection, response = std::move(response)] {
       --in_progress_;
       connection->Respond(response, draining_);
@@ -76,9 +81,7 @@
   const bool is_done = listener_.CountOpen() == 0 || now >= stop_by_.load();
   if (stopping_ && in_progress_ == 0 && is_done) {
     loop_.Stop();
-    return;
   }
-  loop_.Timers().Add(now + kTickPeriod, [this] { Tick(); });
 }
 
 void BlockingServer::Stop(Duration max_wait) {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -9,6 +9,7 @@
 #include "daemon/operator_log.h"
 #include "daemon/query_answer_json.h"
 #include "daemon/status_page.h"
+#include "logging/contain_exceptions.h"
 
 namespace clementinerill {
 namespace {
@@ -246,21 +247,25 @@
 
 void Daemon::RunControl() {
   for (int tick = 0; !stopping_; ++tick) {
-    const Instant now = Now();
-    ExchangeColdMarks();
-    control_plane_.Tick(now);
-    if (tick % kTicksPerUpdate == 0) {
-      dispatcher_.Maintain(now);
-      UpdateCapacities(now);
-    }
-    MaintainConnections();
-    if (tick % kTicksPerCancelRetry == 0) {
-      runner_.RetryCancellations();
-    }
+    ContainExceptions("control", [this, tick] { RunControlTick(tick); });
     std::this_thread::sleep_for(kControlInterval);
   }
 }
 
+void Daemon::RunControlTick(int tick) {
+  const Instant now = Now();
+  ExchangeColdMarks();
+  control_plane_.Tick(now);
+  if (tick % kTicksPerUpdate == 0) {
+    dispatcher_.Maintain(now);
+    UpdateCapacities(now);
+  }
+  MaintainConnections();
+  if (tick % kTicksPerCancelRetry == 0) {
+    runner_.RetryCancellations();
+  }
+}
+
 void Daemon::MaintainConnections() {
   for (const auto& state : dispatcher_.Upstreams()) {
     const int silent = state->pool_.CondemnSilent(Now());
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -60,6 +60,7 @@
   /// @brief Why the daemon is not ready; `kNone` when it is.
   [[nodiscard]] Reason NotReadyReason() const;
   void RunControl();
+  void RunControlTick(int tick);
   void MaintainConnections();
   void ExchangeColdMarks();
   void ApplyAdvisory(const Advisory& advisory);
--- a/src/peer/mesh_core.cc
+++ b/src/peer/mesh_core.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "base/backoff.h"
+#include "logging/contain_exceptions.h"
 #include "logging/log.h"
 #include "peer/codec.h"
 
@@ -114,7 +115,10 @@
 
 void MeshCore::Run() {
   ScheduleTick();
-  io_.run();
+  // Returns early only if an exception has left a handler.
+  while (!io_.stopped()) {
+    ContainExceptions("peer", [this] { io_.run(); });
+  }
 }
 
 void MeshCore::AddTarget(const std::string& name, DialTarget target) {
@@ -164,8 +168,8 @@
       io_.stop();
       return;
     }
-    Tick(now);
     ScheduleTick();
+    Tick(now);
   });
 }
 
--- a/src/upstream/task_pool.cc
+++ b/src/upstream/task_pool.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "logging/contain_exceptions.h"
+
 namespace clementinerill {
 
 TaskPool::TaskPool(int threads) {
@@ -49,7 +51,7 @@
     const std::function<void()> task = std::move(tasks_.front());
     tasks_.pop_front();
     lock.unlock();
-    task();
+    ContainExceptions("task", task);
   }
 }
 
