Gateway: a query ends with a true status after an exception

An exception within a step of a query left it open until its deadline, though its outcome was known.

Cause: the guard of the HTTP library ends connections, but does not know the query that is left halfway. Ruled out: ending queries by their deadline alone, as callers wait for nothing.

Change: a query closes its attempts and answers 502, or 503 if no attempt has sent a byte; an attempt stays known as sent until its outcome is recorded. Forwarded queries end with 502.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -64,6 +64,7 @@
               }),
       writer_(loop, options.store_.address_, options.store_.port_),
       deleter_(loop, options.store_.address_, options.store_.port_) {
+  CountExceptions(loop, metrics);
   if (options.duty_) {
     duty_.emplace(loop, options, metrics, [this] { PublishView(); });
   }
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -34,10 +34,23 @@
     }
   };
   SetTimer(std::min(acknowledge_by, deadline));
-  lease_.connection_->Start(std::move(exchange),
-                            [self](http::ExchangeResult result) {
-                              self->OnResult(std::move(result));
-                            });
+  lease_.connection_->Start(
+      std::move(exchange), [self](http::ExchangeResult result) {
+        self->Contain([&] { self->OnResult(std::move(result)); });
+      });
+}
+
+// The aggregator may have started the query.
+void ForwardExchange::OnException() {
+  is_open_ = false;
+  if (timer_) {
+    loop_.Timers().Cancel(*timer_);
+    timer_.reset();
+  }
+  lease_.connection_->Close();
+  if (const Handler handler = std::exchange(handler_, nullptr)) {
+    handler({ForwardOutcome::kBroken, {}});
+  }
 }
 
 void ForwardExchange::SetTimer(Instant at) {
@@ -47,7 +60,7 @@
   const auto self = shared_from_this();
   timer_ = loop_.Timers().Add(at, [self] {
     self->timer_.reset();
-    self->OnTimer();
+    self->Contain([&] { self->OnTimer(); });
   });
 }
 
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -58,6 +58,13 @@
   }
 
  private:
+  /// Runs a handler of the event loop; an exception ends the exchange.
+  template <typename Task>
+  void Contain(Task&& task) {
+    loop_.Guard().Run(http::HandlerKind::kExchange, task,
+                      [this] { OnException(); });
+  }
+  void OnException();
   void SetTimer(Instant at);
   void OnStarted(Instant deadline);
   void OnTimer();
--- a/src/gateway/forward_session.cc
+++ b/src/gateway/forward_session.cc
@@ -35,6 +35,7 @@
                                GatherHere gather_here)
     : context_(context),
       query_(std::move(query)),
+      caller_(query_.caller_),
       exchange_(std::make_shared<ForwardExchange>(context.loop_,
                                                   context.aggregators_,
                                                   context.metrics_,
@@ -43,13 +44,17 @@
 
 void ForwardSession::Start() {
   const Instant now = http::EventLoop::Now();
-  const auto self = shared_from_this();
-  const std::weak_ptr<ForwardSession> weak = self;
-  query_.caller_->OnDisconnect([weak] {
+  const std::weak_ptr<ForwardSession> weak = shared_from_this();
+  caller_->OnDisconnect([weak] {
     if (const auto session = weak.lock()) {
-      session->OnCallerDisconnected();
+      session->Contain([&] { session->OnCallerDisconnected(); });
     }
   });
+  Contain([this, now] { Send(now); });
+}
+
+void ForwardSession::Send(Instant now) {
+  const auto self = shared_from_this();
   ForwardHeader header;
   header.configuration_version_ = query_.view_->configuration_->version_;
   header.elapsed_ =
@@ -59,7 +64,18 @@
       MakeForwardedRequest(query_.request_, header, context_.names_,
                            query_.deadline_ - now),
       now + traffic::AcknowledgeTimeout(*query_.route_), query_.deadline_,
-      [self](ForwardResult result) { self->OnResult(std::move(result)); });
+      [self](ForwardResult result) {
+        self->Contain([&] { self->OnResult(std::move(result)); });
+      });
+}
+
+// The query may have run. `Respond` does nothing if the caller has its
+// response.
+void ForwardSession::OnException() {
+  is_open_ = false;
+  context_.loop_.Guard().Run(http::HandlerKind::kQuery,
+                             [this] { exchange_->Cancel(); });
+  caller_->Respond({502, {}, {}, true}, context_.draining_);
 }
 
 void ForwardSession::OnResult(ForwardResult result) {
@@ -131,7 +147,7 @@
   response.headers_ = http::EndToEndHeaders(response.headers_);
   context_.metrics_.queries_.Increment(OutcomeOf(response, context_.names_));
   context_.metrics_.latency_.Record(http::EventLoop::Now() - query_.started_);
-  query_.caller_->Respond(response, context_.draining_);
+  caller_->Respond(response, context_.draining_);
 }
 
 void ForwardSession::LogEnd(ForwardOutcome outcome, Instant now) const {
--- a/src/gateway/forward_session.h
+++ b/src/gateway/forward_session.h
@@ -49,6 +49,14 @@
   void Abort();
 
  private:
+  /// Runs a step of the query; an exception ends the query.
+  template <typename Task>
+  void Contain(Task&& task) {
+    context_.loop_.Guard().Run(http::HandlerKind::kQuery, task,
+                               [this] { OnException(); });
+  }
+  void OnException();
+  void Send(Instant now);
   void OnResult(ForwardResult result);
   void OnCallerDisconnected();
   /// Counts the query for its organisation, if the aggregator has started it.
@@ -58,7 +66,8 @@
   void LogEnd(traffic::ForwardOutcome outcome, Instant now) const;
 
   SessionContext& context_;
-  ForwardedQuery query_;
+  ForwardedQuery query_;  ///< Given away when it is handed back.
+  const std::shared_ptr<http::ServerConnection> caller_;
   std::shared_ptr<ForwardExchange> exchange_;
   const GatherHere gather_here_;
   bool is_open_ = true;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -3,6 +3,7 @@
 
 #include "duty/outcomes.h"
 #include "http/client_connection.h"
+#include "http/event_loop.h"
 #include "http/request_error.h"
 #include "metrics/registry.h"
 #include "mirror/copy_proof.h"
@@ -53,6 +54,11 @@
         response_buffers_(registry_.AddGauge(
             "gateway_response_buffer_bytes",
             "Bytes of responses that are received or not passed on yet.")),
+        exceptions_(registry_.AddReasonCounters(
+            "gateway_handler_exceptions_total",
+            "Exceptions, such as a lack of memory, that ended a handler of an "
+            "event loop, by the kind of handler.",
+            http::kHandlerKindNames)),
         request_buffers_(registry_.AddGauge(
             "gateway_request_buffer_bytes",
             "Bytes of requests that are received or in progress.")),
@@ -183,6 +189,7 @@
   ReasonCounters<traffic::PartFailureReason, 8> failed_parts_;
   ReasonCounters<http::ResponseLimit, 3> responses_cut_off_;
   Gauge& response_buffers_;
+  ReasonCounters<http::HandlerKind, 9> exceptions_;
   Gauge& request_buffers_;
   Gauge& unread_responses_;
   Counter& unread_dropped_;
@@ -219,6 +226,13 @@
   LatencyRecorder& latency_;
 };
 
+/// @brief Counts the exceptions that end handlers of a loop.
+inline void CountExceptions(http::EventLoop& loop, GatewayMetrics& metrics) {
+  loop.Guard().SetOnFailure([&metrics](http::HandlerKind kind) {
+    metrics.exceptions_.Increment(kind);
+  });
+}
+
 }  // namespace clementinerill::gateway
 
 #endif  // CLEMENTINERILL_GATEWAY_GATEWAY_METRICS_H_
--- a/src/gateway/query_session.cc
+++ b/src/gateway/query_session.cc
@@ -54,11 +54,56 @@
   const std::weak_ptr<QuerySession> weak = shared_from_this();
   caller_->OnDisconnect([weak] {
     if (const auto self = weak.lock()) {
-      self->OnCallerDisconnected();
+      self->Contain([&] { self->OnCallerDisconnected(); });
     }
   });
-  StartDelegations(http::EventLoop::Now());
-  Step();
+  Contain([this] {
+    StartDelegations(http::EventLoop::Now());
+    Step();
+  });
+}
+
+// Its response is true whatever the exception has left halfway: a request of
+// which a byte may have been sent may have run.
+void QuerySession::OnException() {
+  const Instant now = http::EventLoop::Now();
+  const http::HandlerGuard& guard = context_.loop_.Guard();
+  guard.Run(http::HandlerKind::kQuery, [this, now] { EndAttempts(now); });
+  if (is_answered_) {
+    return;
+  }
+  const auto respond = [this, now] {
+    ReleaseResponses();
+    query_.outcome_ = traffic::MayHaveRun(query_) ? QueryOutcome::kFailed
+                                                  : QueryOutcome::kRefused;
+    Respond(now);
+  };
+  if (!guard.TryRun(http::HandlerKind::kQuery, respond) && !is_answered_) {
+    caller_->Close();
+  }
+}
+
+// Attempts that are open without a connection have not been sent.
+void QuerySession::EndAttempts(Instant now) {
+  if (timer_) {
+    context_.loop_.Timers().Cancel(*timer_);
+    timer_.reset();
+  }
+  CancelDelegations();
+  for (const RunningAttempt& attempt : running_) {
+    CloseAttempt(attempt,
+                 attempt.connection_->HasSent() ? AttemptOutcome::kAbandoned
+                                                : AttemptOutcome::kWithdrawn,
+                 now);
+  }
+  running_.clear();
+  for (size_t part = 0; part < query_.parts_.size(); ++part) {
+    const size_t attempts = query_.parts_[part].attempts_.size();
+    for (size_t attempt = 0; attempt < attempts; ++attempt) {
+      traffic::RecordAttemptOutcome(context_.fleet_, query_, {part, attempt},
+                                    AttemptOutcome::kWithdrawn, {}, now);
+    }
+  }
 }
 
 void QuerySession::StartDelegations(Instant now) {
@@ -108,7 +153,9 @@
                            traffic::RemainingTime(query_, now)),
       now + traffic::AcknowledgeTimeout(*query_.route_), query_.deadline_,
       [self, index, tries_left](ForwardResult result) {
-        self->OnDelegation(index, tries_left - 1, std::move(result));
+        self->Contain([&] {
+          self->OnDelegation(index, tries_left - 1, std::move(result));
+        });
       });
 }
 
@@ -199,15 +246,19 @@
   const auto self = shared_from_this();
   timer_ = context_.loop_.Timers().Add(at, [self] {
     self->timer_.reset();
-    const Instant now = http::EventLoop::Now();
-    if (now >= self->query_.deadline_) {
-      self->CloseUnsentAttempts(AttemptOutcome::kConnectTimeout, now);
-      self->CloseRunningAttempts(AttemptOutcome::kAbandoned, now);
-    }
-    self->Step();
+    self->Contain([&] { self->OnTimer(); });
   });
 }
 
+void QuerySession::OnTimer() {
+  const Instant now = http::EventLoop::Now();
+  if (now >= query_.deadline_) {
+    CloseUnsentAttempts(AttemptOutcome::kConnectTimeout, now);
+    CloseRunningAttempts(AttemptOutcome::kAbandoned, now);
+  }
+  Step();
+}
+
 void QuerySession::Send(traffic::SendAction action, Instant now) {
   const traffic::QueryPart& part = query_.parts_[action.part_];
   const traffic::Attempt& attempt = part.attempts_[action.attempt_];
@@ -237,10 +288,10 @@
                                   http::EventLoop::Now());
         }
       };
-  connection->Start(std::move(exchange),
-                    [self, action](http::ExchangeResult result) {
-                      self->OnExchange(action, std::move(result));
-                    });
+  connection->Start(
+      std::move(exchange), [self, action](http::ExchangeResult result) {
+        self->Contain([&] { self->OnExchange(action, std::move(result)); });
+      });
 }
 
 std::optional<std::string> QuerySession::RequestFor(traffic::SendAction action,
@@ -269,8 +320,7 @@
   if (running == running_.end()) {
     return;
   }
-  const auto connection = std::move(running->connection_);
-  running_.erase(running);
+  const auto connection = running->connection_;
   const auto replica =
       query_.parts_[action.part_].attempts_[action.attempt_].replica_;
   const AttemptOutcome outcome =
@@ -293,14 +343,18 @@
   response.hold_ = std::move(result.hold_);
   traffic::RecordAttemptOutcome(context_.fleet_, query_, action, outcome,
                                 std::move(response), now);
+  // Not before: without its outcome the attempt would count as not sent after
+  // an exception.
+  running_.erase(running);
   context_.pool_.Release(replica, connection, keep_alive, now);
   Step();
 }
 
 void QuerySession::CloseRunningAttempts(AttemptOutcome outcome, Instant now) {
-  for (const RunningAttempt& attempt : std::exchange(running_, {})) {
+  for (const RunningAttempt& attempt : running_) {
     CloseAttempt(attempt, outcome, now);
   }
+  running_.clear();
 }
 
 void QuerySession::CloseUnsentAttempts(AttemptOutcome outcome, Instant now) {
@@ -330,6 +384,7 @@
     return;
   }
   query_.outcome_ = QueryOutcome::kDisconnected;
+  is_answered_ = true;
   CancelDelegations();
   CloseUnsentAttempts(AttemptOutcome::kWithdrawn, now);
   RecordEnd(0, now);
@@ -346,16 +401,19 @@
   if (!IsOpen()) {
     return;
   }
-  const Instant now = http::EventLoop::Now();
-  CloseUnsentAttempts(AttemptOutcome::kWithdrawn, now);
-  query_.outcome_ = traffic::MayHaveRun(query_) ? QueryOutcome::kTimedOut
-                                                : QueryOutcome::kRefused;
-  Respond(now);
+  Contain([this] {
+    const Instant now = http::EventLoop::Now();
+    CloseUnsentAttempts(AttemptOutcome::kWithdrawn, now);
+    query_.outcome_ = traffic::MayHaveRun(query_) ? QueryOutcome::kTimedOut
+                                                  : QueryOutcome::kRefused;
+    Respond(now);
+  });
 }
 
 void QuerySession::Respond(Instant now) {
   CancelDelegations();
   const auto response = MakeCallerResponse(query_, context_.names_, now);
+  is_answered_ = true;
   caller_->Respond(response, context_.draining_);
   context_.metrics_.queries_.Increment(query_.outcome_);
   CountUnansweredParts();
--- a/src/gateway/query_session.h
+++ b/src/gateway/query_session.h
@@ -49,6 +49,14 @@
     std::shared_ptr<http::ClientConnection> connection_;
   };
 
+  /// Runs a step of the query; an exception ends the query.
+  template <typename Task>
+  void Contain(Task&& task) {
+    context_.loop_.Guard().Run(http::HandlerKind::kQuery, task,
+                               [this] { OnException(); });
+  }
+  void OnException();
+  void EndAttempts(Instant now);
   void Step();
   void Send(traffic::SendAction action, Instant now);
   /// Returns the bytes of an attempt; none if it must not be sent any more.
@@ -62,6 +70,7 @@
   void CancelDelegations();
   void OnExchange(traffic::SendAction action, http::ExchangeResult result);
   void ArmTimer();
+  void OnTimer();
   void OnCallerDisconnected();
   void Respond(Instant now);
   void CloseRunningAttempts(traffic::AttemptOutcome outcome, Instant now);
@@ -81,6 +90,7 @@
   std::vector<RunningAttempt> running_;
   std::vector<std::shared_ptr<ForwardExchange>> delegated_;
   std::optional<http::TimerQueue::Id> timer_;
+  bool is_answered_ = false;  ///< The caller has its response or has left.
 };
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -90,6 +90,7 @@
           [this](const Caller& caller, http::HttpRequest request) {
             OnForwardedRequest(caller, std::move(request));
           }) {
+  CountExceptions(loop, metrics);
   fleet_.name_ = options.name_;
   fleet_.failure_domain_ = options.failure_domain_;
   fleet_.region_ = options.region_;
