Gateway: control work goes on after an exception

An exception in the handler of a call or in a periodic task stopped the watch of the store, the polling of relays or the task for good, unnoticed, and a copy of the store could keep a part of its changes.

Cause: each of them starts its next call or timer at its own end. Ruled out: calling a handler once more by itself, which does not help while there is no memory for that either.

Change: periodic tasks are timers that go on by themselves. A copy that has got a part of its changes is doubtful: it proves nothing, is relayed to nobody, and the next full list replaces it unless it is older. A watch, or the polling of relays, without a call or a timer goes on with the next tick; a view that was not applied is applied then.

--- a/src/gateway/control_loop.cc
+++ b/src/gateway/control_loop.cc
@@ -84,8 +84,9 @@
   }
   Register();
   prober_.Start();
-  JudgeRollouts();
+  StartJudgements();
   Tick();
+  loop_.Timers().AddPeriodic(kEvictionPeriod, [this] { Tick(); });
 }
 
 void ControlLoop::OnChanges(const std::string& kind,
@@ -377,8 +378,6 @@
   if (evacuations_.EndLost(now) || evicted) {
     PublishView();
   }
-  loop_.Timers().Add(http::EventLoop::Now() + kEvictionPeriod,
-                     [this] { Tick(); });
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/control_loop.h
+++ b/src/gateway/control_loop.h
@@ -83,6 +83,7 @@
   void RecordReport(const std::string& process,
                     const std::vector<mirror::RolloutEvidence>& evidence,
                     bool is_direct);
+  void StartJudgements();
   void JudgeRollouts();
   void DeleteDaemonRecord(const mirror::DaemonRecord& daemon);
   void Register();
--- a/src/gateway/control_loop_evidence.cc
+++ b/src/gateway/control_loop_evidence.cc
@@ -81,6 +81,11 @@
           rollouts_.DirectEvidence(http::EventLoop::Now())};
 }
 
+void ControlLoop::StartJudgements() {
+  JudgeRollouts();
+  loop_.Timers().AddPeriodic(kJudgementPeriod, [this] { JudgeRollouts(); });
+}
+
 void ControlLoop::JudgeRollouts() {
   const Instant now = http::EventLoop::Now();
   if (rollouts_.HasOpenOrder()) {
@@ -91,7 +96,6 @@
       exchange_.Send(OwnReport());
     }
   }
-  loop_.Timers().Add(now + kJudgementPeriod, [this] { JudgeRollouts(); });
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -30,10 +30,10 @@
   SettingsReloader(http::EventLoop& loop,
                    TrafficServer& traffic,
                    const GatewayOptions& options)
-      : loop_(loop), traffic_(traffic), options_(options) {
+      : traffic_(traffic), options_(options) {
     if (options_.read_settings_) {
       settings_text_ = options_.read_settings_();
-      ScheduleCheck();
+      loop.Timers().AddPeriodic(kSettingsPollPeriod, [this] { Check(); });
     }
   }
 
@@ -68,16 +68,12 @@
   }
 
  private:
-  void ScheduleCheck() {
-    loop_.Timers().Add(http::EventLoop::Now() + kSettingsPollPeriod, [this] {
-      if (options_.read_settings_() != settings_text_) {
-        Reload();
-      }
-      ScheduleCheck();
-    });
+  void Check() {
+    if (options_.read_settings_() != settings_text_) {
+      Reload();
+    }
   }
 
-  http::EventLoop& loop_;
   TrafficServer& traffic_;
   const GatewayOptions& options_;
   std::string settings_text_;
@@ -105,8 +101,9 @@
           if (error) {
             return;
           }
-          OnSignal(signal);
           Wait();
+          loop_.Guard().Run(http::HandlerKind::kSignal,
+                            [this, signal] { OnSignal(signal); });
         });
   }
 
--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -86,8 +86,15 @@
   }
 }
 
+void KindWatch::RestartIfStopped() {
+  if (active_ && !timer_ && !client_.IsBusy()) {
+    mirror::Doubt(mirror_);
+    Step();
+  }
+}
+
 void KindWatch::Step() {
-  if (needs_list_ || mirror_.revision_ == 0) {
+  if (needs_list_ || mirror::KnownRevision(mirror_) == 0) {
     List();
   } else {
     Watch();
@@ -95,6 +102,9 @@
 }
 
 void KindWatch::ScheduleStep(Duration pause) {
+  if (timer_) {
+    loop_.Timers().Cancel(*timer_);
+  }
   timer_ = loop_.Timers().Add(http::EventLoop::Now() + pause, [this] {
     timer_.reset();
     Step();
@@ -120,6 +130,9 @@
   metrics_.store_calls_.Increment();
   client_.Call(std::move(request),
                [this, handler](const http::ClientResponse& response) {
+                 if (response.handler_failed_) {
+                   mirror::Doubt(mirror_);
+                 }
                  if (response.status_ != 200) {
                    ReportProof(JudgeProof(response, nullptr, sent_at_));
                  }
--- a/src/gateway/kind_watch.h
+++ b/src/gateway/kind_watch.h
@@ -60,6 +60,10 @@
   /// store was seen by another watch.
   void EnterEra(int64_t era);
 
+  /// @brief Goes on if an exception has left the watch without a call and a
+  /// timer. To be called periodically.
+  void RestartIfStopped();
+
   /// @brief Sets the long-poll time, from the next watch on.
   void SetWait(std::chrono::milliseconds wait) { options_.wait_ = wait; }
 
--- a/src/gateway/relay_server.cc
+++ b/src/gateway/relay_server.cc
@@ -96,7 +96,7 @@
   mirror::RelayReply reply;
   bool has_changes = even_if_unchanged;
   for (const auto& [kind, followed] : kinds_) {
-    if (followed.mirror_.revision_ == 0) {
+    if (mirror::KnownRevision(followed.mirror_) == 0) {
       continue;
     }
     const auto known = request.revisions_.find(kind);
@@ -135,7 +135,12 @@
 
 void RelayServer::ReplyToWaitingReaders() {
   for (auto it = waiting_readers_.begin(); it != waiting_readers_.end();) {
-    if (!TryReply(*it, false)) {
+    bool is_waiting = false;
+    loop_.Guard().Run(
+        http::HandlerKind::kRequest,
+        [&] { is_waiting = !TryReply(*it, false); },
+        [&] { it->caller_->Close(); });
+    if (is_waiting) {
       ++it;
       continue;
     }
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -104,6 +104,7 @@
   }
   PollRelay();
   Tick();
+  loop_.Timers().AddPeriodic(kTickPeriod, [this] { Tick(); });
 }
 
 void StoreFollower::WatchDaemons() {
@@ -222,7 +223,7 @@
   request.wait_ = RelayPollWait(options_.max_propagation_delay_,
                                 proof_.MaxAge(), plan_.role_);
   for (const auto& [kind, followed] : kinds_) {
-    request.revisions_[kind] = followed.mirror_.revision_;
+    request.revisions_[kind] = mirror::KnownRevision(followed.mirror_);
     request.eras_[kind] = followed.mirror_.era_;
   }
   request.daemon_ = options_.name_;
@@ -248,7 +249,8 @@
 }
 
 void StoreFollower::PollRelayAfter(Duration pause) {
-  loop_.Timers().Add(http::EventLoop::Now() + pause, [this] {
+  relay_timer_ = loop_.Timers().Add(http::EventLoop::Now() + pause, [this] {
+    relay_timer_.reset();
     const mirror::RelayRequest request = MakeRequest();
     http::ClientRequest http_request;
     http_request.method_ = "POST";
@@ -264,6 +266,11 @@
 }
 
 void StoreFollower::OnRelayReply(const http::ClientResponse& reply) {
+  if (reply.handler_failed_) {
+    for (auto& [kind, followed] : kinds_) {
+      mirror::Doubt(followed.mirror_);
+    }
+  }
   if (reply.status_ != 200) {
     OnRelayFailed(http::DescribeFailure(reply));
     return;
@@ -354,7 +361,8 @@
                              ? kRelayRetryDelay
                              : kFastRelayRetryDelay;
   // Deferred, as the client must not be destroyed within its own callback.
-  loop_.Timers().Add(now + pause, [this] {
+  relay_timer_ = loop_.Timers().Add(now + pause, [this] {
+    relay_timer_.reset();
     polling_relay_ = false;
     PollRelay();
   });
@@ -375,7 +383,20 @@
   relay_server_.CheckTimeouts(now);
   ActivateWatches();
   RecordCopyAge(now);
-  loop_.Timers().Add(now + kTickPeriod, [this] { Tick(); });
+  RestartIfStopped();
+}
+
+// An exception may have left a watch, or the polling of relays, without a call
+// and a timer.
+void StoreFollower::RestartIfStopped() {
+  for (auto& [kind, followed] : kinds_) {
+    followed.watch_->RestartIfStopped();
+  }
+  const bool is_called = relay_client_ && relay_client_->IsBusy();
+  if (polling_relay_ && !relay_timer_ && !is_called) {
+    polling_relay_ = false;
+    PollRelay();
+  }
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -86,6 +86,7 @@
   [[nodiscard]] mirror::RelayRequest MakeRequest() const;
   void RecordCopyAge(Instant now);
   void Tick();
+  void RestartIfStopped();
 
   http::EventLoop& loop_;
   const GatewayOptions& options_;
@@ -105,7 +106,8 @@
   bool knows_daemons_ = false;
   std::unique_ptr<http::Client> relay_client_;
   bool polling_relay_ = false;
-  std::optional<bool> follows_store_;  ///< Unset until decided.
+  std::optional<http::TimerQueue::Id> relay_timer_;  ///< Of the next poll.
+  std::optional<bool> follows_store_;                ///< Unset until decided.
 };
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/traffic_server.cc
+++ b/src/gateway/traffic_server.cc
@@ -125,12 +125,22 @@
     return tl::make_unexpected(result.error());
   }
   Tick();
+  loop_.Timers().AddPeriodic(kTickPeriod, [this] { Tick(); });
   return {};
 }
 
 void TrafficServer::SetView(std::shared_ptr<const traffic::TrafficView> view) {
-  const bool configured = view->configuration_ != nullptr;
-  traffic::ApplyView(fleet_, std::move(view));
+  new_view_ = std::move(view);
+  ApplyNewView();
+}
+
+// An exception leaves the view to be applied by the next tick.
+void TrafficServer::ApplyNewView() {
+  if (!new_view_) {
+    return;
+  }
+  const bool configured = new_view_->configuration_ != nullptr;
+  traffic::ApplyView(fleet_, new_view_);
   metrics_.replicas_.Set(static_cast<int64_t>(fleet_.view_->replicas_.size()));
   if (configured) {
     const auto& configuration = *fleet_.view_->configuration_;
@@ -140,6 +150,7 @@
   pool_.Maintain(fleet_, http::EventLoop::Now());
   aggregators_.Maintain(traffic::UsedAggregators(fleet_.aggregation_),
                         http::EventLoop::Now());
+  new_view_.reset();
 }
 
 void TrafficServer::SetSettings(const GatewayOptions& settings) {
@@ -382,6 +393,7 @@
 }
 
 void TrafficServer::Tick() {
+  ApplyNewView();
   const Instant now = http::EventLoop::Now();
   const bool refuses_new =
       drain_started_ && now - *drain_started_ >= kBalancerDelay;
@@ -396,7 +408,6 @@
   RemoveExpiredSessions();
   CheckDrain(now);
   ReportRolloutEvidence();
-  loop_.Timers().Add(now + kTickPeriod, [this] { Tick(); });
 }
 
 void TrafficServer::ReportBuffers() {
--- a/src/gateway/traffic_server.h
+++ b/src/gateway/traffic_server.h
@@ -104,6 +104,7 @@
   [[nodiscard]] bool IsReady() const {
     return !draining_ && traffic::CanServe(fleet_, http::EventLoop::BootNow());
   }
+  void ApplyNewView();
   void Tick();
   void CheckDrain(Instant now);
   /// When a stopping daemon sends its last responses.
@@ -116,6 +117,7 @@
   const GatewayOptions& options_;
   GatewayMetrics& metrics_;
   traffic::FleetState fleet_;
+  std::shared_ptr<const traffic::TrafficView> new_view_;  ///< Until applied.
   std::shared_ptr<BufferBudget> response_budget_;
   ListenerBudgets budgets_;
   uint64_t counted_refusals_ = 0;  ///< Of requests, in the metrics.
--- a/src/gateway/usage_control.cc
+++ b/src/gateway/usage_control.cc
@@ -34,6 +34,11 @@
   exchange_.SetSettleTime(kPassTime);
 }
 
+void UsageControl::Start() {
+  Tick();
+  loop_.Timers().AddPeriodic(kTickPeriod, [this] { Tick(); });
+}
+
 void UsageControl::SetConfiguration(
     const traffic::TrafficConfiguration& configuration) {
   Duration longest = Duration::zero();
@@ -71,7 +76,6 @@
     published_ = status;
     publish_(status);
   }
-  loop_.Timers().Add(http::EventLoop::Now() + kTickPeriod, [this] { Tick(); });
 }
 
 }  // namespace clementinerill::gateway
--- a/src/gateway/usage_control.h
+++ b/src/gateway/usage_control.h
@@ -24,7 +24,7 @@
                const GatewayOptions& options,
                GatewayMetrics& metrics);
 
-  void Start() { Tick(); }
+  void Start();
   /// @brief Sets the receiver of what the status page shows.
   void SetPublish(Publish publish) { publish_ = std::move(publish); }
   void SetConfiguration(const traffic::TrafficConfiguration& configuration);
--- a/src/mirror/kind_mirror.cc
+++ b/src/mirror/kind_mirror.cc
@@ -44,6 +44,9 @@
   if (IsOtherEra(mirror, changes.era_)) {
     return changes.era_ > mirror.era_ && changes.is_full_list_;
   }
+  if (mirror.is_doubtful_) {
+    return changes.is_full_list_ && changes.revision_ >= mirror.revision_;
+  }
   return mirror.revision_ == 0 || changes.revision_ > mirror.revision_;
 }
 
@@ -53,6 +56,16 @@
   return mirror.revision_ > 0 && era != mirror.era_;
 }
 
+void Doubt(KindMirror& mirror) noexcept {
+  mirror.is_doubtful_ = true;
+  mirror.proven_at_.reset();
+  mirror.proven_revision_ = 0;
+}
+
+int64_t KnownRevision(const KindMirror& mirror) noexcept {
+  return mirror.is_doubtful_ ? 0 : mirror.revision_;
+}
+
 bool Apply(KindMirror& mirror, const KindChanges& changes) {
   if (!IsNewer(mirror, changes)) {
     return false;
@@ -75,6 +88,7 @@
   }
   mirror.era_ = changes.era_;
   mirror.revision_ = changes.revision_;
+  mirror.is_doubtful_ = false;
   return true;
 }
 
--- a/src/mirror/kind_mirror.h
+++ b/src/mirror/kind_mirror.h
@@ -39,11 +39,20 @@
   /// acknowledged; see copy_proof.h. Lost when the era changes.
   std::optional<BootInstant> proven_at_;
   int64_t proven_revision_ = 0;  ///< Of the copy when it was proven.
+  bool is_doubtful_ = false;     ///< See `Doubt`.
 };
 
 /// @brief Whether revisions of `era` cannot be compared with that of the copy.
 [[nodiscard]] bool IsOtherEra(const KindMirror& mirror, int64_t era) noexcept;
 
+/// @brief Records that an exception has ended the application of changes
+/// halfway. The next full list replaces the copy unless it is older.
+void Doubt(KindMirror& mirror) noexcept;
+
+/// @brief The revision up to which the copy has all changes; 0 if there is none
+/// because the copy needs a full list.
+[[nodiscard]] int64_t KnownRevision(const KindMirror& mirror) noexcept;
+
 /// @brief Applies changes and returns true, or ignores them and returns false
 /// if they are not newer than the copy. The first changes of an era must be a
 /// full list.
--- a/tests/gateway/exception_test.cc
+++ b/tests/gateway/exception_test.cc
@@ -140,5 +140,35 @@
   CHECK(fixture.CountExceptions() <= 3 * failed);
 }
 
+// Guards against a daemon that follows the store no more, or serves nobody,
+// after its memory was used up for a while.
+TEST_CASE("a daemon goes on when it has memory again", "[gateway][exception]") {
+  const bool follows_relay = GENERATE(false, true);
+  INFO("follows a relay: " << follows_relay);
+  FailingFixture fixture;
+  Daemon* other = nullptr;
+  if (follows_relay) {
+    fixture.AddRemoteDaemons(10);
+    for (const char* name : {"vm-2", "vm-3", "vm-4"}) {
+      other = &fixture.Start(fixture.Options(name));
+    }
+    REQUIRE(fixture.RunUntil([&] { return fixture.AllReady(); }));
+  }
+  for (int version = 6; version <= 9; ++version) {
+    INFO("version " << version);
+    fixture.store_.Put("config", "main",
+                       GatewayFixture::Configuration(version));
+    {
+      const FailingAllocations failing(0, 0, UINT64_MAX);
+      fixture.RunUntilStopped(std::chrono::milliseconds(700));
+    }
+    CHECK(FailingAllocations::Failed() > 0);
+    CHECK(fixture.RunUntil([&] { return fixture.AllUseVersion(version); }));
+    CHECK(fixture.RunUntil(
+        [&] { return fixture.FanOut(*fixture.daemon_).status_ == 200; }));
+    CHECK((!other || fixture.FanOut(*other).status_ == 200));
+  }
+}
+
 }  // namespace
 }  // namespace clementinerill::gateway
--- a/tests/mirror/kind_mirror_test.cc
+++ b/tests/mirror/kind_mirror_test.cc
@@ -42,6 +42,22 @@
   CHECK(ChangesSince(mirror, 0, 0).is_full_list_);
 }
 
+// Guards against changes that are lost after an exception has ended their
+// application, and against a copy that reverts to an older state because of it.
+TEST_CASE("a doubtful copy waits for a full list", "[mirror]") {
+  KindMirror mirror;
+  CHECK(Apply(mirror, List(10, {{"a", 1}})));
+  mirror.proven_at_ = BootInstant{};
+  Doubt(mirror);
+  CHECK(KnownRevision(mirror) == 0);
+  CHECK_FALSE(mirror.proven_at_);
+  CHECK_FALSE(Apply(mirror, {12, false, {{"a", 2}}, {}}));
+  CHECK_FALSE(Apply(mirror, List(9, {})));
+  CHECK(Apply(mirror, List(10, {{"a", 1}, {"b", 1}})));
+  CHECK(KnownRevision(mirror) == 10);
+  CHECK(Apply(mirror, {12, false, {{"a", 2}}, {}}));
+}
+
 // Guards against a copy that stays as it is when the store returns from an
 // older copy with lower revisions, and against one that takes changes of
 // another era for the next ones.
