Gateway: a doubtful copy is listed until a list is recent enough

Found by reading the change again: after an exception has ended the application of changes, a list that is older than the copy is ignored, and the watch then goes on from the revision of the copy. Its events are ignored too, as only a full list may replace a doubtful copy: the daemon would never learn anything more of that kind.

Cause: the watch took every list for the end of the doubt. Ruled out: an earlier era, which is listed again already.

Change: changes that leave a copy doubtful count as a failed call, from the store as from a relay, and the list is repeated with the usual pauses. The way by relays uses the same predicate and has no test of its own.

--- a/src/gateway/kind_watch.cc
+++ b/src/gateway/kind_watch.cc
@@ -102,6 +102,7 @@
 }
 
 void KindWatch::ScheduleStep(Duration pause) {
+  // Set by a handler that has thrown an exception afterwards.
   if (timer_) {
     loop_.Timers().Cancel(*timer_);
   }
@@ -268,10 +269,12 @@
 bool KindWatch::ApplyChanges(const mirror::KindChanges& changes,
                              const http::ClientResponse& response,
                              BootInstant sent) {
-  if (changes.era_ < mirror_.era_) {
+  const bool is_earlier_era = changes.era_ < mirror_.era_;
+  if (is_earlier_era || mirror::StaysDoubtful(mirror_, changes)) {
     ReportProof(JudgeProof(response, &changes, sent));
     needs_list_ = true;
-    ScheduleRetry("response of an earlier era");
+    ScheduleRetry(is_earlier_era ? "response of an earlier era"
+                                 : "the list is older than the copy");
     return false;
   }
   RecordSuccess();
--- a/src/gateway/store_follower.cc
+++ b/src/gateway/store_follower.cc
@@ -308,12 +308,14 @@
       continue;
     }
     const mirror::RelayedKind& relayed = found->second;
-    const bool is_old_era = relayed.changes_.era_ < followed.mirror_.era_;
+    const bool is_older =
+        relayed.changes_.era_ < followed.mirror_.era_ ||
+        mirror::StaysDoubtful(followed.mirror_, relayed.changes_);
     if (followed.must_be_fresh_ &&
-        (is_old_era || Duration(relayed.age_) > limit)) {
+        (is_older || Duration(relayed.age_) > limit)) {
       fresh = false;
     }
-    if (is_old_era) {
+    if (is_older) {
       continue;
     }
     mirror::Confirm(followed.mirror_, now - relayed.age_);
--- a/src/mirror/kind_mirror.cc
+++ b/src/mirror/kind_mirror.cc
@@ -66,6 +66,11 @@
   return mirror.is_doubtful_ ? 0 : mirror.revision_;
 }
 
+bool StaysDoubtful(const KindMirror& mirror,
+                   const KindChanges& changes) noexcept {
+  return mirror.is_doubtful_ && !IsNewer(mirror, changes);
+}
+
 bool Apply(KindMirror& mirror, const KindChanges& changes) {
   if (!IsNewer(mirror, changes)) {
     return false;
--- a/src/mirror/kind_mirror.h
+++ b/src/mirror/kind_mirror.h
@@ -53,6 +53,10 @@
 /// because the copy needs a full list.
 [[nodiscard]] int64_t KnownRevision(const KindMirror& mirror) noexcept;
 
+/// @brief Whether the copy is doubtful and `changes` cannot replace it.
+[[nodiscard]] bool StaysDoubtful(const KindMirror& mirror,
+                                 const KindChanges& changes) noexcept;
+
 /// @brief Applies changes and returns true, or ignores them and returns false
 /// if they are not newer than the copy. The first changes of an era must be a
 /// full list.
--- a/tests/gateway/fake_store.h
+++ b/tests/gateway/fake_store.h
@@ -110,7 +110,8 @@
   std::map<std::string, std::string> odd_metadata_;  ///< Text, by name.
   size_t page_size_ = 1000;                          ///< Objects in a list.
   bool has_no_history_ = false;                      ///< Every watch gets 410.
-  std::map<std::string, nlohmann::json> statuses_;   ///< By kind and name.
+  bool lists_copy_ = false;  ///< Lists are those of the copy, in this era.
+  std::map<std::string, nlohmann::json> statuses_;  ///< By kind and name.
   int lost_write_responses_ = 0;  ///< Next writes that get no response.
   std::set<std::string>
       unanswered_kinds_;  ///< Their requests are not answered.
@@ -326,7 +327,7 @@
   void List(const Caller& caller,
             const std::string& kind,
             const std::string& after) {
-    const auto& objects = objects_[kind];
+    const auto& objects = (lists_copy_ ? copy_ : objects_)[kind];
     std::string items;
     size_t listed = 0;
     auto object = objects.upper_bound(after);
@@ -337,7 +338,9 @@
     RespondText(caller, 200,
                 R"({"items":[)" + items + R"(],"has_more":)" +
                     (object == objects.end() ? "false" : "true") +
-                    R"(,"current_rev":)" + std::to_string(revision_) + "}");
+                    R"(,"current_rev":)" +
+                    std::to_string(lists_copy_ ? copy_revision_ : revision_) +
+                    "}");
   }
 
   http::EventLoop& loop_;
